--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/** The command line. */
+
+import process from "node:process";
+import { Builtins, Cli, UsageError } from "clipanion";
+import { suggest } from "../settings/decode.ts";
+import { CheckCommand } from "./check_command.ts";
+import { ExplainCommand } from "./explain_command.ts";
+import { LoadCommand } from "./load_command.ts";
+import { RunCommand } from "./run_command.ts";
+import { PlatformCommand, UpstreamCommand } from "./stand_in_commands.ts";
+import { StatusCommand } from "./status_command.ts";
+
+const COMMANDS = [
+  RunCommand,
+  CheckCommand,
+  ExplainCommand,
+  StatusCommand,
+  LoadCommand,
+  PlatformCommand,
+  UpstreamCommand,
+];
+const USAGE_EXIT_CODE = 2;
+
+await main(process.argv.slice(2));
+
+async function main(args: string[]): Promise<void> {
+  const misspelt = tryFindMisspelt(args);
+  if (misspelt !== undefined) {
+    process.stderr.write(`${misspelt}\n`);
+    process.exitCode = USAGE_EXIT_CODE;
+    return;
+  }
+  const cli = new Cli({
+    binaryLabel: "vanillarock",
+    binaryName: "vanillarock",
+    binaryVersion: "0.1.0",
+  });
+  for (const command of COMMANDS) cli.register(command);
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  await cli.runExit(args);
+}
+
+function tryFindMisspelt(args: readonly string[]): string | undefined {
+  const first = args[0];
+  if (first === undefined || first.startsWith("-")) return undefined;
+  const names = COMMANDS.flatMap((c) => c.paths ?? []).map((p) => p[0]!);
+  if (names.includes(first)) return undefined;
+  const nearest = suggest(first, names);
+  const hint = nearest.some ? `; did you mean ${nearest.val}?` : "";
+  const known = [...new Set(names)].join(", ");
+  return new UsageError(
+    `unknown command ${first}${hint} (commands: ${known})`,
+  ).message;
+}
--- /dev/null
+++ b/src/client_account/check_file.ts
@@ -0,0 +1,25 @@
+/** Checks any file that the product reads: host settings, template or account. */
+
+import { parse } from "yaml";
+import type { ConfigProblem } from "../core/config_state.ts";
+import { decodeYaml } from "../settings/decode.ts";
+import { hostSettingsSchema } from "../settings/host_settings.ts";
+import { decodeAny } from "./decode.ts";
+
+/** All mistakes of one file. */
+export function checkFile(file: string, text: string): ConfigProblem[] {
+  const decoded = isHostSettings(text)
+    ? decodeYaml(text, { file, schema: hostSettingsSchema })
+    : decodeAny(text, file);
+  return decoded.ok ? [] : decoded.val;
+}
+
+/** Host settings carry no kind; documents of accounts and templates do. */
+function isHostSettings(text: string): boolean {
+  try {
+    const value = parse(text);
+    return typeof value === "object" && value !== null && !("kind" in value);
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/core/account_budgets.ts
@@ -0,0 +1,111 @@
+/** Budgets of each client account at one gateway: retries, hedges, hedge delay. */
+
+import type { AccountLimits } from "./gateway_types.ts";
+import { createLatencyWindow, type LatencyWindow } from "./latency_window.ts";
+import { createTokenBucket, type TokenBucket } from "./token_bucket.ts";
+import type { AccountName, CoreHost, Millis, ServiceName } from "./types.ts";
+
+/** Retries that a quiet account may spend at once. */
+const RETRY_BURST = 10;
+/** Refill that keeps a quiet account able to retry, per second. */
+const RETRY_TRICKLE_PER_SECOND = 1;
+const HEDGE_BURST = 5;
+
+/** Budgets by account. */
+export interface AccountBudgets {
+  noteRequest(account: AccountName): void;
+  noteSuccess(
+    account: AccountName,
+    service: ServiceName,
+    latencyMs: Millis,
+  ): void;
+  tryTakeRetry(account: AccountName): boolean;
+  tryTakeHedge(account: AccountName): boolean;
+  /** Delay before a hedge in ms, or undefined where none may be sent. */
+  tryGetHedgeDelay(
+    account: AccountName,
+    service: ServiceName,
+  ): Millis | undefined;
+}
+
+/** Settings of the budgets. */
+export interface AccountBudgetOptions {
+  readonly hasRetryBudget?: boolean;
+  getLimits(account: AccountName): AccountLimits;
+}
+
+interface Budget {
+  retries: TokenBucket;
+  hedges: TokenBucket;
+}
+
+/** Creates budgets that fill as requests arrive and succeed. */
+export function createAccountBudgets(
+  host: CoreHost,
+  options: AccountBudgetOptions,
+): AccountBudgets {
+  const budgets = new Map<AccountName, Budget>();
+  const windows = new Map<ServiceName, LatencyWindow>();
+  return {
+    noteRequest,
+    noteSuccess,
+    tryTakeRetry,
+    tryTakeHedge: (account) => getBudget(account).hedges.tryTake(),
+    tryGetHedgeDelay,
+  };
+
+  function noteRequest(account: AccountName): void {
+    getBudget(account).hedges.add(options.getLimits(account).hedgeBudget);
+  }
+
+  function noteSuccess(
+    account: AccountName,
+    service: ServiceName,
+    latencyMs: Millis,
+  ): void {
+    getBudget(account).retries.add(options.getLimits(account).retryBudget);
+    getWindow(service).record(latencyMs);
+  }
+
+  function tryTakeRetry(account: AccountName): boolean {
+    if (options.hasRetryBudget === false) return true;
+    return getBudget(account).retries.tryTake();
+  }
+
+  function tryGetHedgeDelay(
+    account: AccountName,
+    service: ServiceName,
+  ): Millis | undefined {
+    const limits = options.getLimits(account);
+    if (limits.hedgeBudget <= 0) return undefined;
+    return getWindow(service).tryGetPercentile(limits.hedgePercentile);
+  }
+
+  function getBudget(account: AccountName): Budget {
+    let budget = budgets.get(account);
+    if (budget === undefined) {
+      budget = {
+        retries: createTokenBucket(host, {
+          capacity: RETRY_BURST,
+          perSecond: RETRY_TRICKLE_PER_SECOND,
+        }),
+        hedges: createTokenBucket(host, {
+          capacity: HEDGE_BURST,
+          perSecond: 0,
+          isEmptyAtStart: true,
+        }),
+      };
+      budgets.set(account, budget);
+    }
+    return budget;
+  }
+
+  function getWindow(service: ServiceName): LatencyWindow {
+    let window = windows.get(service);
+    if (window === undefined) {
+      window = createLatencyWindow(host);
+      windows.set(service, window);
+    }
+    return window;
+  }
+}
--- /dev/null
+++ b/src/core/attempts.ts
@@ -0,0 +1,98 @@
+/** Questions about the attempts of a request and what they prove. */
+
+import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
+import {
+  type Attempt,
+  AttemptPhase,
+  type PendingRequest,
+} from "./gateway_types.ts";
+import {
+  type Arrival,
+  Execution,
+  type GatewayAction,
+  GatewayActionKind,
+  Repeatability,
+  type Verdict,
+} from "./types.ts";
+
+/** Protected requests and bodies that can be sent once only reserve first. */
+export function isReserving(arrival: Arrival): boolean {
+  return isProtected(arrival) || !arrival.replayable ||
+    arrival.key !== undefined;
+}
+
+/** True where a second execution would be a fault. */
+export function isProtected(arrival: Arrival): boolean {
+  return arrival.repeatability === Repeatability.AtMostOnce;
+}
+
+/** A streamed body is still whole while no attempt was told to run. */
+export function isBodyUnsent(request: PendingRequest): boolean {
+  return isReserving(request.arrival) &&
+    request.attempts.every((attempt) => !attempt.wasToldToRun);
+}
+
+/** True while an answer may still come. */
+export function isOpen(attempt: Attempt): boolean {
+  return attempt.phase === AttemptPhase.Reserving ||
+    attempt.phase === AttemptPhase.Sent;
+}
+
+/** True where the attempt ended without proof that it did not run. */
+export function isInDoubt(attempt: Attempt): boolean {
+  return attempt.phase === AttemptPhase.InDoubt;
+}
+
+/** Ends an attempt that got no word from its guard. */
+export function endUnanswered(
+  request: PendingRequest,
+  attempt: Attempt,
+  how: { name: DiagnosticName; mayHaveRun: boolean },
+): void {
+  const isDoubtful = how.mayHaveRun && attempt.phase === AttemptPhase.Sent;
+  attempt.phase = isDoubtful ? AttemptPhase.InDoubt : AttemptPhase.NotRun;
+  request.lastVerdict = {
+    execution: isDoubtful ? Execution.MayHaveRun : Execution.NotRun,
+    diagnostic: Diagnostics[how.name],
+  };
+}
+
+/** Ends an attempt by the word of its guard. */
+export function endByVerdict(
+  request: PendingRequest,
+  attempt: Attempt,
+  verdict: Verdict,
+): void {
+  attempt.phase = verdict.execution === Execution.NotRun
+    ? AttemptPhase.NotRun
+    : AttemptPhase.InDoubt;
+  request.lastVerdict = verdict;
+}
+
+/** NotRun needs proof for every attempt; a key asked before needs its home's. */
+export function getExecution(request: PendingRequest): Execution {
+  const { arrival, attempts, lastVerdict } = request;
+  if (lastVerdict?.execution === Execution.Ran) return Execution.Ran;
+  if (attempts.some(isInDoubt)) return Execution.MayHaveRun;
+  if (arrival.key === undefined) return Execution.NotRun;
+  const isHomesWord = lastVerdict !== undefined &&
+    lastVerdict.diagnostic !== Diagnostics.home_unreachable;
+  return isHomesWord ? lastVerdict.execution : Execution.MayHaveRun;
+}
+
+/** The action that ends an open attempt at its guard. */
+export function createEnding(
+  request: PendingRequest,
+  attempt: Attempt,
+  how: { isSilent?: boolean } = {},
+): GatewayAction {
+  return {
+    kind: attempt.phase === AttemptPhase.Reserving
+      ? GatewayActionKind.Release
+      : GatewayActionKind.Cancel,
+    id: request.arrival.id,
+    attempt: attempt.number,
+    to: attempt.host,
+    ...how,
+  };
+}
--- /dev/null
+++ b/src/core/gateway.ts
@@ -0,0 +1,551 @@
+/**
+ * Takes requests to upstreams: chooses, reserves or submits, retries, hedges
+ * and gives the final verdict. Messages go in, actions come out.
+ */
+
+import { createAccountBudgets } from "./account_budgets.ts";
+import {
+  createEnding,
+  endByVerdict,
+  endUnanswered,
+  getExecution,
+  isBodyUnsent,
+  isInDoubt,
+  isOpen,
+  isProtected,
+  isReserving,
+} from "./attempts.ts";
+import { createChooser } from "./choice.ts";
+import { createCounters } from "./counters.ts";
+import { Debug } from "./debug.ts";
+import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
+import {
+  type Attempt,
+  AttemptPhase,
+  type Explanation,
+  type Gateway,
+  type GatewayOptions,
+  type PendingRequest,
+} from "./gateway_types.ts";
+import { tryParseKey } from "./key_book.ts";
+import { createLoadBook } from "./load_book.ts";
+import { createOutliers } from "./outliers.ts";
+import {
+  type Arrival,
+  type CoreHost,
+  type GatewayAction,
+  GatewayActionKind,
+  type GatewayMessage,
+  GatewayMessageKind,
+  type HostId,
+  type Millis,
+  type OfKind,
+  type ServiceName,
+  type Verdict,
+} from "./types.ts";
+import { createWakeQueue } from "./wake_queue.ts";
+
+/** A hedge is never sent sooner, in ms. */
+const MIN_HEDGE_DELAY_MS = 2;
+/** How often an unreachable guard is asked what became of an attempt. */
+const MAX_SETTLE_TRIES = 2;
+const SETTLE_RETRY_MS = 50;
+/** HTTP status from which an answer counts as a failure of its upstream. */
+const FIRST_FAILURE_STATUS = 500;
+/** Retry-after where no guard named one, in ms. */
+const DEFAULT_RETRY_AFTER_MS = 100;
+
+type Handlers = {
+  [K in GatewayMessageKind]: (
+    msg: OfKind<GatewayMessage, K>,
+  ) => GatewayAction[];
+};
+
+/** Creates a gateway. */
+export function createGateway(
+  host: CoreHost,
+  options: GatewayOptions,
+): Gateway {
+  const counters = createCounters();
+  const loads = createLoadBook(host);
+  const chooser = createChooser(host, { ...options.chooser, loads });
+  const outliers = createOutliers(host, { ...options.outliers, loads });
+  const budgets = createAccountBudgets(host, options);
+  const pending = new Map<string, PendingRequest>();
+  const wakes = createWakeQueue<string>();
+
+  const handlers: Handlers = {
+    [GatewayMessageKind.Arrived]: (msg) => arrive(msg.arrival),
+    [GatewayMessageKind.Granted]: onGranted,
+    [GatewayMessageKind.Refused]: onRefused,
+    [GatewayMessageKind.Answered]: onAnswered,
+    [GatewayMessageKind.Completed]: onCompleted,
+    [GatewayMessageKind.LinkFailed]: onLinkFailed,
+    [GatewayMessageKind.Settled]: onSettled,
+    [GatewayMessageKind.CallerGone]: onCallerGone,
+    [GatewayMessageKind.Tick]: tick,
+  };
+  return {
+    handle: (msg) =>
+      (handlers[msg.kind] as (m: GatewayMessage) => GatewayAction[])(msg),
+    takeReport: (report) => void loads.takeReport(report),
+    getNextWake: wakes.getNext,
+    getOpenCount: () => pending.size,
+    getTicket: (id, attempt) => `${options.incarnation}/${id}/${attempt}`,
+    explain,
+    getStaleHosts,
+    forgetHost: loads.forget,
+    counters,
+  };
+
+  function arrive(arrival: Arrival): GatewayAction[] {
+    Debug.assert(!pending.has(arrival.id), "request ids are unique");
+    counters.add("arrived");
+    const request: PendingRequest = {
+      arrival,
+      deadline: host.now() + arrival.timeoutMs,
+      attempts: [],
+      retriesLeft: arrival.retriesLeft,
+      isDelivering: false,
+    };
+    pending.set(arrival.id, request);
+    budgets.noteRequest(arrival.account);
+    wakes.add(request.deadline, arrival.id);
+    return sendAttempt(request, false);
+  }
+
+  function sendAttempt(
+    request: PendingRequest,
+    isHedge: boolean,
+  ): GatewayAction[] {
+    const to = chooseHost(request);
+    if (to === undefined) {
+      return isHedge ? [] : [finish(request, "no_upstream")];
+    }
+    const reserves = isReserving(request.arrival);
+    const now = host.now();
+    const attempt: Attempt = {
+      number: request.attempts.length + 1,
+      host: to,
+      sentAt: now,
+      isHedge,
+      phase: reserves ? AttemptPhase.Reserving : AttemptPhase.Sent,
+      wasToldToRun: !reserves,
+      settleTries: 0,
+    };
+    request.attempts.push(attempt);
+    loads.noteSent(to);
+    if (reserves) scheduleReserveTimeout(request, attempt);
+    else scheduleHedge(request);
+    return [{
+      kind: reserves ? GatewayActionKind.Reserve : GatewayActionKind.Submit,
+      id: request.arrival.id,
+      attempt: attempt.number,
+      to,
+      timeoutMs: request.deadline - now,
+    }];
+  }
+
+  function chooseHost(request: PendingRequest): HostId | undefined {
+    const { key, service } = request.arrival;
+    if (key !== undefined) return tryParseKey(key)?.home;
+    const tried = new Set(request.attempts.map((a) => a.host));
+    const live = options.getCandidates(service).filter((c) =>
+      loads.get(c.host).report?.draining !== true
+    );
+    const fresh = live.filter((c) => !tried.has(c.host));
+    const pool = fresh.length > 0 ? fresh : live;
+    return chooser.tryChoose(outliers.filter(pool));
+  }
+
+  function scheduleReserveTimeout(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): void {
+    const at = Math.min(
+      host.now() + options.reserveTimeoutMs,
+      request.deadline,
+    );
+    attempt.reserveDeadline = at;
+    wakes.add(at, request.arrival.id);
+  }
+
+  /** A hedge goes out after the account's percentile, or after silence. */
+  function scheduleHedge(request: PendingRequest): void {
+    const { arrival } = request;
+    const isAllowed = !isProtected(arrival) && arrival.replayable &&
+      request.attempts.length === 1;
+    if (!isAllowed) return;
+    const usual = budgets.tryGetHedgeDelay(arrival.account, arrival.service);
+    const delay = Math.min(usual ?? Infinity, options.silenceMs);
+    setHedgeAt(request, host.now() + Math.max(delay, MIN_HEDGE_DELAY_MS));
+  }
+
+  function setHedgeAt(request: PendingRequest, at: Millis): void {
+    request.hedgeAt = at;
+    wakes.add(at, request.arrival.id);
+  }
+
+  function onGranted(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Granted>,
+  ): GatewayAction[] {
+    const found = tryFind(msg.id, msg.attempt);
+    if (found?.attempt.phase !== AttemptPhase.Reserving) {
+      counters.add("late_grant");
+      return [];
+    }
+    const { attempt } = found;
+    attempt.phase = AttemptPhase.Sent;
+    attempt.key = msg.key;
+    attempt.wasToldToRun = true;
+    scheduleSettle(msg.id, attempt, options.silenceMs);
+    return [{
+      kind: GatewayActionKind.Run,
+      id: msg.id,
+      attempt: msg.attempt,
+      to: attempt.host,
+      grant: msg.grant,
+      key: msg.key,
+    }];
+  }
+
+  function onRefused(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Refused>,
+  ): GatewayAction[] {
+    const found = tryFind(msg.id, msg.attempt);
+    if (found === undefined || !isOpen(found.attempt)) return [];
+    const { request, attempt } = found;
+    counters.add(`refused_${msg.verdict.diagnostic.reason}`);
+    loads.noteEnded(attempt.host);
+    endByVerdict(request, attempt, msg.verdict);
+    return retryOrFinish(request);
+  }
+
+  function onLinkFailed(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.LinkFailed>,
+  ): GatewayAction[] {
+    const found = tryFind(msg.id, msg.attempt);
+    if (found === undefined || !isOpen(found.attempt)) return [];
+    const { request, attempt } = found;
+    outliers.noteFailure(attempt.host);
+    const isDoubtful = msg.mayHaveArrived &&
+      attempt.phase === AttemptPhase.Sent;
+    if (isDoubtful && attempt.key !== undefined) {
+      counters.add("link_lost");
+      attempt.isLinkLost = true;
+      return [createSettle(request, attempt)];
+    }
+    return giveUp(request, attempt, {
+      name: getLossName(request),
+      mayHaveRun: msg.mayHaveArrived,
+    });
+  }
+
+  function getLossName(request: PendingRequest): DiagnosticName {
+    return request.arrival.key === undefined ? "link_lost" : "home_unreachable";
+  }
+
+  function giveUp(
+    request: PendingRequest,
+    attempt: Attempt,
+    how: { name: DiagnosticName; mayHaveRun: boolean },
+  ): GatewayAction[] {
+    counters.add(how.name);
+    loads.noteEnded(attempt.host);
+    endUnanswered(request, attempt, how);
+    return retryOrFinish(request);
+  }
+
+  function scheduleSettle(
+    id: string,
+    attempt: Attempt,
+    delayMs: Millis,
+  ): void {
+    attempt.settleAt = host.now() + delayMs;
+    wakes.add(attempt.settleAt, id);
+  }
+
+  function createSettle(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction {
+    delete attempt.settleAt;
+    attempt.settleTries += 1;
+    counters.add("settle_sent");
+    return {
+      kind: GatewayActionKind.Settle,
+      id: request.arrival.id,
+      attempt: attempt.number,
+      to: attempt.host,
+      key: Debug.checkDefined(attempt.key, "the key of a granted attempt"),
+    };
+  }
+
+  function onSettled(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Settled>,
+  ): GatewayAction[] {
+    const found = tryFind(msg.id, msg.attempt);
+    if (found === undefined || !isOpen(found.attempt)) return [];
+    const { request, attempt } = found;
+    if (msg.verdict === undefined) return onSettleFailed(request, attempt);
+    const isRunning = msg.verdict.diagnostic === Diagnostics.key_in_progress;
+    if (isRunning) {
+      const delayMs = attempt.isLinkLost ? SETTLE_RETRY_MS : options.silenceMs;
+      scheduleSettle(msg.id, attempt, delayMs);
+      return [];
+    }
+    counters.add(`settled_${msg.verdict.execution}`);
+    const ending = createEnding(request, attempt);
+    loads.noteEnded(attempt.host);
+    endByVerdict(request, attempt, msg.verdict);
+    return [ending, ...retryOrFinish(request)];
+  }
+
+  function onSettleFailed(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction[] {
+    if (attempt.settleTries < MAX_SETTLE_TRIES) {
+      scheduleSettle(request.arrival.id, attempt, SETTLE_RETRY_MS);
+      return [];
+    }
+    const ending = createEnding(request, attempt);
+    return [
+      ending,
+      ...giveUp(request, attempt, { name: "link_lost", mayHaveRun: true }),
+    ];
+  }
+
+  function retryOrFinish(request: PendingRequest): GatewayAction[] {
+    if (request.attempts.some(isOpen)) return [];
+    const verdict = Debug.checkDefined(request.lastVerdict, "a verdict");
+    const obstacle = findObstacle(request);
+    if (obstacle === undefined) {
+      request.retriesLeft -= 1;
+      counters.add(`retry_${verdict.diagnostic.reason}`);
+      return sendAttempt(request, false);
+    }
+    const name = obstacle === "last"
+      ? verdict.diagnostic.reason as DiagnosticName
+      : obstacle;
+    return [finish(request, name, verdict.retryAfterMs)];
+  }
+
+  /** What forbids another attempt; "last" stands for the last verdict's reason. */
+  function findObstacle(
+    request: PendingRequest,
+  ): DiagnosticName | "last" | undefined {
+    const { arrival, attempts } = request;
+    if (arrival.key !== undefined) return "last";
+    if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";
+    if (!arrival.replayable && !isBodyUnsent(request)) return "last";
+    if (host.now() >= request.deadline) return "deadline_passed";
+    if (attempts.length >= options.maxAttempts || request.retriesLeft <= 0) {
+      return "last";
+    }
+    if (!hasOtherHost(request)) return "last";
+    return budgets.tryTakeRetry(arrival.account)
+      ? undefined
+      : "retry_budget_empty";
+  }
+
+  function hasOtherHost(request: PendingRequest): boolean {
+    const tried = new Set(request.attempts.map((a) => a.host));
+    return options.getCandidates(request.arrival.service).some((c) =>
+      !tried.has(c.host)
+    );
+  }
+
+  function onAnswered(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Answered>,
+  ): GatewayAction[] {
+    const found = tryFind(msg.id, msg.attempt);
+    if (found === undefined || !isOpen(found.attempt)) {
+      counters.add("late_answer");
+      return [];
+    }
+    const { request, attempt } = found;
+    noteAnswer(request, attempt, msg.status);
+    attempt.phase = AttemptPhase.Delivering;
+    request.isDelivering = true;
+    const others = cancelOpen(request);
+    return [
+      { kind: GatewayActionKind.Deliver, id: msg.id, attempt: msg.attempt },
+      ...others,
+    ];
+  }
+
+  function noteAnswer(
+    request: PendingRequest,
+    attempt: Attempt,
+    status: number,
+  ): void {
+    const { account, service } = request.arrival;
+    counters.add("answered");
+    if (attempt.isHedge) counters.add("hedge_won");
+    if (status >= FIRST_FAILURE_STATUS) {
+      counters.add("answered_failure");
+      loads.noteEnded(attempt.host);
+      outliers.noteFailure(attempt.host);
+      return;
+    }
+    const latencyMs = host.now() - attempt.sentAt;
+    loads.noteEnded(attempt.host, latencyMs);
+    outliers.noteAnswer(attempt.host, latencyMs);
+    budgets.noteSuccess(account, service, latencyMs);
+  }
+
+  function onCompleted(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Completed>,
+  ): GatewayAction[] {
+    pending.delete(msg.id);
+    return [];
+  }
+
+  function onCallerGone(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.CallerGone>,
+  ): GatewayAction[] {
+    const request = pending.get(msg.id);
+    if (request === undefined) return [];
+    counters.add("caller_gone");
+    const actions = cancelOpen(request);
+    pending.delete(msg.id);
+    return actions;
+  }
+
+  function tick(): GatewayAction[] {
+    const actions: GatewayAction[] = [];
+    const now = host.now();
+    for (
+      let id = wakes.takeDue(now);
+      id !== undefined;
+      id = wakes.takeDue(now)
+    ) {
+      const request = pending.get(id);
+      if (request !== undefined && !request.isDelivering) {
+        actions.push(...wake(request, now));
+      }
+    }
+    return actions;
+  }
+
+  function wake(request: PendingRequest, now: Millis): GatewayAction[] {
+    if (now >= request.deadline) return passDeadline(request);
+    const silent = request.attempts.find((a) =>
+      a.phase === AttemptPhase.Reserving && now >= a.reserveDeadline!
+    );
+    if (silent !== undefined) return giveUpReservation(request, silent);
+    const doubted = request.attempts.find((a) =>
+      a.phase === AttemptPhase.Sent && a.settleAt !== undefined &&
+      now >= a.settleAt
+    );
+    if (doubted !== undefined) return [createSettle(request, doubted)];
+    if (request.hedgeAt === undefined || now < request.hedgeAt) return [];
+    return sendHedge(request);
+  }
+
+  function passDeadline(request: PendingRequest): GatewayAction[] {
+    const silent = request.attempts.filter(isOpen);
+    for (const attempt of silent) outliers.noteFailure(attempt.host);
+    const actions = cancelOpen(request);
+    const retryAfterMs = request.lastVerdict?.retryAfterMs;
+    return [...actions, finish(request, "deadline_passed", retryAfterMs)];
+  }
+
+  function giveUpReservation(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction[] {
+    outliers.noteFailure(attempt.host);
+    const name = request.arrival.key === undefined
+      ? "reserve_timeout"
+      : "home_unreachable";
+    const ending = createEnding(request, attempt, { isSilent: true });
+    const rest = giveUp(request, attempt, { name, mayHaveRun: false });
+    return [ending, ...rest];
+  }
+
+  function sendHedge(request: PendingRequest): GatewayAction[] {
+    delete request.hedgeAt;
+    const isPossible = request.attempts.length < options.maxAttempts &&
+      request.attempts.some(isOpen) && hasOtherHost(request);
+    if (!isPossible) return [];
+    const { account } = request.arrival;
+    const silentAt = request.attempts[0]!.sentAt + options.silenceMs;
+    if (host.now() >= silentAt) {
+      if (!budgets.tryTakeRetry(account)) return [];
+      counters.add("retry_link_silent");
+      return sendAttempt(request, false);
+    }
+    if (!budgets.tryTakeHedge(account)) {
+      setHedgeAt(request, silentAt);
+      return [];
+    }
+    counters.add("hedge_sent");
+    return sendAttempt(request, true);
+  }
+
+  function cancelOpen(request: PendingRequest): GatewayAction[] {
+    const actions: GatewayAction[] = [];
+    for (const attempt of request.attempts) {
+      if (!isOpen(attempt)) continue;
+      actions.push(createEnding(request, attempt));
+      loads.noteEnded(attempt.host);
+      attempt.phase = attempt.phase === AttemptPhase.Reserving
+        ? AttemptPhase.NotRun
+        : AttemptPhase.InDoubt;
+    }
+    return actions;
+  }
+
+  function finish(
+    request: PendingRequest,
+    name: DiagnosticName,
+    retryAfterMs?: Millis,
+  ): GatewayAction {
+    Debug.assert(!request.attempts.some(isOpen), "no attempt is left open");
+    const { arrival } = request;
+    pending.delete(arrival.id);
+    const execution = getExecution(request);
+    counters.add(`verdict_${execution}`);
+    counters.add(`finished_${name}`);
+    const verdict: Verdict = {
+      execution,
+      diagnostic: Diagnostics[name],
+      retryAfterMs: Math.ceil(
+        retryAfterMs ?? DEFAULT_RETRY_AFTER_MS * (1 + host.random()),
+      ),
+    };
+    return { kind: GatewayActionKind.Finish, id: arrival.id, verdict };
+  }
+
+  function explain(service: ServiceName): Explanation[] {
+    return options.getCandidates(service).map((candidate) => {
+      const entry = loads.get(candidate.host);
+      return {
+        host: candidate.host,
+        expectedMs: chooser.getExpectedMs(candidate),
+        isEjected: outliers.isEjected(candidate.host),
+        reportAgeMs: loads.getAge(entry),
+        inFlight: entry.report?.inFlight ?? 0,
+        queued: entry.report?.queued ?? 0,
+      };
+    }).sort((a, b) => a.expectedMs - b.expectedMs);
+  }
+
+  function getStaleHosts(service: ServiceName, ageMs: Millis): HostId[] {
+    return options.getCandidates(service)
+      .filter((c) => loads.getAge(loads.get(c.host)) > ageMs)
+      .map((c) => c.host);
+  }
+
+  function tryFind(
+    id: string,
+    number: number,
+  ): { request: PendingRequest; attempt: Attempt } | undefined {
+    const request = pending.get(id);
+    const attempt = request?.attempts[number - 1];
+    if (request === undefined || attempt === undefined) return undefined;
+    return { request, attempt };
+  }
+}
--- /dev/null
+++ b/src/core/gateway_types.ts
@@ -0,0 +1,116 @@
+/** Settings and state of a gateway, apart from the code that uses them. */
+
+import type { ChooserOptions } from "./choice.ts";
+import type { Counters } from "./counters.ts";
+import type { OutlierOptions } from "./outliers.ts";
+import type {
+  AccountName,
+  Arrival,
+  Candidate,
+  GatewayAction,
+  GatewayMessage,
+  HostId,
+  Incarnation,
+  LoadReport,
+  Millis,
+  ServiceName,
+  Ticket,
+  Verdict,
+} from "./types.ts";
+
+/** What an account's settings say of retries and hedges. */
+export interface AccountLimits {
+  /** Retries allowed per successful request. */
+  readonly retryBudget: number;
+  /** Hedges allowed per request; 0 switches them off. */
+  readonly hedgeBudget: number;
+  /** Percentile of recent latency after which a hedge is sent. */
+  readonly hedgePercentile: number;
+}
+
+/** Settings of a gateway. */
+export interface GatewayOptions {
+  readonly self: HostId;
+  readonly incarnation: Incarnation;
+  readonly chooser: ChooserOptions;
+  readonly outliers: OutlierOptions;
+  /** Attempts per request at most, hedges included. */
+  readonly maxAttempts: number;
+  /** Longest wait for a guard's word on a reservation, in ms. */
+  readonly reserveTimeoutMs: Millis;
+  /** Silence after which a link is doubted, in ms. */
+  readonly silenceMs: Millis;
+  /** False retries without a budget, as a baseline. */
+  readonly hasRetryBudget?: boolean;
+  /** Live candidates of a service, from membership. */
+  getCandidates(service: ServiceName): readonly Candidate[];
+  getLimits(account: AccountName): AccountLimits;
+}
+
+/** Why a request would go where it goes. */
+export interface Explanation {
+  readonly host: HostId;
+  readonly expectedMs: Millis;
+  readonly isEjected: boolean;
+  readonly reportAgeMs: Millis;
+  readonly inFlight: number;
+  readonly queued: number;
+}
+
+/** A gateway. */
+export interface Gateway {
+  handle(msg: GatewayMessage): GatewayAction[];
+  takeReport(report: LoadReport): void;
+  getNextWake(): Millis | undefined;
+  getOpenCount(): number;
+  getTicket(id: string, attempt: number): Ticket;
+  explain(service: ServiceName): Explanation[];
+  /** Hosts of a service whose newest report is older than the age, in ms. */
+  getStaleHosts(service: ServiceName, ageMs: Millis): HostId[];
+  forgetHost(host: HostId): void;
+  readonly counters: Counters;
+}
+
+/** Where an attempt stands. */
+export enum AttemptPhase {
+  /** Reserve sent; nothing can run. */
+  Reserving,
+  /** Sent such that it may run. */
+  Sent,
+  /** Its answer is being delivered. */
+  Delivering,
+  /** Ended, proved not to have run. */
+  NotRun,
+  /** Ended without proof. */
+  InDoubt,
+}
+
+/** One try of a request at one host. */
+export interface Attempt {
+  readonly number: number;
+  readonly host: HostId;
+  readonly sentAt: Millis;
+  readonly isHedge: boolean;
+  phase: AttemptPhase;
+  /** When a reservation is given up, in ms. */
+  reserveDeadline?: Millis;
+  /** Key under which a granted attempt runs. */
+  key?: string;
+  wasToldToRun: boolean;
+  /** When silence makes the gateway ask what became of the attempt, in ms. */
+  settleAt?: Millis;
+  settleTries: number;
+  /** True where only asking again can bring the answer. */
+  isLinkLost?: boolean;
+}
+
+/** A request in a gateway. */
+export interface PendingRequest {
+  readonly arrival: Arrival;
+  readonly deadline: Millis;
+  readonly attempts: Attempt[];
+  hedgeAt?: Millis;
+  retriesLeft: number;
+  lastVerdict?: Verdict;
+  isDelivering: boolean;
+}
--- /dev/null
+++ b/src/core/guard.ts
@@ -0,0 +1,556 @@
+/**
+ * The only way into one upstream: owns its slots, its admission queue and the
+ * records of its idempotency keys. Messages go in, actions come out.
+ */
+
+import { type Counters, createCounters } from "./counters.ts";
+import { Debug } from "./debug.ts";
+import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
+import { createFairQueue } from "./fair_queue.ts";
+import {
+  createKeyBook,
+  type KeyRecord,
+  KeyStanding,
+  KeyState,
+} from "./key_book.ts";
+import {
+  type AccountName,
+  type CoreHost,
+  Execution,
+  type GuardAction,
+  GuardActionKind,
+  type GuardMessage,
+  GuardMessageKind,
+  type HostId,
+  type Incarnation,
+  type LoadReport,
+  type Millis,
+  type OfKind,
+  Repeatability,
+  type RequestHead,
+  type Ticket,
+  type Verdict,
+} from "./types.ts";
+import { createWakeQueue } from "./wake_queue.ts";
+
+const SERVICE_TIME_SMOOTHING = 0.1;
+const FIRST_SERVICE_TIME_MS = 10;
+/** Answers from this HTTP status on say nothing of the time that work takes. */
+const FIRST_FAILURE_STATUS = 500;
+const MIN_RETRY_AFTER_MS = 20;
+/** Time that a finished ticket is remembered, against messages that come twice. */
+const TICKET_MEMORY_MS = 10_000;
+
+/** Settings of a guard. */
+export interface GuardOptions {
+  readonly self: HostId;
+  readonly incarnation: Incarnation;
+  readonly slots: number;
+  readonly queueCapacity: number;
+  /** How long a grant waits for its run, in ms. */
+  readonly grantTtlMs: Millis;
+  readonly keyCapacity: number;
+  getWeight(account: AccountName): number;
+  readonly isFirstComeFirstServed?: boolean;
+  /** False admits requests that can't finish in time, as a baseline. */
+  readonly refusesEarly?: boolean;
+}
+
+/** A guard. */
+export interface Guard {
+  handle(msg: GuardMessage): GuardAction[];
+  /** Issues keys ahead of use; none while draining. */
+  issueKeys(account: AccountName, count: number): string[];
+  getReport(): LoadReport;
+  getNextWake(): Millis | undefined;
+  isDraining(): boolean;
+  /** Requests queued, granted or running. */
+  getOpenCount(): number;
+  getKeyHorizon(): number;
+  readonly counters: Counters;
+}
+
+enum EntryState {
+  Queued,
+  Granted,
+  Running,
+  Finished,
+}
+
+interface Entry {
+  readonly ticket: Ticket;
+  readonly account: AccountName;
+  readonly head: RequestHead;
+  readonly reserves: boolean;
+  readonly deadline: Millis;
+  state: EntryState;
+  grant?: string;
+  grantExpires?: Millis;
+  startedAt?: Millis;
+  record?: KeyRecord;
+  isCancelled?: boolean;
+}
+
+type Handlers = {
+  [K in GuardMessageKind]: (
+    msg: OfKind<GuardMessage, K>,
+  ) => GuardAction[];
+};
+
+/** Creates a guard for one upstream. */
+export function createGuard(host: CoreHost, options: GuardOptions): Guard {
+  const counters = createCounters();
+  const entries = new Map<Ticket, Entry>();
+  const queue = createFairQueue<Entry>({
+    capacity: options.queueCapacity,
+    getWeight: options.getWeight,
+    isFirstComeFirstServed: options.isFirstComeFirstServed ?? false,
+  });
+  const keys = createKeyBook(host, {
+    home: options.self,
+    incarnation: options.incarnation,
+    capacity: options.keyCapacity,
+  });
+  const wakes = createWakeQueue<Ticket>();
+  const startedAt = host.now();
+  let busySlots = 0;
+  let serviceMs = FIRST_SERVICE_TIME_MS;
+  let draining = false;
+  let grantCount = 0;
+  let reportCount = 0;
+  let openCount = 0;
+
+  const handlers: Handlers = {
+    [GuardMessageKind.Reserve]: (msg) => admit(msg.ticket, msg.head, true),
+    [GuardMessageKind.Submit]: (msg) => admit(msg.ticket, msg.head, false),
+    [GuardMessageKind.Run]: (msg) => run(msg.ticket, msg.grant),
+    [GuardMessageKind.Release]: (msg) => release(msg.ticket),
+    [GuardMessageKind.Cancel]: (msg) => cancel(msg.ticket),
+    [GuardMessageKind.Settle]: settle,
+    [GuardMessageKind.UpstreamAnswered]: upstreamAnswered,
+    [GuardMessageKind.UpstreamFailed]: upstreamFailed,
+    [GuardMessageKind.Drain]: drain,
+    [GuardMessageKind.Tick]: tick,
+  };
+  return {
+    handle,
+    issueKeys,
+    getReport,
+    getNextWake: wakes.getNext,
+    isDraining: () => draining,
+    getOpenCount: () => openCount,
+    getKeyHorizon: keys.getHorizon,
+    counters,
+  };
+
+  function handle(msg: GuardMessage): GuardAction[] {
+    const handler = handlers[msg.kind] as (m: GuardMessage) => GuardAction[];
+    const actions = handler(msg);
+    actions.push(...fillSlots());
+    Debug.assert(busySlots <= options.slots, "slots are never overcommitted");
+    return actions;
+  }
+
+  function issueKeys(account: AccountName, count: number): string[] {
+    if (draining) return [];
+    return Array.from({ length: count }, () => keys.issue(account));
+  }
+
+  function getReport(): LoadReport {
+    reportCount += 1;
+    return {
+      host: options.self,
+      incarnation: options.incarnation,
+      sequence: reportCount,
+      slots: options.slots,
+      inFlight: busySlots,
+      queued: queue.size(),
+      serviceMs,
+      draining,
+      ageMs: host.now() - startedAt,
+    };
+  }
+
+  function admit(
+    ticket: Ticket,
+    head: RequestHead,
+    reserves: boolean,
+  ): GuardAction[] {
+    if (entries.has(ticket)) {
+      counters.add("duplicate_message");
+      return [];
+    }
+    const entry: Entry = {
+      ticket,
+      account: head.account,
+      head,
+      reserves,
+      deadline: host.now() + head.timeoutMs,
+      state: EntryState.Queued,
+    };
+    entries.set(ticket, entry);
+    openCount += 1;
+    if (head.key !== undefined) {
+      const settled = settleKey(entry, head.key);
+      if (settled !== undefined) return settled;
+      entry.record = keys.open(head.key, head.fingerprint);
+    }
+    return enqueue(entry);
+  }
+
+  /** Answers from the record of a key, or undefined where it may run now. */
+  function settleKey(entry: Entry, key: string): GuardAction[] | undefined {
+    switch (keys.getStanding(key, entry.account)) {
+      case KeyStanding.Unused:
+        return undefined;
+      case KeyStanding.Malformed:
+        return [refuse(entry, "malformed_key")];
+      case KeyStanding.EarlierIncarnation:
+        return [refuse(entry, "key_of_earlier_incarnation", MayHaveRun)];
+      case KeyStanding.Forgotten:
+        return [refuse(entry, "key_forgotten", MayHaveRun)];
+      case KeyStanding.Recorded:
+        return [settleRecorded(entry, keys.tryGetRecord(key)!)];
+    }
+  }
+
+  /** Seals a key that has not run, so that its request may go elsewhere. */
+  function settle(
+    msg: OfKind<GuardMessage, GuardMessageKind.Settle>,
+  ): GuardAction[] {
+    const { ticket, account, key } = msg;
+    counters.add("settle_asked");
+    const sealed = sealUnrun(account, key);
+    if (sealed !== undefined) return [...sealed, answerSealed(ticket)];
+    const record = keys.tryGetRecord(key);
+    const head = {
+      account,
+      service: "",
+      repeatability: Repeatability.AtMostOnce,
+      key,
+      fingerprint: record?.fingerprint ?? "",
+      timeoutMs: 0,
+    };
+    return admit(ticket, head, true);
+  }
+
+  /** Actions where the key was sealed now, or undefined where it can't be. */
+  function sealUnrun(
+    account: AccountName,
+    key: string,
+  ): GuardAction[] | undefined {
+    const standing = keys.getStanding(key, account);
+    if (standing === KeyStanding.Unused) {
+      keys.open(key, "").state = KeyState.Sealed;
+      return [];
+    }
+    const record = keys.tryGetRecord(key);
+    if (standing !== KeyStanding.Recorded || record === undefined) {
+      return undefined;
+    }
+    const holder = findWaiting(record);
+    if (holder === undefined) return undefined;
+    if (holder.state === EntryState.Queued) queue.remove(holder);
+    if (holder.state === EntryState.Granted) freeSlot();
+    return [refuse(holder, "key_sealed")];
+  }
+
+  function findWaiting(record: KeyRecord): Entry | undefined {
+    const isWaitingState = record.state === KeyState.Queued ||
+      record.state === KeyState.Granted;
+    if (!isWaitingState) return undefined;
+    for (const entry of entries.values()) {
+      if (entry.record === record && isWaiting(entry)) return entry;
+    }
+    return undefined;
+  }
+
+  function answerSealed(ticket: Ticket): GuardAction {
+    counters.add("key_sealed");
+    return {
+      kind: GuardActionKind.Refuse,
+      ticket,
+      verdict: { execution: NotRun, diagnostic: Diagnostics.key_sealed },
+    };
+  }
+
+  function settleRecorded(entry: Entry, record: KeyRecord): GuardAction {
+    if (record.fingerprint !== entry.head.fingerprint) {
+      return refuse(entry, "key_mismatch");
+    }
+    switch (record.state) {
+      case KeyState.Queued:
+      case KeyState.Granted:
+      case KeyState.Running:
+        return refuse(entry, "key_in_progress", MayHaveRun, getRetryAfter());
+      case KeyState.Sealed:
+        return refuse(entry, "key_sealed");
+      case KeyState.InDoubt:
+        return refuse(entry, "key_in_doubt", MayHaveRun);
+      case KeyState.Answered:
+        return replay(entry, record);
+    }
+  }
+
+  function replay(entry: Entry, record: KeyRecord): GuardAction {
+    if (record.answer === undefined) {
+      return refuse(entry, "answer_not_kept", Execution.Ran);
+    }
+    counters.add("answer_replayed");
+    finish(entry);
+    return {
+      kind: GuardActionKind.Replay,
+      ticket: entry.ticket,
+      answer: record.answer,
+    };
+  }
+
+  function enqueue(entry: Entry): GuardAction[] {
+    if (draining) return [refuse(entry, "draining")];
+    const refusesEarly = options.refusesEarly ?? true;
+    if (refusesEarly && getExpectedWait(entry.account) > entry.head.timeoutMs) {
+      return [
+        refuse(entry, "deadline_too_short", NotRun, getRetryAfter()),
+      ];
+    }
+    wakes.add(entry.deadline, entry.ticket);
+    const leaving = queue.push(entry);
+    if (leaving === undefined) return [];
+    const reason = leaving === entry ? "queue_full" : "over_fair_share";
+    return [refuse(leaving, reason, NotRun, getRetryAfter())];
+  }
+
+  function fillSlots(): GuardAction[] {
+    const actions: GuardAction[] = [];
+    while (busySlots < options.slots) {
+      const entry = queue.pop();
+      if (entry === undefined) break;
+      busySlots += 1;
+      actions.push(entry.reserves ? grant(entry) : start(entry));
+    }
+    return actions;
+  }
+
+  function grant(entry: Entry): GuardAction {
+    const key = entry.head.key ?? keys.issue(entry.account);
+    entry.record ??= keys.open(key, entry.head.fingerprint);
+    entry.record.state = KeyState.Granted;
+    grantCount += 1;
+    entry.state = EntryState.Granted;
+    entry.grant = `${options.incarnation}-${grantCount}`;
+    entry.grantExpires = host.now() + options.grantTtlMs;
+    wakes.add(entry.grantExpires, entry.ticket);
+    return {
+      kind: GuardActionKind.Grant,
+      ticket: entry.ticket,
+      grant: entry.grant,
+      key,
+    };
+  }
+
+  function start(entry: Entry): GuardAction {
+    entry.state = EntryState.Running;
+    entry.startedAt = host.now();
+    if (entry.record !== undefined) entry.record.state = KeyState.Running;
+    counters.add("started");
+    return { kind: GuardActionKind.Start, ticket: entry.ticket };
+  }
+
+  function run(ticket: Ticket, grantText: string): GuardAction[] {
+    const entry = entries.get(ticket);
+    if (entry === undefined || entry.state === EntryState.Finished) {
+      return [refuseUnknownRun(ticket, grantText)];
+    }
+    if (entry.state === EntryState.Running) {
+      counters.add("grant_used");
+      return [];
+    }
+    if (entry.state !== EntryState.Granted || entry.grant !== grantText) {
+      return [refuseUnknownRun(ticket, grantText)];
+    }
+    if (host.now() >= entry.grantExpires!) {
+      return [seal(entry, "grant_expired")];
+    }
+    return [start(entry)];
+  }
+
+  /**
+   * A run that matches no grant: one of this incarnation was sealed or used
+   * before, one of an earlier incarnation was never answered by a start here.
+   */
+  function refuseUnknownRun(ticket: Ticket, grantText: string): GuardAction {
+    const isOwn = grantText.startsWith(`${options.incarnation}-`);
+    const entry = entries.get(ticket);
+    const neverRan = entry?.state === EntryState.Finished &&
+      entry.startedAt === undefined;
+    const execution = isOwn && neverRan ? NotRun : MayHaveRun;
+    const name = execution === NotRun ? "grant_expired" : "grant_used";
+    counters.add(name);
+    return {
+      kind: GuardActionKind.Refuse,
+      ticket,
+      verdict: { execution, diagnostic: Diagnostics[name] },
+    };
+  }
+
+  function release(ticket: Ticket): GuardAction[] {
+    const entry = entries.get(ticket);
+    if (entry === undefined) return [];
+    if (entry.state === EntryState.Queued) queue.remove(entry);
+    if (entry.state === EntryState.Granted) freeSlot();
+    if (!isWaiting(entry)) return [];
+    sealRecord(entry);
+    counters.add("released");
+    finish(entry);
+    return [];
+  }
+
+  function cancel(ticket: Ticket): GuardAction[] {
+    const entry = entries.get(ticket);
+    if (entry === undefined || entry.state === EntryState.Finished) return [];
+    if (isWaiting(entry)) return release(ticket);
+    if (entry.isCancelled) return [];
+    entry.isCancelled = true;
+    counters.add("cancelled");
+    return [{ kind: GuardActionKind.CancelUpstream, ticket }];
+  }
+
+  function upstreamAnswered(
+    msg: OfKind<GuardMessage, GuardMessageKind.UpstreamAnswered>,
+  ): GuardAction[] {
+    const entry = entries.get(msg.ticket);
+    if (entry?.state !== EntryState.Running) return [];
+    if (msg.status < FIRST_FAILURE_STATUS) learnServiceTime(entry);
+    if (entry.record !== undefined) {
+      entry.record.state = KeyState.Answered;
+      if (msg.kept !== undefined) entry.record.answer = msg.kept;
+    }
+    counters.add("answered");
+    freeSlot();
+    finish(entry);
+    return [];
+  }
+
+  function learnServiceTime(entry: Entry): void {
+    const sample = host.now() - entry.startedAt!;
+    serviceMs += SERVICE_TIME_SMOOTHING * (sample - serviceMs);
+  }
+
+  function upstreamFailed(
+    msg: OfKind<GuardMessage, GuardMessageKind.UpstreamFailed>,
+  ): GuardAction[] {
+    const entry = entries.get(msg.ticket);
+    if (entry?.state !== EntryState.Running) return [];
+    freeSlot();
+    if (entry.record !== undefined) {
+      entry.record.state = msg.execution === NotRun
+        ? KeyState.Sealed
+        : KeyState.InDoubt;
+    }
+    const name = msg.diagnostic.reason as DiagnosticName;
+    const retryAfter = msg.execution === NotRun ? getRetryAfter() : undefined;
+    return [refuse(entry, name, msg.execution, retryAfter)];
+  }
+
+  function drain(): GuardAction[] {
+    draining = true;
+    const actions: GuardAction[] = [];
+    for (let entry = queue.pop(); entry !== undefined; entry = queue.pop()) {
+      actions.push(refuse(entry, "draining"));
+    }
+    return actions;
+  }
+
+  function tick(): GuardAction[] {
+    const actions: GuardAction[] = [];
+    const now = host.now();
+    for (
+      let ticket = wakes.takeDue(now);
+      ticket !== undefined;
+      ticket = wakes.takeDue(now)
+    ) {
+      const entry = entries.get(ticket);
+      if (entry !== undefined) actions.push(...expire(entry, now));
+    }
+    return actions;
+  }
+
+  function expire(entry: Entry, now: Millis): GuardAction[] {
+    switch (entry.state) {
+      case EntryState.Queued:
+        if (now < entry.deadline) return [];
+        queue.remove(entry);
+        return [refuse(entry, "deadline_in_queue", NotRun, getRetryAfter())];
+      case EntryState.Granted:
+        return now < entry.grantExpires! ? [] : [seal(entry, "grant_expired")];
+      case EntryState.Running:
+        return now < entry.deadline ? [] : cancel(entry.ticket);
+      case EntryState.Finished:
+        entries.delete(entry.ticket);
+        return [];
+    }
+  }
+
+  function seal(entry: Entry, name: DiagnosticName): GuardAction {
+    freeSlot();
+    return refuse(entry, name);
+  }
+
+  function refuse(
+    entry: Entry,
+    name: DiagnosticName,
+    execution: Execution = NotRun,
+    retryAfterMs?: Millis,
+  ): GuardAction {
+    counters.add(name);
+    if (execution === NotRun) sealRecord(entry);
+    finish(entry);
+    const diagnostic = Diagnostics[name];
+    const verdict: Verdict = retryAfterMs === undefined
+      ? { execution, diagnostic }
+      : { execution, diagnostic, retryAfterMs };
+    return { kind: GuardActionKind.Refuse, ticket: entry.ticket, verdict };
+  }
+
+  function sealRecord(entry: Entry): void {
+    const record = entry.record;
+    if (record === undefined) return;
+    Debug.assert(
+      record.state !== KeyState.Running && record.state !== KeyState.Answered,
+      "a key that was handed over is never sealed",
+    );
+    record.state = KeyState.Sealed;
+  }
+
+  function finish(entry: Entry): void {
+    entry.state = EntryState.Finished;
+    openCount -= 1;
+    wakes.add(host.now() + TICKET_MEMORY_MS, entry.ticket);
+  }
+
+  function freeSlot(): void {
+    busySlots -= 1;
+    Debug.assert(busySlots >= 0, "no slot is freed twice");
+  }
+
+  function getExpectedWait(account: AccountName): Millis {
+    const free = options.slots - busySlots;
+    const ahead = queue.getAhead(account) + 1;
+    const rounds = free > 0 ? 0 : ahead / options.slots;
+    return serviceMs * (rounds + 1);
+  }
+
+  /** Time to drain the queue, spread so that callers don't return at once. */
+  function getRetryAfter(): Millis {
+    const drainMs = serviceMs * (1 + queue.size() / options.slots);
+    const base = Math.max(MIN_RETRY_AFTER_MS, drainMs);
+    return Math.ceil(base * (1 + host.random()));
+  }
+}
+
+const { NotRun, MayHaveRun } = Execution;
+
+function isWaiting(entry: Entry): boolean {
+  return entry.state === EntryState.Queued ||
+    entry.state === EntryState.Granted;
+}
--- /dev/null
+++ b/src/core/wake_queue.ts
@@ -0,0 +1,75 @@
+/** Points in time at which the core wants to be woken, as a binary heap. */
+
+import type { Millis } from "./types.ts";
+
+interface Wake<T> {
+  at: Millis;
+  item: T;
+}
+
+/** A heap of items by time. */
+export interface WakeQueue<T> {
+  add(at: Millis, item: T): void;
+  /** Time of the earliest item, or undefined when empty. */
+  getNext(): Millis | undefined;
+  /** Takes the earliest item that is due, or undefined. */
+  takeDue(now: Millis): T | undefined;
+  size(): number;
+}
+
+/** Creates an empty queue. Items at the same time leave in no stated order. */
+export function createWakeQueue<T>(): WakeQueue<T> {
+  const heap: Wake<T>[] = [];
+  return { add, getNext, takeDue, size: () => heap.length };
+
+  function add(at: Millis, item: T): void {
+    heap.push({ at, item });
+    siftUp(heap.length - 1);
+  }
+
+  function getNext(): Millis | undefined {
+    return heap[0]?.at;
+  }
+
+  function takeDue(now: Millis): T | undefined {
+    const first = heap[0];
+    if (first === undefined || first.at > now) return undefined;
+    const last = heap.pop()!;
+    if (heap.length > 0) {
+      heap[0] = last;
+      siftDown(0);
+    }
+    return first.item;
+  }
+
+  function siftUp(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (heap[parent]!.at <= heap[index]!.at) return;
+      swap(parent, index);
+      index = parent;
+    }
+  }
+
+  function siftDown(start: number): void {
+    let index = start;
+    while (true) {
+      const left = 2 * index + 1;
+      if (left >= heap.length) return;
+      const right = left + 1;
+      const child = right < heap.length && heap[right]!.at < heap[left]!.at
+        ? right
+        : left;
+      if (heap[index]!.at <= heap[child]!.at) return;
+      swap(child, index);
+      index = child;
+    }
+  }
+
+  function swap(a: number, b: number): void {
+    const held = heap[a]!;
+    heap[a] = heap[b]!;
+    heap[b] = held;
+  }
+}
--- /dev/null
+++ b/src/daemon/caller_server.ts
@@ -0,0 +1,342 @@
+/** Takes callers' requests to the gateway and writes what came of them. */
+
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { finished, pipeline } from "node:stream";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Context, Hono } from "hono";
+import { v7 } from "uuid";
+import {
+  type AccountDirectory,
+  tryMatchRoute,
+} from "../client_account/directory.ts";
+import type { ClientAccount, RouteMatch } from "../client_account/types.ts";
+import type { Counters } from "../core/counters.ts";
+import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
+import { tryParseKey } from "../core/key_book.ts";
+import {
+  type Arrival,
+  Execution,
+  type KeptAnswer,
+  Repeatability,
+  type Verdict,
+} from "../core/types.ts";
+import { getForwardHeaders, getHeader } from "../link/http_headers.ts";
+import type { GetLink, StreamedAnswer } from "../link/types.ts";
+import { Header } from "../link/wire.ts";
+import type { GatewayRequest, GatewayTask } from "./gateway_task.ts";
+import type { HttpEnv } from "./http_server.ts";
+import type { Logger } from "./logger.ts";
+import { hasBody } from "./peer_server.ts";
+
+/** Bodies up to this size are held, so that they can be sent again, in bytes. */
+const HELD_BODY_BYTES = 65_536;
+const DEFAULT_RETRIES = 3;
+const MAX_TIMEOUT_MS = 600_000;
+const MAX_KEYS_AT_ONCE = 100;
+const MS_PER_SECOND = 1_000;
+
+/** Settings of the server. */
+export interface CallerServerOptions {
+  readonly task: GatewayTask;
+  readonly accounts: AccountDirectory;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  readonly getLink: GetLink;
+  /** Latency of answered requests by service, in ms. */
+  onAnswered(service: string, latencyMs: number): void;
+  /** Why no request is taken now, or undefined. */
+  getObstacle(): DiagnosticName | undefined;
+  now(): number;
+}
+
+interface CallerRequest {
+  readonly id: string;
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+}
+
+/** Creates the callers' application. */
+export function createCallerApp(options: CallerServerOptions): Hono<HttpEnv> {
+  const { task, accounts, counters, logger } = options;
+  const app = new Hono<HttpEnv>();
+  app.post("/-/keys", issueKeys);
+  app.all("*", async (c) => {
+    const { incoming, outgoing } = c.env;
+    const id = getHeader(incoming.headers, Header.RequestId) ?? "";
+    const req = { id: `${v7()}${id && `:${id}`}`, incoming, outgoing };
+    const reason = await handle(req);
+    if (reason !== undefined) refuse(req, reason);
+    return RESPONSE_ALREADY_SENT;
+  });
+  return app;
+
+  /** Serves a request; returns why it was refused before the gateway saw it. */
+  async function handle(
+    req: CallerRequest,
+  ): Promise<DiagnosticName | undefined> {
+    const obstacle = options.getObstacle();
+    if (obstacle !== undefined) return obstacle;
+    const account = tryFindAccount(req.incoming);
+    if (account === undefined) return "unknown_account";
+    const match = tryFindRoute(account, req.incoming);
+    if (match === undefined) return "unknown_route";
+    const arrival = createArrival(req, account, { match });
+    if (typeof arrival === "string") return arrival;
+    if (isTooLarge(req.incoming, account)) return "body_too_large";
+    const held = arrival.replayable ? await readBody(req.incoming) : undefined;
+    if (held === "cut-off") return "body_cut_off";
+    await serve(req, {
+      arrival,
+      fingerprint: getFingerprint(req.incoming),
+      method: req.incoming.method ?? "GET",
+      path: req.incoming.url ?? "/",
+      headers: getForwardHeaders(req.incoming.headers),
+      body: arrival.replayable ? held ?? null : req.incoming,
+    });
+    return undefined;
+  }
+
+  async function serve(
+    req: CallerRequest,
+    request: GatewayRequest,
+  ): Promise<void> {
+    const { id } = req;
+    const startedAt = options.now();
+    const onClose = () => {
+      if (!req.outgoing.writableFinished) task.abandon(id);
+    };
+    req.outgoing.once("close", onClose);
+    const outcome = await task.serve(request);
+    const key = outcome.key ?? request.arrival.key;
+    if ("verdict" in outcome) {
+      req.outgoing.off("close", onClose);
+      writeVerdict(req, outcome.verdict, key);
+      return;
+    }
+    options.onAnswered(request.arrival.service, options.now() - startedAt);
+    if ("replay" in outcome) writeReplay(req, outcome.replay, key);
+    else writeAnswer(req, outcome.answer, key);
+  }
+
+  function writeAnswer(
+    req: CallerRequest,
+    answer: StreamedAnswer,
+    key: string | undefined,
+  ): void {
+    const { outgoing, id } = req;
+    outgoing.writeHead(answer.status, {
+      ...getForwardHeaders(answer.headers),
+      ...createHeaders(req, Execution.Ran, key),
+    });
+    pipeline(answer.body, outgoing, (error) => {
+      if (error) {
+        counters.add("answer_cut_short");
+        logger.warn("answer_cut_short", { req: id, message: String(error) });
+      }
+      task.complete(id);
+    });
+  }
+
+  function writeReplay(
+    req: CallerRequest,
+    replay: KeptAnswer,
+    key: string | undefined,
+  ): void {
+    req.outgoing.writeHead(replay.status, {
+      "content-type": replay.contentType,
+      [Header.Replayed]: "true",
+      ...createHeaders(req, Execution.Ran, key),
+    });
+    req.outgoing.end(Buffer.from(replay.body, "base64"));
+    task.complete(req.id);
+  }
+
+  function refuse(req: CallerRequest, name: DiagnosticName): void {
+    counters.add(`refused_${name}`);
+    writeVerdict(req, {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics[name],
+      ...(name === "stopping" && { retryAfterMs: MS_PER_SECOND }),
+    });
+  }
+
+  function writeVerdict(
+    req: CallerRequest,
+    verdict: Verdict,
+    key?: string,
+  ): void {
+    const { execution, diagnostic, retryAfterMs } = verdict;
+    const { outgoing, incoming } = req;
+    logger.info("refused", {
+      req: req.id,
+      execution,
+      reason: diagnostic.reason,
+    });
+    if (outgoing.destroyed) return;
+    const mayRetry = diagnostic.status === 503 || diagnostic.status === 504;
+    outgoing.writeHead(diagnostic.status, {
+      "content-type": "application/json",
+      [Header.Reason]: diagnostic.reason,
+      ...createHeaders(req, execution, key),
+      ...(retryAfterMs !== undefined && mayRetry && {
+        [Header.RetryAfter]: String(Math.ceil(retryAfterMs / MS_PER_SECOND)),
+        [Header.RetryAfterMs]: String(retryAfterMs),
+      }),
+      ...(!incoming.complete && { connection: "close" }),
+    });
+    outgoing.end(JSON.stringify({
+      execution,
+      code: diagnostic.code,
+      reason: diagnostic.reason,
+      message: diagnostic.text,
+    }));
+  }
+
+  function createArrival(
+    req: CallerRequest,
+    account: ClientAccount,
+    { match }: { match: RouteMatch },
+  ): Arrival | DiagnosticName {
+    const { headers } = req.incoming;
+    const { route, service } = match;
+    const timeoutMs = readTimeout(
+      getHeader(headers, Header.TimeoutMs),
+      route.timeoutMs ?? account.parameters.timeoutMs,
+    );
+    if (timeoutMs === undefined) return "malformed_timeout";
+    const isProtected = route.repeatability === Repeatability.AtMostOnce;
+    const key = isProtected ? getHeader(headers, Header.Key) : undefined;
+    if (key !== undefined && tryParseKey(key) === undefined) {
+      return "malformed_key";
+    }
+    return {
+      id: req.id,
+      account: account.name,
+      service,
+      repeatability: route.repeatability,
+      ...(key !== undefined && { key }),
+      timeoutMs,
+      replayable: isHeldWhole(req.incoming),
+      retriesLeft: readRetries(getHeader(headers, Header.RetriesLeft)),
+    };
+  }
+
+  function tryFindAccount(
+    incoming: IncomingMessage,
+  ): ClientAccount | undefined {
+    const name = getHeader(incoming.headers, Header.Account);
+    if (name !== undefined) return accounts.tryGetAccount(name);
+    const hostname = (incoming.headers.host ?? "").replace(/:\d+$/, "");
+    return accounts.tryGetByHostname(hostname);
+  }
+
+  async function issueKeys(c: Context<HttpEnv>): Promise<Response> {
+    const account = tryFindAccount(c.env.incoming);
+    if (account === undefined) {
+      return c.json({ reason: "unknown_account" }, 404);
+    }
+    const service = c.req.query("service") ?? "";
+    const count = Number(c.req.query("count") ?? 1);
+    const isValid = account.account.services[service] !== undefined &&
+      Number.isInteger(count) && count >= 1 && count <= MAX_KEYS_AT_ONCE;
+    if (!isValid) {
+      const message = `service must be one of ${
+        Object.keys(account.account.services).join(", ")
+      }; count from 1 to ${MAX_KEYS_AT_ONCE}`;
+      return c.json({ reason: "malformed_request", message }, 400);
+    }
+    const keys = await findKeys(account.name, service, { count });
+    counters.add("keys_issued", keys.length);
+    return keys.length > 0
+      ? c.json({ keys })
+      : c.json({ reason: "no_upstream" }, 503);
+  }
+
+  /** Asks guards for keys, the best first, until one gives some. */
+  async function findKeys(
+    account: string,
+    service: string,
+    { count }: { count: number },
+  ): Promise<string[]> {
+    for (const { host, isEjected } of task.gateway.explain(service)) {
+      if (isEjected) continue;
+      const keys = await options.getLink(host)?.issueKeys(account, count) ?? [];
+      if (keys.length > 0) return keys;
+    }
+    return [];
+  }
+}
+
+function createHeaders(
+  req: CallerRequest,
+  execution: Execution,
+  key: string | undefined,
+): Record<string, string> {
+  return {
+    [Header.RequestId]: req.id,
+    [Header.Execution]: execution,
+    ...(key !== undefined && { [Header.Key]: key }),
+  };
+}
+
+function tryFindRoute(
+  account: ClientAccount,
+  incoming: IncomingMessage,
+): RouteMatch | undefined {
+  return tryMatchRoute(account.account, {
+    method: incoming.method ?? "GET",
+    path: (incoming.url ?? "/").split("?")[0]!,
+  });
+}
+
+function isTooLarge(
+  incoming: IncomingMessage,
+  account: ClientAccount,
+): boolean {
+  const length = Number(incoming.headers["content-length"] ?? 0);
+  return length > account.parameters.maxBodyBytes;
+}
+
+function isHeldWhole(incoming: IncomingMessage): boolean {
+  if (!hasBody(incoming)) return true;
+  const length = incoming.headers["content-length"];
+  return length !== undefined && Number(length) <= HELD_BODY_BYTES;
+}
+
+function readBody(
+  incoming: IncomingMessage,
+): Promise<Buffer | undefined | "cut-off"> {
+  if (!hasBody(incoming)) return Promise.resolve(undefined);
+  const chunks: Buffer[] = [];
+  return new Promise((resolve) => {
+    incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+    finished(incoming, { writable: false }, (error) => {
+      resolve(error ? "cut-off" : Buffer.concat(chunks));
+    });
+  });
+}
+
+function readTimeout(
+  text: string | undefined,
+  usual: number,
+): number | undefined {
+  if (text === undefined) return usual;
+  if (!/^[1-9]\d{0,5}$/.test(text)) return undefined;
+  const value = Number(text);
+  return value <= MAX_TIMEOUT_MS ? Math.min(value, usual) : undefined;
+}
+
+function readRetries(text: string | undefined): number {
+  if (text === undefined || !/^\d$/.test(text)) return DEFAULT_RETRIES;
+  return Math.min(Number(text), DEFAULT_RETRIES);
+}
+
+/** A key serves one method, path and, where it is stated, body digest. */
+function getFingerprint(incoming: IncomingMessage): string {
+  const digest = getHeader(incoming.headers, "content-digest") ?? "";
+  return createHash("sha256")
+    .update(`${incoming.method} ${incoming.url} ${digest}`)
+    .digest("base64url");
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,424 @@
+/** One daemon: wires the tasks to their sockets and stops them gracefully. */
+
+import type { Server } from "node:http";
+import process from "node:process";
+import { err as resultErr, ok as resultOk } from "neverthrow";
+import { v7 } from "uuid";
+import { decodeDocument } from "../client_account/decode.ts";
+import {
+  createAccountDirectory,
+  tryMatchRoute,
+} from "../client_account/directory.ts";
+import type { AccountDocument } from "../client_account/types.ts";
+import { ChoicePolicy } from "../core/choice.ts";
+import { createConfigState } from "../core/config_state.ts";
+import type { ConfigDocument, HostPlace } from "../core/config_types.ts";
+import { type Counters, createCounters } from "../core/counters.ts";
+import type { Diagnostic, DiagnosticName } from "../core/diagnostics.ts";
+import type { AccountLimits } from "../core/gateway_types.ts";
+import { createMembership } from "../core/membership.ts";
+import { createPlatformClient } from "../platform/platform_client.ts";
+import type { HostSettings } from "../settings/host_settings.ts";
+import { createUpstreamClient } from "../upstream/upstream_client.ts";
+import { createCallerApp } from "./caller_server.ts";
+import { createClock } from "./clock.ts";
+import { createControlTask } from "./control_task.ts";
+import { createCoreHost } from "./core_host.ts";
+import { createGatewayTask } from "./gateway_task.ts";
+import { createGuardTask } from "./guard_task.ts";
+import { startHttpServer, stopHttpServer } from "./http_server.ts";
+import { createLatencyMetrics } from "./latency_metrics.ts";
+import { createLifecycle } from "./lifecycle.ts";
+import { createLinkTable } from "./link_table.ts";
+import { createLogger, type Logger } from "./logger.ts";
+import { createOperatorApp, type DaemonStatus } from "./operator_server.ts";
+import { createPeerApp } from "./peer_server.ts";
+import { createPlatformTask } from "./platform_task.ts";
+import { createProbeTask } from "./probe_task.ts";
+
+/** Time between greetings of a peer with other revisions, in ms. */
+const GREET_AGAIN_MS = 200;
+const MAX_ATTEMPTS = 4;
+const OUTLIER_FACTOR = 3;
+const MAX_EJECTED_SHARE = 0.34;
+const EJECTION_MS = 2_000;
+const WARM_UP_MS = 5_000;
+/** Time that draining is announced before the callers' listener closes, in ms. */
+const ANNOUNCE_MS = 300;
+const NO_LIMITS: AccountLimits = {
+  retryBudget: 0,
+  hedgeBudget: 0,
+  hedgePercentile: 99,
+};
+
+/** A running daemon. */
+export interface Daemon {
+  getStatus(): DaemonStatus;
+  /** Stops without cutting off any request, within the settings' stop timeout. */
+  stop(): Promise<void>;
+}
+
+/** Settings of a daemon, and where its log goes. */
+export interface DaemonOptions {
+  readonly settings: HostSettings;
+  readonly logger?: Logger;
+}
+
+/** Starts a daemon; resolves once it takes requests. */
+export async function startDaemon(options: DaemonOptions): Promise<Daemon> {
+  const { settings } = options;
+  const logger = options.logger ?? createLogger({
+    host: settings.host,
+    level: settings.logLevel,
+    out: process.stdout,
+  });
+  const clock = createClock();
+  const host = createCoreHost(clock);
+  const incarnation = v7();
+  const counters = createCounters();
+  const latencies = createLatencyMetrics();
+  const lifecycle = createLifecycle();
+  const accounts = createAccountDirectory();
+  const place = getPlace(settings);
+  const config = createConfigState<AccountDocument>({ validate });
+  const membership = createMembership(host, {
+    self: settings.host,
+    failureDomain: settings.failureDomain,
+    subsetSize: settings.subset,
+  });
+  const greetedAt = new Map<string, number>();
+  let isReady = false;
+  let isDraining = false;
+
+  const control = createControlTask(host, {
+    place,
+    incarnation,
+    config,
+    membership,
+    logger,
+    address: settings.listen.control,
+    firstPeers: settings.peers,
+    onAccepted,
+    onRejected,
+  });
+  const guardTask = createGuardTask(clock, {
+    host,
+    logger,
+    upstream: createUpstreamClient(settings.upstream),
+    guard: {
+      self: settings.host,
+      incarnation,
+      slots: settings.upstream.slots,
+      queueCapacity: settings.upstream.queue,
+      grantTtlMs: settings.grantMs,
+      keyCapacity: settings.keysKept,
+      getWeight: (name) => accounts.tryGetAccount(name)?.parameters.weight ?? 1,
+    },
+  });
+  const links = createLinkTable({
+    self: settings.host,
+    guard: guardTask,
+    membership,
+    getRevisions: config.getDigest,
+    onReport: (report) => gatewayTask.gateway.takeReport(report),
+    onRevisions: hearRevisions,
+    onNonsense: (peer, message) => {
+      counters.add("malformed_peer_message");
+      logger.warn("peer_nonsense", { peer, message });
+    },
+  });
+  const gatewayTask = createGatewayTask(clock, {
+    host,
+    logger,
+    getLink: links.get,
+    gateway: {
+      self: settings.host,
+      incarnation,
+      maxAttempts: MAX_ATTEMPTS,
+      reserveTimeoutMs: settings.reserveTimeoutMs,
+      silenceMs: settings.linkSilenceMs,
+      chooser: {
+        policy: ChoicePolicy.ExpectedTime,
+        failureDomain: settings.failureDomain,
+        crossDomainMs: settings.crossDomainMs,
+        warmUpMs: WARM_UP_MS,
+      },
+      outliers: {
+        isEnabled: true,
+        factor: OUTLIER_FACTOR,
+        maxShare: MAX_EJECTED_SHARE,
+        ejectionMs: EJECTION_MS,
+      },
+      getCandidates: membership.getCandidates,
+      getLimits,
+    },
+  });
+  const platform = createPlatformTask(host, {
+    client: createPlatformClient(settings.platform.address, settings.platform),
+    membership,
+    config,
+    counters,
+    logger,
+    takeDocuments: (documents) =>
+      control.send(control.spread.takeDocuments(documents)),
+  });
+  const probes = createProbeTask(host, {
+    gateway: gatewayTask.gateway,
+    accounts,
+    counters,
+    getLink: links.get,
+    callsPerSecond: settings.measuring.callsPerSecond,
+    bytesPerSecond: settings.measuring.bytesPerSecond,
+  });
+  const servers = await startServers();
+  await learn();
+  logger.info("ready", { incarnation, accounts: accounts.size() });
+  return { getStatus, stop };
+
+  async function startServers(): Promise<Record<ListenerName, Server>> {
+    const { listen } = settings;
+    const peers = await listenOn(
+      listen.peers,
+      createPeerApp({
+        guard: guardTask,
+        getRevisions: config.getDigest,
+        onHeard: hearRevisions,
+        onNonsense: ({ reason }, message) => {
+          counters.add(reason);
+          logger.warn("peer_nonsense", { reason, message });
+        },
+      }),
+    );
+    await control.start();
+    const operators = await listenOn(listen.operators, createOperators());
+    const callers = await listenOn(listen.callers, createCallers());
+    return { peers, operators, callers };
+  }
+
+  function createCallers() {
+    return createCallerApp({
+      task: gatewayTask,
+      accounts,
+      counters,
+      logger,
+      getLink: links.get,
+      onAnswered: latencies.record,
+      getObstacle,
+      now: clock.now,
+    });
+  }
+
+  function createOperators() {
+    return createOperatorApp({
+      counters: getCounterSets(),
+      latencies,
+      getStatus,
+      explain,
+    });
+  }
+
+  function listenOn(
+    address: string,
+    app: ReturnType<typeof createCallers>,
+  ): Promise<Server> {
+    return startHttpServer({
+      address,
+      app,
+      onMalformed: ({ reason }: Diagnostic) => counters.add(reason),
+    });
+  }
+
+  /** Asks the platform and peers before the first request is taken. */
+  async function learn(): Promise<void> {
+    membership.takeWord(control.spread.getWord(), { isDirect: true });
+    await Promise.all([platform.readOnce(), control.greetFirstPeers()]);
+    control.send(control.spread.tick());
+    platform.start();
+    probes.start();
+    while (accounts.size() === 0) {
+      logger.warn("not_ready", { reason: "no configuration" });
+      await pause(500);
+      await platform.readOnce();
+    }
+    isReady = true;
+  }
+
+  function onAccepted({ key, revision }: ConfigDocument): void {
+    accounts.take(config.get(key)!.parsed);
+    logger.info("config_in_force", { key, revision });
+  }
+
+  function onRejected(reason: string, document: ConfigDocument): void {
+    const { key, revision } = document;
+    const decoded = decodeDocument(key, document.value);
+    const first = decoded.err ? decoded.val[0] : undefined;
+    logger.warn("config_rejected", {
+      key,
+      revision,
+      reason,
+      path: first?.path,
+      found: first?.found,
+      allowed: first?.allowed,
+    });
+  }
+
+  function getObstacle(): DiagnosticName | undefined {
+    if (isDraining) return "stopping";
+    return isReady ? undefined : "not_ready";
+  }
+
+  function getLimits(name: string): AccountLimits {
+    const parameters = accounts.tryGetAccount(name)?.parameters;
+    if (parameters === undefined) return NO_LIMITS;
+    return {
+      retryBudget: parameters.retryBudget,
+      hedgeBudget: parameters.hedgeBudget * parameters.tailWeight,
+      hedgePercentile: parameters.hedgePercentile,
+    };
+  }
+
+  /** A peer with other revisions is greeted, but not at every message. */
+  function hearRevisions(from: string, revisions: string): void {
+    if (revisions === config.getDigest()) return;
+    const last = greetedAt.get(from) ?? -Infinity;
+    if (clock.now() - last < GREET_AGAIN_MS) return;
+    greetedAt.set(from, clock.now());
+    control.greet(from);
+  }
+
+  function explain(
+    name: string,
+    request: { method: string; path: string },
+  ): unknown {
+    const account = accounts.tryGetAccount(name);
+    if (account === undefined) return { reason: "unknown_account" };
+    const match = tryMatchRoute(account.account, request);
+    if (match === undefined) return { reason: "unknown_route" };
+    const { service, route } = match;
+    return {
+      account: name,
+      service,
+      repeatability: route.repeatability,
+      candidates: gatewayTask.gateway.explain(service),
+    };
+  }
+
+  function getStatus(): DaemonStatus {
+    return {
+      host: settings.host,
+      incarnation,
+      service: settings.service,
+      failureDomain: settings.failureDomain,
+      ready: isReady,
+      draining: isDraining,
+      watchingPlatform: platform.isWatching(),
+      revisions: Object.fromEntries(
+        config.getRevisions().map(({ key, revision }) => [key, revision]),
+      ),
+      accounts: getAccountNames(),
+      members: membership.getMembers().map((member) => ({
+        host: member.place.host,
+        service: member.place.service,
+        failureDomain: member.place.failureDomain,
+        leaving: member.isLeaving,
+        wordAgeMs: Number.isFinite(member.wordAgeMs)
+          ? Math.round(member.wordAgeMs)
+          : null,
+      })),
+      open: {
+        gateway: gatewayTask.gateway.getOpenCount(),
+        guard: guardTask.guard.getOpenCount(),
+      },
+      keyHorizon: guardTask.guard.getKeyHorizon(),
+      controlBytes: control.getBytes(),
+      counters: getAllCounters(),
+    };
+  }
+
+  function getAccountNames(): string[] {
+    const names: string[] = [];
+    accounts.forEachAccount(({ name }) => names.push(name));
+    return names;
+  }
+
+  function getCounterSets(): { role: string; counters: Counters }[] {
+    return [
+      { role: "gateway", counters: gatewayTask.gateway.counters },
+      { role: "guard", counters: guardTask.guard.counters },
+      { role: "control", counters: control.spread.counters },
+      { role: "daemon", counters },
+    ];
+  }
+
+  function getAllCounters(): Record<string, number> {
+    const all: Record<string, number> = {};
+    for (const { role, counters: set } of getCounterSets()) {
+      set.forEachCounter((name, value) => all[`${role}.${name}`] = value);
+    }
+    return all;
+  }
+
+  async function stop(): Promise<void> {
+    if (isDraining) return;
+    isDraining = true;
+    logger.info("stopping", { open: gatewayTask.gateway.getOpenCount() });
+    control.send(control.spread.announce({ draining: true }));
+    await withTimeout(finishOpenRequests(), settings.stopTimeoutMs);
+    lifecycle.add("control", control.close);
+    lifecycle.add("platform", platform.close);
+    lifecycle.add("guard", guardTask.close);
+    lifecycle.add("gateway", gatewayTask.close);
+    lifecycle.add("probes", probes.close);
+    lifecycle.add("links", links.close);
+    for (const [name, server] of Object.entries(servers)) {
+      lifecycle.add(name, () => {
+        server.close();
+        server.closeAllConnections();
+      });
+    }
+    const closed = await lifecycle.close();
+    if (closed.isErr()) {
+      for (const error of closed.error) logger.error("close", { ...error });
+    }
+    logger.info("stopped");
+  }
+
+  /** Callers' requests end first, then what peers have at the guard. */
+  async function finishOpenRequests(): Promise<void> {
+    const drained = guardTask.drain();
+    await pause(ANNOUNCE_MS);
+    await stopHttpServer(servers.callers);
+    await drained;
+    await stopHttpServer(servers.peers);
+  }
+}
+
+type ListenerName = "peers" | "operators" | "callers";
+
+function getPlace(settings: HostSettings): HostPlace {
+  return {
+    host: settings.host,
+    service: settings.service,
+    failureDomain: settings.failureDomain,
+    dataAddress: settings.listen.peers,
+    controlAddress: settings.listen.control,
+  };
+}
+
+function validate(key: string, value: string) {
+  const decoded = decodeDocument(key, value);
+  return decoded.ok ? resultOk(decoded.val) : resultErr(decoded.val);
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function withTimeout(work: Promise<void>, ms: number): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, ms);
+  });
+  await Promise.race([work, limit]);
+  clearTimeout(timer);
+}
--- /dev/null
+++ b/src/daemon/gateway_task.ts
@@ -0,0 +1,325 @@
+/**
+ * Owns the gateway and the requests that callers wait for. It carries out the
+ * gateway's actions over links and tells it what came of them.
+ */
+
+import type { Buffer } from "node:buffer";
+import type { Readable } from "node:stream";
+import { createGateway } from "../core/gateway.ts";
+import type { Gateway, GatewayOptions } from "../core/gateway_types.ts";
+import {
+  type Arrival,
+  type CoreHost,
+  type GatewayAction,
+  GatewayActionKind,
+  type GatewayMessage,
+  GatewayMessageKind,
+  type KeptAnswer,
+  type OfKind,
+  type RequestHead,
+  type Verdict,
+} from "../core/types.ts";
+import {
+  type ForwardRequest,
+  type GetLink,
+  type GuardReply,
+  ReplyKind,
+  type StreamedAnswer,
+} from "../link/types.ts";
+import { Header } from "../link/wire.ts";
+import type { Clock } from "./clock.ts";
+import type { Logger } from "./logger.ts";
+import { createWaker } from "./waker.ts";
+
+/** A request as the caller server hands it over. */
+export interface GatewayRequest {
+  readonly arrival: Arrival;
+  readonly fingerprint: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Readable | Buffer | null;
+}
+
+/** What a caller gets: an answer to stream, a kept one, or a verdict. */
+export type GatewayOutcome =
+  | { readonly answer: StreamedAnswer; readonly key?: string }
+  | { readonly replay: KeptAnswer; readonly key?: string }
+  | { readonly verdict: Verdict; readonly key?: string };
+
+/** Settings of the task. */
+export interface GatewayTaskOptions {
+  readonly gateway: GatewayOptions;
+  readonly host: CoreHost;
+  readonly getLink: GetLink;
+  readonly logger: Logger;
+}
+
+/** The gateway as a task. */
+export interface GatewayTask {
+  readonly gateway: Gateway;
+  /** Takes a request to its outcome; never rejects. */
+  serve(request: GatewayRequest): Promise<GatewayOutcome>;
+  /** Notes that the answer was delivered to its end. */
+  complete(id: string): void;
+  /** Notes that the caller has gone; open attempts are cancelled. */
+  abandon(id: string): void;
+  close(): void;
+}
+
+interface AttemptIo {
+  readonly abort: AbortController;
+  key?: string;
+  answer?: StreamedAnswer;
+  replay?: KeptAnswer;
+}
+
+interface Exchange {
+  readonly request: GatewayRequest;
+  readonly attempts: Map<number, AttemptIo>;
+  readonly deadline: number;
+  resolve(outcome: GatewayOutcome): void;
+}
+
+type ActionHandlers = {
+  [K in GatewayActionKind]: (action: OfKind<GatewayAction, K>) => void;
+};
+
+/** Creates the task. */
+export function createGatewayTask(
+  clock: Clock,
+  options: GatewayTaskOptions,
+): GatewayTask {
+  const { getLink, logger } = options;
+  const gateway = createGateway(options.host, options.gateway);
+  const exchanges = new Map<string, Exchange>();
+  const waker = createWaker(clock, {
+    getNextWake: gateway.getNextWake,
+    tick: () => tell({ kind: GatewayMessageKind.Tick }),
+  });
+  const handlers: ActionHandlers = {
+    [GatewayActionKind.Reserve]: (action) => void reserve(action),
+    [GatewayActionKind.Submit]: (action) => void submit(action),
+    [GatewayActionKind.Run]: (action) => void run(action),
+    [GatewayActionKind.Settle]: (action) => void settle(action),
+    [GatewayActionKind.Release]: release,
+    [GatewayActionKind.Cancel]: ({ id, attempt }) => {
+      exchanges.get(id)?.attempts.get(attempt)?.abort.abort();
+    },
+    [GatewayActionKind.Deliver]: deliver,
+    [GatewayActionKind.Finish]: finish,
+  };
+  return {
+    gateway,
+    serve,
+    complete: (id) => end(id, { kind: GatewayMessageKind.Completed, id }),
+    abandon: (id) => end(id, { kind: GatewayMessageKind.CallerGone, id }),
+    close: waker.close,
+  };
+
+  function tell(msg: GatewayMessage): void {
+    for (const action of gateway.handle(msg)) {
+      (handlers[action.kind] as (a: GatewayAction) => void)(action);
+    }
+    waker.update();
+  }
+
+  function serve(request: GatewayRequest): Promise<GatewayOutcome> {
+    const { arrival } = request;
+    return new Promise((resolve) => {
+      exchanges.set(arrival.id, {
+        request,
+        attempts: new Map(),
+        deadline: clock.now() + arrival.timeoutMs,
+        resolve,
+      });
+      tell({ kind: GatewayMessageKind.Arrived, arrival });
+    });
+  }
+
+  function end(id: string, msg: GatewayMessage): void {
+    tell(msg);
+    exchanges.delete(id);
+  }
+
+  async function reserve(
+    action: OfKind<GatewayAction, GatewayActionKind.Reserve>,
+  ): Promise<void> {
+    const { id, attempt, to } = action;
+    const exchange = open(id, attempt);
+    const link = getLink(to);
+    if (link === undefined) return fail(id, attempt, false);
+    const ticket = gateway.getTicket(id, attempt);
+    const head = createHead(exchange.request, action.timeoutMs);
+    const reply = await link.reserve(ticket, head);
+    if (reply.kind !== ReplyKind.Granted) return take(id, attempt, reply);
+    const { grant, key } = reply;
+    tell({ kind: GatewayMessageKind.Granted, id, attempt, grant, key });
+    if (!wasToldToRun(id, attempt)) link.release(ticket);
+  }
+
+  function wasToldToRun(id: string, attempt: number): boolean {
+    return exchanges.get(id)?.attempts.get(attempt)?.key !== undefined;
+  }
+
+  async function run(
+    action: OfKind<GatewayAction, GatewayActionKind.Run>,
+  ): Promise<void> {
+    const { id, attempt, to, grant } = action;
+    const exchange = exchanges.get(id)!;
+    const io = exchange.attempts.get(attempt)!;
+    io.key = action.key;
+    const link = getLink(to);
+    if (link === undefined) return fail(id, attempt, false);
+    const forward = createForward(exchange, io);
+    const ticket = gateway.getTicket(id, attempt);
+    take(id, attempt, await link.run(ticket, grant, { forward }));
+  }
+
+  async function submit(
+    action: OfKind<GatewayAction, GatewayActionKind.Submit>,
+  ): Promise<void> {
+    const { id, attempt, to } = action;
+    const exchange = open(id, attempt);
+    const link = getLink(to);
+    if (link === undefined) return fail(id, attempt, false);
+    const head = createHead(exchange.request, action.timeoutMs);
+    const forward = createForward(exchange, exchange.attempts.get(attempt)!);
+    const ticket = gateway.getTicket(id, attempt);
+    take(id, attempt, await link.submit(ticket, head, { forward }));
+  }
+
+  async function settle(
+    action: OfKind<GatewayAction, GatewayActionKind.Settle>,
+  ): Promise<void> {
+    const { id, attempt, to, key } = action;
+    const account = exchanges.get(id)!.request.arrival.account;
+    const link = getLink(to);
+    const ticket = `${gateway.getTicket(id, attempt)}/settle-${clock.now()}`;
+    const reply = await link?.settle(ticket, { account, key });
+    if (reply?.kind === ReplyKind.Replay) return take(id, attempt, reply);
+    const verdict = reply?.kind === ReplyKind.Refused
+      ? reply.verdict
+      : undefined;
+    if (verdict !== undefined) link?.replace();
+    tell({ kind: GatewayMessageKind.Settled, id, attempt, verdict });
+  }
+
+  function release(
+    action: OfKind<GatewayAction, GatewayActionKind.Release>,
+  ): void {
+    const link = getLink(action.to);
+    if (action.isSilent) link?.replace();
+    link?.release(gateway.getTicket(action.id, action.attempt));
+  }
+
+  /** Tells the gateway what a guard replied to an attempt. */
+  function take(id: string, attempt: number, reply: GuardReply): void {
+    switch (reply.kind) {
+      case ReplyKind.Failed:
+        logger.debug("link_failed", { req: id, message: reply.message });
+        return fail(id, attempt, reply.mayHaveArrived);
+      case ReplyKind.Refused:
+        return tell({
+          kind: GatewayMessageKind.Refused,
+          id,
+          attempt,
+          verdict: reply.verdict,
+        });
+      case ReplyKind.Replay:
+        return takeAnswer(id, attempt, { replay: reply.answer });
+      case ReplyKind.Answer:
+        return takeAnswer(id, attempt, { answer: reply.answer });
+      case ReplyKind.Granted:
+        return fail(id, attempt, true);
+    }
+  }
+
+  function takeAnswer(
+    id: string,
+    attempt: number,
+    content: { answer?: StreamedAnswer; replay?: KeptAnswer },
+  ): void {
+    const io = exchanges.get(id)?.attempts.get(attempt);
+    if (io !== undefined) Object.assign(io, content);
+    const status = (content.answer ?? content.replay)!.status;
+    tell({ kind: GatewayMessageKind.Answered, id, attempt, status });
+    const isDelivered = io !== undefined && io.answer === undefined;
+    if (!isDelivered) dropBody(content.answer);
+  }
+
+  function fail(id: string, attempt: number, mayHaveArrived: boolean): void {
+    tell({
+      kind: GatewayMessageKind.LinkFailed,
+      id,
+      attempt,
+      mayHaveArrived,
+    });
+  }
+
+  function deliver(
+    action: OfKind<GatewayAction, GatewayActionKind.Deliver>,
+  ): void {
+    const exchange = exchanges.get(action.id)!;
+    const io = exchange.attempts.get(action.attempt)!;
+    const key = io.key === undefined ? {} : { key: io.key };
+    const { answer, replay } = io;
+    delete io.answer;
+    if (answer !== undefined) exchange.resolve({ answer, ...key });
+    else exchange.resolve({ replay: replay!, ...key });
+  }
+
+  function finish(
+    action: OfKind<GatewayAction, GatewayActionKind.Finish>,
+  ): void {
+    const exchange = exchanges.get(action.id);
+    exchanges.delete(action.id);
+    const last = exchange?.attempts.get(exchange.attempts.size);
+    const key = last?.key === undefined ? {} : { key: last.key };
+    exchange?.resolve({ verdict: action.verdict, ...key });
+  }
+
+  function open(id: string, attempt: number): Exchange {
+    const exchange = exchanges.get(id)!;
+    exchange.attempts.set(attempt, { abort: new AbortController() });
+    return exchange;
+  }
+
+  function createForward(exchange: Exchange, io: AttemptIo): ForwardRequest {
+    const { request } = exchange;
+    const leftMs = Math.max(1, Math.floor(exchange.deadline - clock.now()));
+    const retriesLeft = request.arrival.retriesLeft -
+      Math.max(0, exchange.attempts.size - 1);
+    return {
+      method: request.method,
+      path: request.path,
+      headers: {
+        ...request.headers,
+        [Header.RequestId]: request.arrival.id,
+        [Header.TimeoutMs]: String(leftMs),
+        [Header.RetriesLeft]: String(Math.max(0, retriesLeft)),
+        ...(io.key !== undefined && { [Header.Key]: io.key }),
+      },
+      body: request.body,
+      signal: io.abort.signal,
+    };
+  }
+}
+
+function createHead(request: GatewayRequest, timeoutMs: number): RequestHead {
+  const { account, service, repeatability, key } = request.arrival;
+  return {
+    account,
+    service,
+    repeatability,
+    ...(key !== undefined && { key }),
+    fingerprint: request.fingerprint,
+    timeoutMs,
+  };
+}
+
+function dropBody(answer: StreamedAnswer | undefined): void {
+  answer?.body.on("error", () => {});
+  answer?.body.destroy();
+}
--- /dev/null
+++ b/src/daemon/lifecycle.ts
@@ -0,0 +1,44 @@
+/** Closes what was opened, in reverse order. */
+
+import { err, ok, type Result } from "neverthrow";
+
+/** A resource that could not be closed. */
+export interface CloseError {
+  readonly name: string;
+  readonly message: string;
+}
+
+/** Keeps what has to be closed. */
+export interface Lifecycle {
+  /** Adds a resource; it is closed before those added earlier. */
+  add(name: string, close: () => void | Promise<void>): void;
+  /** Closes everything once; later calls return the same result. */
+  close(): Promise<Result<void, CloseError[]>>;
+}
+
+interface Resource {
+  readonly name: string;
+  close(): void | Promise<void>;
+}
+
+/** Creates an empty life cycle. */
+export function createLifecycle(): Lifecycle {
+  const resources: Resource[] = [];
+  let closing: Promise<Result<void, CloseError[]>> | undefined;
+  return {
+    add: (name, close) => void resources.push({ name, close }),
+    close: () => closing ??= closeAll(),
+  };
+
+  async function closeAll(): Promise<Result<void, CloseError[]>> {
+    const errors: CloseError[] = [];
+    for (const resource of resources.reverse()) {
+      try {
+        await resource.close();
+      } catch (error) {
+        errors.push({ name: resource.name, message: String(error) });
+      }
+    }
+    return errors.length === 0 ? ok(undefined) : err(errors);
+  }
+}
--- /dev/null
+++ b/src/daemon/link_table.ts
@@ -0,0 +1,81 @@
+/** The links of a daemon: one to its own guard, one to each peer in use. */
+
+import type { Membership } from "../core/membership.ts";
+import type { HostId, LoadReport } from "../core/types.ts";
+import { createHttpLink } from "../link/http_link.ts";
+import type { GuardLink, GuardReply } from "../link/types.ts";
+import type { GuardTask } from "./guard_task.ts";
+
+const CONNECTIONS_PER_LINK = 64;
+
+/** Settings of the table. */
+export interface LinkTableOptions {
+  readonly self: HostId;
+  readonly guard: GuardTask;
+  readonly membership: Membership;
+  getRevisions(): string;
+  onReport(report: LoadReport): void;
+  onRevisions(from: HostId, revisions: string): void;
+  onNonsense(from: HostId, message: string): void;
+}
+
+/** Links by host. */
+export interface LinkTable {
+  get(host: HostId): GuardLink | undefined;
+  close(): Promise<void>;
+}
+
+/** Creates a table; links open when they are first asked for. */
+export function createLinkTable(options: LinkTableOptions): LinkTable {
+  const { membership } = options;
+  const links = new Map<HostId, { address: string; link: GuardLink }>();
+  const local = createLocalLink(options);
+  return { get, close };
+
+  function get(to: HostId): GuardLink | undefined {
+    if (to === options.self) return local;
+    const address = membership.tryGetPlace(to)?.dataAddress;
+    if (address === undefined) return undefined;
+    const known = links.get(to);
+    if (known?.address === address) return known.link;
+    void known?.link.close();
+    const link = open(to, address);
+    links.set(to, { address, link });
+    return link;
+  }
+
+  function open(to: HostId, address: string): GuardLink {
+    return createHttpLink({
+      address,
+      self: options.self,
+      connections: CONNECTIONS_PER_LINK,
+      getRevisions: options.getRevisions,
+      onHeard: ({ report, revisions }) => {
+        if (report !== undefined) options.onReport(report);
+        if (revisions !== undefined) options.onRevisions(to, revisions);
+      },
+      onNonsense: (message) => options.onNonsense(to, message),
+    });
+  }
+
+  async function close(): Promise<void> {
+    await Promise.all([...links.values()].map(({ link }) => link.close()));
+  }
+}
+
+/** The guard of this process, with a report after each of its replies. */
+function createLocalLink(options: LinkTableOptions): GuardLink {
+  const { guard } = options;
+  return {
+    ...guard,
+    reserve: (ticket, head) => report(guard.reserve(ticket, head)),
+    run: (ticket, grant, how) => report(guard.run(ticket, grant, how)),
+    submit: (ticket, head, how) => report(guard.submit(ticket, head, how)),
+  };
+
+  async function report(reply: Promise<GuardReply>): Promise<GuardReply> {
+    const result = await reply;
+    options.onReport(guard.guard.getReport());
+    return result;
+  }
+}
--- /dev/null
+++ b/src/daemon/operator_server.ts
@@ -0,0 +1,89 @@
+/** The operators' endpoint: health, readiness, status and metrics. */
+
+import { Hono } from "hono";
+import type { Counters } from "../core/counters.ts";
+import type { HttpEnv } from "./http_server.ts";
+import type { LatencyMetrics } from "./latency_metrics.ts";
+
+/** What a daemon says of itself. */
+export interface DaemonStatus {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly ready: boolean;
+  readonly draining: boolean;
+  readonly watchingPlatform: boolean;
+  readonly revisions: Readonly<Record<string, number>>;
+  readonly accounts: readonly string[];
+  readonly members: readonly {
+    host: string;
+    service: string;
+    failureDomain: string;
+    leaving: boolean;
+    wordAgeMs: number | null;
+  }[];
+  readonly open: { gateway: number; guard: number };
+  readonly keyHorizon: number;
+  readonly controlBytes: number;
+  readonly counters: Readonly<Record<string, number>>;
+}
+
+/** Settings of the endpoint. */
+export interface OperatorServerOptions {
+  readonly counters: readonly { role: string; counters: Counters }[];
+  readonly latencies: LatencyMetrics;
+  getStatus(): DaemonStatus;
+  explain(account: string, request: { method: string; path: string }): unknown;
+}
+
+/** Creates the operators' application. */
+export function createOperatorApp(
+  options: OperatorServerOptions,
+): Hono<HttpEnv> {
+  const app = new Hono<HttpEnv>();
+  app.get("/health", (c) => c.json({ alive: true }));
+  app.get("/ready", (c) => {
+    const { ready, draining } = options.getStatus();
+    const isReady = ready && !draining;
+    return c.json({ ready: isReady }, isReady ? 200 : 503);
+  });
+  app.get("/status", (c) => c.json(options.getStatus()));
+  app.get("/explain", (c) => {
+    const { account, method, path } = c.req.query();
+    if (!account || !path) {
+      return c.json({ message: "account and path are required" }, 400);
+    }
+    const found = options.explain(account, { method: method ?? "GET", path });
+    return c.json(found as object);
+  });
+  app.get("/metrics", (c) => {
+    const text = formatCounters(options) + options.latencies.format();
+    return c.text(text, 200, { "content-type": "text/plain; version=0.0.4" });
+  });
+  return app;
+}
+
+function formatCounters(options: OperatorServerOptions): string {
+  const lines = [
+    "# HELP vanillarock_events_total Events by role and reason.",
+    "# TYPE vanillarock_events_total counter",
+  ];
+  for (const { role, counters } of options.counters) {
+    counters.forEachCounter((name, value) => {
+      const labels = `role="${role}",reason="${name}"`;
+      lines.push(`vanillarock_events_total{${labels}} ${value}`);
+    });
+  }
+  const { open, ready } = options.getStatus();
+  lines.push(
+    "# HELP vanillarock_open Requests in hand by role.",
+    "# TYPE vanillarock_open gauge",
+    `vanillarock_open{role="gateway"} ${open.gateway}`,
+    `vanillarock_open{role="guard"} ${open.guard}`,
+    "# HELP vanillarock_ready Whether the daemon takes requests.",
+    "# TYPE vanillarock_ready gauge",
+    `vanillarock_ready ${ready ? 1 : 0}`,
+  );
+  return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/src/daemon/peer_server.ts
@@ -0,0 +1,227 @@
+/** Takes requests of other daemons to the local guard. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { pipeline } from "node:stream";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { Hono } from "hono";
+import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { Execution, type HostId, type Verdict } from "../core/types.ts";
+import { getForwardHeaders, getHeader } from "../link/http_headers.ts";
+import {
+  type ForwardRequest,
+  type GuardReply,
+  ReplyKind,
+} from "../link/types.ts";
+import {
+  decodeHead,
+  encodeReport,
+  encodeVerdict,
+  Header,
+  Step,
+} from "../link/wire.ts";
+import type { GuardTask } from "./guard_task.ts";
+import type { HttpEnv } from "./http_server.ts";
+
+const MAX_KEYS_AT_ONCE = 1_000;
+
+/** Settings of the server. */
+export interface PeerServerOptions {
+  readonly guard: GuardTask;
+  getRevisions(): string;
+  onHeard(from: HostId, revisions: string): void;
+  onNonsense(diagnostic: Diagnostic, message: string): void;
+}
+
+interface PeerMessage {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly ticket: string;
+}
+
+type StepHandler = (msg: PeerMessage) => void | Promise<void>;
+
+/** Creates the peers' application. */
+export function createPeerApp(options: PeerServerOptions): Hono<HttpEnv> {
+  const { guard } = options;
+  const steps: Record<Step, StepHandler> = {
+    [Step.Reserve]: reserve,
+    [Step.Run]: run,
+    [Step.Submit]: submit,
+    [Step.Release]: release,
+    [Step.Settle]: settle,
+    [Step.Keys]: issueKeys,
+    [Step.Ping]: ({ outgoing }) => end(outgoing, 204),
+  };
+  const app = new Hono<HttpEnv>();
+  app.all("*", async (c) => {
+    const { incoming, outgoing } = c.env;
+    hear(incoming);
+    const step = getHeader(incoming.headers, Header.Step) as Step;
+    const ticket = getHeader(incoming.headers, Header.Ticket) ?? "";
+    const handler = Object.values(Step).includes(step)
+      ? steps[step]
+      : undefined;
+    if (handler === undefined) refuseNonsense(outgoing, `step ${step}`);
+    else await handler({ incoming, outgoing, ticket });
+    return RESPONSE_ALREADY_SENT;
+  });
+  return app;
+
+  function hear(incoming: IncomingMessage): void {
+    const from = getHeader(incoming.headers, Header.From);
+    const revisions = getHeader(incoming.headers, Header.Revisions);
+    if (from !== undefined && revisions !== undefined) {
+      options.onHeard(from, revisions);
+    }
+  }
+
+  async function reserve(msg: PeerMessage): Promise<void> {
+    const head = readHead(msg);
+    if (head === undefined) return;
+    send(msg, await guard.reserve(msg.ticket, head));
+  }
+
+  async function submit(msg: PeerMessage): Promise<void> {
+    const head = readHead(msg);
+    if (head === undefined) return;
+    const forward = createForward(msg);
+    send(msg, await guard.submit(msg.ticket, head, { forward }));
+  }
+
+  async function run(msg: PeerMessage): Promise<void> {
+    const grant = getHeader(msg.incoming.headers, Header.Grant);
+    if (grant === undefined || msg.ticket === "") {
+      return refuseNonsense(msg.outgoing, "run without grant or ticket");
+    }
+    const forward = createForward(msg);
+    send(msg, await guard.run(msg.ticket, grant, { forward }));
+  }
+
+  function release(msg: PeerMessage): void {
+    guard.release(msg.ticket);
+    end(msg.outgoing, 204);
+  }
+
+  async function settle(msg: PeerMessage): Promise<void> {
+    const account = getHeader(msg.incoming.headers, Header.Account);
+    const key = getHeader(msg.incoming.headers, Header.Key);
+    if (account === undefined || key === undefined) {
+      return refuseNonsense(msg.outgoing, "settle without account or key");
+    }
+    send(msg, await guard.settle(msg.ticket, { account, key }));
+  }
+
+  async function issueKeys(msg: PeerMessage): Promise<void> {
+    const { headers } = msg.incoming;
+    const account = getHeader(headers, Header.Account) ?? "";
+    const count = Number(getHeader(headers, "vanillarock-count"));
+    const isValid = account !== "" && Number.isInteger(count) && count > 0 &&
+      count <= MAX_KEYS_AT_ONCE;
+    if (!isValid) return refuseNonsense(msg.outgoing, "keys without a count");
+    const keys = await guard.issueKeys(account, count);
+    end(msg.outgoing, 200, JSON.stringify(keys));
+  }
+
+  function readHead(msg: PeerMessage) {
+    const text = getHeader(msg.incoming.headers, Header.Head);
+    const decoded = text === undefined ? undefined : decodeHead(text);
+    if (decoded?.ok && msg.ticket !== "") return decoded.val;
+    refuseNonsense(msg.outgoing, `head: ${decoded?.val ?? "missing"}`);
+    return undefined;
+  }
+
+  function send(msg: PeerMessage, reply: GuardReply): void {
+    const { outgoing } = msg;
+    if (outgoing.destroyed) return dropAnswer(reply);
+    switch (reply.kind) {
+      case ReplyKind.Granted:
+        return end(outgoing, 200, undefined, {
+          [Header.Ticket]: msg.ticket,
+          [Header.Grant]: reply.grant,
+          [Header.Key]: reply.key,
+        });
+      case ReplyKind.Replay:
+        return end(outgoing, 200, JSON.stringify(reply.answer), {
+          [Header.Ticket]: msg.ticket,
+          [Header.Replayed]: "true",
+        });
+      case ReplyKind.Refused:
+        return refuse(outgoing, reply.verdict);
+      case ReplyKind.Failed:
+        outgoing.destroy();
+        return;
+      case ReplyKind.Answer:
+        return stream(msg, reply);
+    }
+  }
+
+  function stream(
+    msg: PeerMessage,
+    reply: Extract<GuardReply, { kind: ReplyKind.Answer }>,
+  ): void {
+    const { status, headers, body } = reply.answer;
+    msg.outgoing.writeHead(status, {
+      ...getForwardHeaders(headers),
+      ...createHeaders(),
+      [Header.Ticket]: msg.ticket,
+    });
+    pipeline(body, msg.outgoing, () => {});
+  }
+
+  function refuse(outgoing: ServerResponse, verdict: Verdict): void {
+    end(outgoing, verdict.diagnostic.status, undefined, {
+      [Header.VerdictJson]: encodeVerdict(verdict),
+    });
+  }
+
+  function refuseNonsense(outgoing: ServerResponse, message: string): void {
+    const diagnostic = Diagnostics.malformed_peer_message;
+    options.onNonsense(diagnostic, message);
+    refuse(outgoing, { execution: Execution.NotRun, diagnostic });
+  }
+
+  function end(
+    outgoing: ServerResponse,
+    status: number,
+    body?: string,
+    headers: Record<string, string> = {},
+  ): void {
+    outgoing.writeHead(status, { ...createHeaders(), ...headers });
+    outgoing.end(body);
+  }
+
+  function createHeaders(): Record<string, string> {
+    return {
+      [Header.Report]: encodeReport(guard.guard.getReport()),
+      [Header.Revisions]: options.getRevisions(),
+    };
+  }
+}
+
+function createForward(msg: PeerMessage): ForwardRequest {
+  const { incoming, outgoing } = msg;
+  const abort = new AbortController();
+  outgoing.once("close", () => {
+    if (!outgoing.writableFinished) abort.abort();
+  });
+  return {
+    method: incoming.method ?? "GET",
+    path: incoming.url ?? "/",
+    headers: getForwardHeaders(incoming.headers),
+    body: hasBody(incoming) ? incoming : null,
+    signal: abort.signal,
+  };
+}
+
+/** True for a request that announces a body. */
+export function hasBody(incoming: IncomingMessage): boolean {
+  const { headers } = incoming;
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
+function dropAnswer(reply: GuardReply): void {
+  if (reply.kind !== ReplyKind.Answer) return;
+  reply.answer.body.on("error", () => {});
+  reply.answer.body.destroy();
+}
--- /dev/null
+++ b/src/daemon/platform_task.ts
@@ -0,0 +1,170 @@
+/**
+ * Learns from the platform: the list of hosts by slow polls, configuration by a
+ * long poll where this daemon is one of its domain's watchers, else by a slow
+ * poll that backs up what peers say.
+ */
+
+import type { ConfigState } from "../core/config_state.ts";
+import type { ConfigDocument } from "../core/config_types.ts";
+import type { Counters } from "../core/counters.ts";
+import type { Membership } from "../core/membership.ts";
+import type { CoreHost, Millis } from "../core/types.ts";
+import type {
+  PlatformClient,
+  PlatformError,
+  PlatformIndex,
+} from "../platform/platform_client.ts";
+import type { Logger } from "./logger.ts";
+
+const WATCHERS_PER_DOMAIN = 2;
+const WATCHER_SILENT_MS = 5_000;
+const WATCH_WAIT_MS = 30_000;
+const WATCHER_LIST_MS = 1_000;
+const OTHER_POLL_MS = 120_000;
+const DUTY_CHECK_MS = 2_000;
+const FIRST_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 10_000;
+
+/** Settings of the task. */
+export interface PlatformTaskOptions<T> {
+  readonly client: PlatformClient;
+  readonly membership: Membership;
+  readonly config: ConfigState<T>;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  takeDocuments(documents: readonly ConfigDocument[]): void;
+}
+
+/** The reader of the platform as a task. */
+export interface PlatformTask {
+  /** Reads everything once; resolves to whether the platform answered. */
+  readOnce(): Promise<boolean>;
+  start(): void;
+  isWatching(): boolean;
+  close(): Promise<void>;
+}
+
+/** Creates the task. */
+export function createPlatformTask<T>(
+  host: CoreHost,
+  options: PlatformTaskOptions<T>,
+): PlatformTask {
+  const { client, membership, config, counters, logger } = options;
+  let isClosed = false;
+  let isWatching = false;
+  let backoffMs = FIRST_BACKOFF_MS;
+  let seenRevision = 0;
+  const timers = new Set<NodeJS.Timeout>();
+  return { readOnce, start, isWatching: () => isWatching, close };
+
+  async function readOnce(): Promise<boolean> {
+    const isListed = await readHosts();
+    return await readIndex() && isListed;
+  }
+
+  function start(): void {
+    void pollHosts();
+    void followConfig();
+  }
+
+  async function pollHosts(): Promise<void> {
+    while (!isClosed) {
+      const period = isDutiful() ? WATCHER_LIST_MS : OTHER_POLL_MS;
+      await sleep(spreadOut(period), isDutiful);
+      if (!isClosed) await readHosts();
+    }
+  }
+
+  async function followConfig(): Promise<void> {
+    while (!isClosed) {
+      isWatching = isDutiful();
+      if (isWatching) await watch();
+      else {
+        await sleep(spreadOut(OTHER_POLL_MS), isDutiful);
+        if (!isClosed && !isDutiful()) await readIndex();
+      }
+    }
+  }
+
+  async function watch(): Promise<void> {
+    const index = await client.watchIndex(seenRevision, WATCH_WAIT_MS);
+    counters.add("platform_call");
+    if (index.isOk()) await takeIndex(index.value);
+    else await backOff(index.error);
+  }
+
+  async function readHosts(): Promise<boolean> {
+    counters.add("platform_call");
+    const hosts = await client.readHosts();
+    if (hosts.isErr()) return noteFailure(hosts.error);
+    membership.takeList(hosts.value);
+    return true;
+  }
+
+  async function readIndex(): Promise<boolean> {
+    counters.add("platform_call");
+    const index = await client.readIndex();
+    if (index.isErr()) return noteFailure(index.error);
+    await takeIndex(index.value);
+    return true;
+  }
+
+  async function takeIndex(index: PlatformIndex): Promise<void> {
+    backoffMs = FIRST_BACKOFF_MS;
+    seenRevision = Math.max(seenRevision, index.revision);
+    const documents: ConfigDocument[] = [];
+    for (const key of config.getWanted(index.revisions)) {
+      counters.add("platform_call");
+      const document = await client.readDocument(key);
+      if (document.isOk()) documents.push(document.value);
+      else noteFailure(document.error);
+    }
+    if (documents.length > 0) options.takeDocuments(documents);
+  }
+
+  async function backOff(error: PlatformError): Promise<void> {
+    noteFailure(error);
+    await sleep(spreadOut(backoffMs), () => false);
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+  }
+
+  function noteFailure(error: PlatformError): false {
+    counters.add("platform_unavailable");
+    if (!isClosed) logger.warn("platform_unavailable", { ...error });
+    return false;
+  }
+
+  function isDutiful(): boolean {
+    return membership.isWatcher(WATCHERS_PER_DOMAIN, WATCHER_SILENT_MS);
+  }
+
+  /** Sleeps; wakes early where the duty changes. */
+  async function sleep(ms: Millis, getDuty: () => boolean): Promise<void> {
+    const duty = getDuty();
+    const until = host.now() + ms;
+    while (!isClosed && host.now() < until && getDuty() === duty) {
+      await pause(Math.min(DUTY_CHECK_MS, until - host.now()));
+    }
+  }
+
+  function pause(ms: Millis): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        timers.delete(timer);
+        resolve();
+      }, ms);
+      timer.unref();
+      timers.add(timer);
+    });
+  }
+
+  function spreadOut(ms: Millis): Millis {
+    return ms * (0.75 + host.random() / 2);
+  }
+
+  async function close(): Promise<void> {
+    isClosed = true;
+    for (const timer of timers) clearTimeout(timer);
+    await client.close();
+  }
+}
--- /dev/null
+++ b/src/daemon/probe_task.ts
@@ -0,0 +1,89 @@
+/**
+ * Probes upstreams of which nothing was heard lately, within the measuring
+ * budget. Reports ride on answers, so a busy service needs no probe.
+ */
+
+import type { AccountDirectory } from "../client_account/directory.ts";
+import type { Counters } from "../core/counters.ts";
+import type { Gateway } from "../core/gateway_types.ts";
+import { createTokenBucket } from "../core/token_bucket.ts";
+import type { CoreHost, HostId, ServiceName } from "../core/types.ts";
+import type { GetLink } from "../link/types.ts";
+
+const ROUND_MS = 250;
+/** A report older than this is worth a probe, in ms. */
+const STALE_MS = 1_000;
+/** Size of one probe with its answer, in bytes, reserved before it is sent. */
+const PROBE_BYTES = 900;
+/** Accounts that weigh the tail less than this send no probes. */
+const MIN_TAIL_WEIGHT = 0.5;
+
+/** Settings of the task. */
+export interface ProbeTaskOptions {
+  readonly gateway: Gateway;
+  readonly accounts: AccountDirectory;
+  readonly counters: Counters;
+  readonly getLink: GetLink;
+  readonly callsPerSecond: number;
+  readonly bytesPerSecond: number;
+}
+
+/** The probes as a task. */
+export interface ProbeTask {
+  start(): void;
+  close(): void;
+}
+
+/** Creates the task. */
+export function createProbeTask(
+  host: CoreHost,
+  options: ProbeTaskOptions,
+): ProbeTask {
+  const { counters } = options;
+  const calls = createTokenBucket(host, {
+    capacity: Math.max(1, options.callsPerSecond),
+    perSecond: options.callsPerSecond,
+    isEmptyAtStart: true,
+  });
+  const bytes = createTokenBucket(host, {
+    capacity: Math.max(PROBE_BYTES, options.bytesPerSecond),
+    perSecond: options.bytesPerSecond,
+    isEmptyAtStart: true,
+  });
+  let timer: NodeJS.Timeout | undefined;
+  return { start, close: () => clearInterval(timer) };
+
+  function start(): void {
+    timer = setInterval(probeStale, ROUND_MS);
+    timer.unref();
+  }
+
+  function probeStale(): void {
+    for (const service of getProbedServices()) {
+      for (const id of options.gateway.getStaleHosts(service, STALE_MS)) {
+        if (!tryTakeBudget()) return;
+        void probe(id);
+      }
+    }
+  }
+
+  function tryTakeBudget(): boolean {
+    if (bytes.getTokens() < PROBE_BYTES || !calls.tryTake()) return false;
+    return bytes.tryTake(PROBE_BYTES);
+  }
+
+  async function probe(id: HostId): Promise<void> {
+    counters.add("probe_sent");
+    const size = await options.getLink(id)?.probe() ?? 0;
+    counters.add("probe_bytes", size);
+  }
+
+  function getProbedServices(): Set<ServiceName> {
+    const services = new Set<ServiceName>();
+    options.accounts.forEachAccount(({ account, parameters }) => {
+      if (parameters.tailWeight < MIN_TAIL_WEIGHT) return;
+      for (const name of Object.keys(account.services)) services.add(name);
+    });
+    return services;
+  }
+}
--- /dev/null
+++ b/src/daemon/waker.ts
@@ -0,0 +1,44 @@
+/** Wakes a core machine when it asks to be woken. */
+
+import type { Millis } from "../core/types.ts";
+import type { Clock } from "./clock.ts";
+
+/** Longest sleep, so that a missed wake costs little, in ms. */
+const MAX_SLEEP_MS = 1_000;
+
+/** A timer that follows the machine's next wake. */
+export interface Waker {
+  /** Looks at the next wake again; call it after every message. */
+  update(): void;
+  close(): void;
+}
+
+/** Creates a waker; `tick` runs when the machine's next wake is due. */
+export function createWaker(
+  clock: Clock,
+  options: { getNextWake(): Millis | undefined; tick(): void },
+): Waker {
+  let timer: NodeJS.Timeout | undefined;
+  let timerAt: Millis = Infinity;
+  return { update, close };
+
+  function update(): void {
+    const next = options.getNextWake();
+    if (next === undefined || next >= timerAt) return;
+    clearTimeout(timer);
+    const delay = Math.min(Math.max(0, next - clock.now()), MAX_SLEEP_MS);
+    timerAt = clock.now() + delay;
+    timer = setTimeout(fire, Math.ceil(delay));
+    timer.unref();
+  }
+
+  function fire(): void {
+    timerAt = Infinity;
+    options.tick();
+    update();
+  }
+
+  function close(): void {
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/src/link/http_link.ts
@@ -0,0 +1,288 @@
+/** A link to the guard of another host over HTTP/1.1 with kept connections. */
+
+import type { IncomingHttpHeaders } from "node:http";
+import type { Readable } from "node:stream";
+import { Client, type Dispatcher, Pool } from "undici";
+import { z } from "zod";
+import { Diagnostics } from "../core/diagnostics.ts";
+import type {
+  AccountName,
+  HostId,
+  LoadReport,
+  RequestHead,
+  Ticket,
+  Verdict,
+} from "../core/types.ts";
+import { Execution } from "../core/types.ts";
+import { isBeforeSend } from "../upstream/upstream_client.ts";
+import { getHeader } from "./http_headers.ts";
+import {
+  type ForwardRequest,
+  type GuardLink,
+  type GuardReply,
+  ReplyKind,
+} from "./types.ts";
+import {
+  decodeReport,
+  decodeVerdict,
+  encodeHead,
+  Header,
+  Step,
+} from "./wire.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const SETTLE_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 30_000;
+
+/** Settings of a link. */
+export interface HttpLinkOptions {
+  /** IP address and port of the peer's data listener. */
+  readonly address: string;
+  readonly self: HostId;
+  readonly connections: number;
+  /** Digest of the revisions in force here, said with every message. */
+  getRevisions(): string;
+  /** What came along with a reply. */
+  onHeard(heard: { report?: LoadReport; revisions?: string }): void;
+  onNonsense(message: string): void;
+}
+
+const replaySchema = z.object({
+  status: z.int(),
+  contentType: z.string(),
+  body: z.string(),
+});
+
+type Response = Dispatcher.ResponseData;
+
+/** Creates a link; connections open as they are needed. */
+export function createHttpLink(options: HttpLinkOptions): GuardLink {
+  const origin = `http://${options.address}`;
+  let pool = createPool();
+  return {
+    reserve,
+    run,
+    submit,
+    release,
+    settle,
+    issueKeys,
+    replace,
+    probe,
+    close: () => pool.destroy(),
+  };
+
+  function createPool(): Pool {
+    return new Pool(origin, {
+      connections: options.connections,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  function reserve(ticket: Ticket, head: RequestHead): Promise<GuardReply> {
+    return ask(pool, Step.Reserve, {
+      [Header.Ticket]: ticket,
+      [Header.Head]: encodeHead(head),
+    });
+  }
+
+  async function settle(
+    ticket: Ticket,
+    question: { account: AccountName; key: string },
+  ): Promise<GuardReply> {
+    const client = new Client(origin, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: SETTLE_TIMEOUT_MS,
+    });
+    const reply = await ask(client, Step.Settle, {
+      [Header.Ticket]: ticket,
+      [Header.Account]: question.account,
+      [Header.Key]: question.key,
+    });
+    void client.close();
+    return reply;
+  }
+
+  function release(ticket: Ticket): void {
+    void ask(pool, Step.Release, { [Header.Ticket]: ticket });
+  }
+
+  function run(
+    ticket: Ticket,
+    grant: string,
+    { forward }: { forward: ForwardRequest },
+  ): Promise<GuardReply> {
+    return send(forward, Step.Run, {
+      [Header.Ticket]: ticket,
+      [Header.Grant]: grant,
+    });
+  }
+
+  function submit(
+    ticket: Ticket,
+    head: RequestHead,
+    { forward }: { forward: ForwardRequest },
+  ): Promise<GuardReply> {
+    return send(forward, Step.Submit, {
+      [Header.Ticket]: ticket,
+      [Header.Head]: encodeHead(head),
+    });
+  }
+
+  async function issueKeys(
+    account: AccountName,
+    count: number,
+  ): Promise<string[]> {
+    try {
+      const res = await call(pool, Step.Keys, {
+        [Header.Account]: account,
+        "vanillarock-count": String(count),
+      });
+      return z.array(z.string()).parse(await res.body.json());
+    } catch {
+      return [];
+    }
+  }
+
+  async function probe(): Promise<number> {
+    try {
+      const res = await call(pool, Step.Ping, {});
+      const text = await res.body.text();
+      return text.length + JSON.stringify(res.headers).length;
+    } catch {
+      return 0;
+    }
+  }
+
+  /** New requests take new connections; those in flight end on the old ones. */
+  function replace(): void {
+    const old = pool;
+    pool = createPool();
+    old.close().catch(() => {});
+  }
+
+  async function ask(
+    dispatcher: Dispatcher,
+    step: Step,
+    headers: Record<string, string>,
+  ): Promise<GuardReply> {
+    try {
+      const res = await call(dispatcher, step, headers);
+      return await readReply(res, headers[Header.Ticket]!);
+    } catch (error) {
+      return toFailure(error);
+    }
+  }
+
+  function call(
+    dispatcher: Dispatcher,
+    step: Step,
+    headers: Record<string, string>,
+  ): Promise<Response> {
+    return dispatcher.request({
+      method: "POST",
+      path: "/",
+      headers: { ...createHeaders(step), ...headers },
+    });
+  }
+
+  async function send(
+    forward: ForwardRequest,
+    step: Step,
+    headers: Record<string, string>,
+  ): Promise<GuardReply> {
+    try {
+      const res = await pool.request({
+        method: forward.method as "GET",
+        path: forward.path,
+        headers: { ...forward.headers, ...createHeaders(step), ...headers },
+        body: forward.body,
+        signal: forward.signal,
+      });
+      return await readReply(res, headers[Header.Ticket]!);
+    } catch (error) {
+      return toFailure(error);
+    }
+  }
+
+  function createHeaders(step: Step): Record<string, string> {
+    return {
+      [Header.Step]: step,
+      [Header.From]: options.self,
+      [Header.Revisions]: options.getRevisions(),
+    };
+  }
+
+  async function readReply(res: Response, ticket: Ticket): Promise<GuardReply> {
+    hear(res.headers);
+    const verdictText = getHeader(res.headers, Header.VerdictJson);
+    if (verdictText !== undefined) {
+      await res.body.dump();
+      return readVerdict(verdictText);
+    }
+    if (getHeader(res.headers, Header.Ticket) !== ticket) {
+      return rejectForeign(res.body, ticket);
+    }
+    if (getHeader(res.headers, Header.Replayed) !== undefined) {
+      const answer = replaySchema.parse(await res.body.json());
+      return { kind: ReplyKind.Replay, answer };
+    }
+    const grant = getHeader(res.headers, Header.Grant);
+    if (grant !== undefined) {
+      await res.body.dump();
+      const key = getHeader(res.headers, Header.Key) ?? "";
+      return { kind: ReplyKind.Granted, grant, key };
+    }
+    const answer = {
+      status: res.statusCode,
+      headers: res.headers,
+      body: res.body,
+    };
+    return { kind: ReplyKind.Answer, answer };
+  }
+
+  function readVerdict(text: string): GuardReply {
+    const decoded = decodeVerdict(text);
+    if (decoded.ok) return { kind: ReplyKind.Refused, verdict: decoded.val };
+    options.onNonsense(`verdict: ${decoded.val}`);
+    return createMismatch();
+  }
+
+  /** An answer that is not for this ticket is dropped, never delivered. */
+  function rejectForeign(body: Readable, ticket: Ticket): GuardReply {
+    body.on("error", () => {});
+    body.destroy();
+    options.onNonsense(`no answer to ticket ${ticket}`);
+    return createMismatch();
+  }
+
+  function hear(headers: IncomingHttpHeaders): void {
+    const revisions = getHeader(headers, Header.Revisions);
+    const text = getHeader(headers, Header.Report);
+    const decoded = text === undefined ? undefined : decodeReport(text);
+    if (decoded?.err) options.onNonsense(`report: ${decoded.val}`);
+    options.onHeard({
+      ...(decoded?.ok && { report: decoded.val }),
+      ...(revisions !== undefined && { revisions }),
+    });
+  }
+}
+
+function createMismatch(): GuardReply {
+  const verdict: Verdict = {
+    execution: Execution.MayHaveRun,
+    diagnostic: Diagnostics.answer_mismatch,
+  };
+  return { kind: ReplyKind.Refused, verdict };
+}
+
+function toFailure(error: unknown): GuardReply {
+  return {
+    kind: ReplyKind.Failed,
+    mayHaveArrived: !isBeforeSend(error),
+    message: String(error),
+  };
+}
--- /dev/null
+++ b/src/link/types.ts
@@ -0,0 +1,79 @@
+/** A link carries requests to one guard, in this process or in another. */
+
+import type { IncomingHttpHeaders } from "node:http";
+import type { Buffer } from "node:buffer";
+import type { Readable } from "node:stream";
+import type {
+  AccountName,
+  HostId,
+  KeptAnswer,
+  RequestHead,
+  Ticket,
+  Verdict,
+} from "../core/types.ts";
+
+/** A request as it is forwarded. */
+export interface ForwardRequest {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Readable | Buffer | null;
+  readonly signal: AbortSignal;
+}
+
+/** Kinds of reply of a guard. */
+export enum ReplyKind {
+  Granted = "granted",
+  Refused = "refused",
+  Replay = "replay",
+  Answer = "answer",
+  Failed = "failed",
+}
+
+/** An answer on its way from the upstream. */
+export interface StreamedAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Readable;
+}
+
+/** What came of a message to a guard. */
+export type GuardReply =
+  | { kind: ReplyKind.Granted; grant: string; key: string }
+  | { kind: ReplyKind.Refused; verdict: Verdict }
+  | { kind: ReplyKind.Replay; answer: KeptAnswer }
+  | { kind: ReplyKind.Answer; answer: StreamedAnswer }
+  | { kind: ReplyKind.Failed; mayHaveArrived: boolean; message: string };
+
+/** A link to one guard. Every method resolves; none rejects. */
+export interface GuardLink {
+  reserve(ticket: Ticket, head: RequestHead): Promise<GuardReply>;
+  run(
+    ticket: Ticket,
+    grant: string,
+    options: { forward: ForwardRequest },
+  ): Promise<GuardReply>;
+  submit(
+    ticket: Ticket,
+    head: RequestHead,
+    options: { forward: ForwardRequest },
+  ): Promise<GuardReply>;
+  /** Ends an attempt that was not told to run. */
+  release(ticket: Ticket): void;
+  /** Asks what became of a key, over a new connection. */
+  settle(
+    ticket: Ticket,
+    question: { account: AccountName; key: string },
+  ): Promise<GuardReply>;
+  /** Keys issued ahead of use; empty where the guard gives none. */
+  issueKeys(account: AccountName, count: number): Promise<string[]>;
+  /** Replaces the connections of a link that fell silent. */
+  replace(): void;
+  /** Asks for a load report over the network; resolves to its size in bytes. */
+  probe(): Promise<number>;
+  close(): Promise<void>;
+}
+
+/** Finds the link to a host. */
+export type GetLink = (host: HostId) => GuardLink | undefined;
--- /dev/null
+++ b/src/load/run_load.ts
@@ -0,0 +1,206 @@
+/**
+ * Open-loop load: requests leave at times drawn beforehand, and latency counts
+ * from the time a request should have left, so a slow system hides nothing.
+ */
+
+import { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
+import { build, type Histogram } from "hdr-histogram-js";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { Pool } from "undici";
+import { Header } from "../link/wire.ts";
+import { getHeader } from "../link/http_headers.ts";
+import type { RequestKind, TrafficMix } from "./mixes.ts";
+
+const MICROS_PER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+const CURVE = [50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100] as const;
+const CONNECTIONS_PER_TARGET = 256;
+
+/** Settings of a run. */
+export interface LoadOptions {
+  /** Callers' addresses of daemons, used in turn. */
+  readonly targets: readonly string[];
+  readonly mix: TrafficMix;
+  readonly perSecond: number;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly timeoutMs: number;
+  /** Operators' addresses, to read what measuring cost; may be empty. */
+  readonly operators: readonly string[];
+}
+
+/** Latency of one kind of request, in ms. */
+export interface LatencyCurve {
+  readonly count: number;
+  readonly percentiles: readonly { percentile: number; ms: number }[];
+}
+
+/** What a run found. */
+export interface LoadReport {
+  readonly label: string;
+  readonly perSecond: number;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly sent: number;
+  readonly answered: number;
+  /** Requests without an answer, by execution and reason. */
+  readonly refusals: Readonly<Record<string, number>>;
+  readonly latencies: Readonly<Record<string, LatencyCurve>>;
+  /** Cost of measuring over the run, for all daemons asked. */
+  readonly measuring: { readonly calls: number; readonly bytes: number };
+}
+
+/** Runs a load and waits for every answer. */
+export async function runLoad(
+  label: string,
+  options: LoadOptions,
+): Promise<LoadReport> {
+  const { mix, perSecond, seconds, seed } = options;
+  const random = createRandom(seed);
+  const pools = options.targets.map((target) =>
+    new Pool(`http://${target}`, { connections: CONNECTIONS_PER_TARGET })
+  );
+  const histograms = new Map<string, Histogram>();
+  const refusals: Record<string, number> = {};
+  const open = new Set<Promise<void>>();
+  let sent = 0;
+  let answered = 0;
+  const before = await readMeasuring(options.operators);
+  const startedAt = performance.now();
+  let dueMs = 0;
+  while (true) {
+    dueMs += -Math.log(1 - random()) * MS_PER_SECOND / perSecond;
+    if (dueMs >= seconds * MS_PER_SECOND) break;
+    await sleepUntil(startedAt + dueMs);
+    launch(startedAt + dueMs);
+  }
+  await Promise.all(open);
+  const after = await readMeasuring(options.operators);
+  await Promise.all(pools.map((pool) => pool.close()));
+  return {
+    label,
+    perSecond,
+    seconds,
+    seed,
+    sent,
+    answered,
+    refusals,
+    latencies: Object.fromEntries(
+      [...histograms].map(([name, histogram]) => [name, toCurve(histogram)]),
+    ),
+    measuring: {
+      calls: after.calls - before.calls,
+      bytes: after.bytes - before.bytes,
+    },
+  };
+
+  function launch(due: number): void {
+    const kind = pickKind(mix, random());
+    const pool = pools[sent % pools.length]!;
+    sent += 1;
+    const work = send(kind, { pool, due, number: sent }).finally(() =>
+      open.delete(work)
+    );
+    open.add(work);
+  }
+
+  async function send(
+    kind: RequestKind,
+    { pool, due, number }: { pool: Pool; due: number; number: number },
+  ): Promise<void> {
+    const outcome = await request(kind, pool, { number });
+    if (outcome !== undefined) {
+      refusals[outcome] = (refusals[outcome] ?? 0) + 1;
+      return;
+    }
+    answered += 1;
+    const micros = (performance.now() - due) * MICROS_PER_MS;
+    for (const name of [kind.name, "all"]) {
+      getHistogram(name).recordValue(micros);
+    }
+  }
+
+  /** Sends one request; resolves to why there was no answer, or undefined. */
+  async function request(
+    kind: RequestKind,
+    pool: Pool,
+    { number }: { number: number },
+  ): Promise<string | undefined> {
+    try {
+      const res = await pool.request({
+        method: kind.method,
+        path: kind.path.endsWith("/") ? `${kind.path}${number}` : kind.path,
+        headers: {
+          [Header.Account]: mix.account,
+          [Header.TimeoutMs]: String(options.timeoutMs),
+        },
+        body: kind.bodyBytes > 0 ? Buffer.alloc(kind.bodyBytes, 120) : null,
+      });
+      await res.body.dump({ limit: 100_000_000 });
+      const reason = getHeader(res.headers, Header.Reason);
+      if (reason === undefined) return undefined;
+      return `${getHeader(res.headers, Header.Execution)} ${reason}`;
+    } catch (error) {
+      return `unknown ${(error as { code?: string }).code ?? "error"}`;
+    }
+  }
+
+  function getHistogram(name: string): Histogram {
+    let histogram = histograms.get(name);
+    if (histogram === undefined) {
+      histogram = build({ numberOfSignificantValueDigits: 3 });
+      histograms.set(name, histogram);
+    }
+    return histogram;
+  }
+}
+
+function pickKind(mix: TrafficMix, at: number): RequestKind {
+  let sum = 0;
+  for (const kind of mix.kinds) {
+    sum += kind.share;
+    if (at < sum) return kind;
+  }
+  return mix.kinds.at(-1)!;
+}
+
+function toCurve(histogram: Histogram): LatencyCurve {
+  return {
+    count: histogram.totalCount,
+    percentiles: CURVE.map((percentile) => ({
+      percentile,
+      ms: histogram.getValueAtPercentile(percentile) / MICROS_PER_MS,
+    })),
+  };
+}
+
+async function readMeasuring(
+  operators: readonly string[],
+): Promise<{ calls: number; bytes: number }> {
+  let calls = 0;
+  let bytes = 0;
+  for (const address of operators) {
+    const res = await fetch(`http://${address}/status`);
+    const status = await res.json() as {
+      controlBytes: number;
+      counters: Record<string, number>;
+    };
+    calls += status.counters["daemon.probe_sent"] ?? 0;
+    bytes += (status.counters["daemon.probe_bytes"] ?? 0) +
+      status.controlBytes;
+  }
+  return { calls, bytes };
+}
+
+function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+async function sleepUntil(at: number): Promise<void> {
+  const ms = at - performance.now();
+  if (ms > 1) await new Promise((resolve) => setTimeout(resolve, ms - 1));
+  else if (ms < -5) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+  test: {
+    include: ["test/**/*_test.ts"],
+    testTimeout: 60_000,
+    hookTimeout: 30_000,
+    maxWorkers: 4,
+  },
+});
