Drive the real core in virtual time: golden sessions and fault schedules

A lab of small fakes (network, upstream model, callers, platform) around the real gateway, guard, membership and spread.

Found by the first sessions: a crossed answer ended a protected request as MayHaveRun although its home could still say what became of it. The check of an answer's ticket moved from the HTTP link into the core, so that golden files cover it.

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -33,6 +33,7 @@
 import {
   type Arrival,
   type CoreHost,
+  Execution,
   type GatewayAction,
   GatewayActionKind,
   type GatewayMessage,
@@ -41,6 +42,7 @@
   type Millis,
   type OfKind,
   type ServiceName,
+  type Ticket,
   type Verdict,
 } from "./types.ts";
 import { createWakeQueue } from "./wake_queue.ts";
@@ -91,13 +93,17 @@
     takeReport: (report) => void loads.takeReport(report),
     getNextWake: wakes.getNext,
     getOpenCount: () => pending.size,
-    getTicket: (id, attempt) => `${options.incarnation}/${id}/${attempt}`,
+    getTicket,
     explain,
     getStaleHosts,
     forgetHost: loads.forget,
     counters,
   };
 
+  function getTicket(id: string, attempt: number): Ticket {
+    return `${options.incarnation}/${id}/${attempt}`;
+  }
+
   function arrive(arrival: Arrival): GatewayAction[] {
     Debug.assert(!pending.has(arrival.id), "request ids are unique");
     counters.add("arrived");
@@ -365,6 +371,7 @@
       return [];
     }
     const { request, attempt } = found;
+    if (!isOwnTicket(msg)) return rejectForeign(request, attempt);
     noteAnswer(request, attempt, msg.status);
     attempt.phase = AttemptPhase.Delivering;
     request.isDelivering = true;
@@ -375,6 +382,31 @@
     ];
   }
 
+  /** An answer names its attempt's ticket, or that of a settlement of it. */
+  function isOwnTicket(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Answered>,
+  ): boolean {
+    const own = getTicket(msg.id, msg.attempt);
+    return msg.ticket === own || msg.ticket.startsWith(`${own}/`);
+  }
+
+  function rejectForeign(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction[] {
+    counters.add("answer_mismatch");
+    if (attempt.key !== undefined) {
+      attempt.isLinkLost = true;
+      return [createSettle(request, attempt)];
+    }
+    loads.noteEnded(attempt.host);
+    endByVerdict(request, attempt, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.answer_mismatch,
+    });
+    return retryOrFinish(request);
+  }
+
   function noteAnswer(
     request: PendingRequest,
     attempt: Attempt,
--- a/src/core/spread.ts
+++ b/src/core/spread.ts
@@ -20,6 +20,8 @@
 const WORDS_PER_HELLO = 4;
 /** A fetch that brought nothing is asked again after this time, in ms. */
 const FETCH_PATIENCE_MS = 1_000;
+/** Time between greetings of a peer with another digest, in ms. */
+const GREET_AGAIN_MS = 200;
 
 /** Settings of the spread. */
 export interface SpreadOptions<T> {
@@ -27,8 +29,6 @@
   readonly incarnation: Incarnation;
   readonly config: ConfigState<T>;
   readonly membership: Membership;
-  /** Time between rounds, in ms. */
-  readonly intervalMs: Millis;
   /** Peers greeted when something changed. */
   readonly fanout: number;
   /** Called for each document that comes into force. */
@@ -46,6 +46,8 @@
   /** Says something urgent of itself, such as draining, to several peers. */
   announce(change: { draining: boolean }): ControlSend[];
   greet(to: HostId): ControlSend;
+  /** Hears a peer's digest on the data path; greets it where it differs. */
+  hearDigest(from: HostId, digest: string): ControlSend[];
   /** Peers whose index was seen since the start. */
   getPeersHeard(): number;
   getWord(): MemberWord;
@@ -67,6 +69,7 @@
   const { config, membership } = options;
   const counters = createCounters();
   const heard = new Set<HostId>();
+  const greetedAt = new Map<HostId, Millis>();
   const fetching = new Map<string, Millis>();
   let draining = false;
   let sequence = 0;
@@ -90,6 +93,7 @@
     tick,
     announce,
     greet: (to) => createHello(to, true),
+    hearDigest,
     getPeersHeard: () => heard.size,
     getWord,
     counters,
@@ -187,6 +191,14 @@
     return sends;
   }
 
+  function hearDigest(from: HostId, digest: string): ControlSend[] {
+    if (digest === config.getDigest()) return [];
+    const last = greetedAt.get(from) ?? -Infinity;
+    if (host.now() - last < GREET_AGAIN_MS) return [];
+    greetedAt.set(from, host.now());
+    return [createHello(from, true)];
+  }
+
   function createHello(to: HostId, wantsReply: boolean): ControlSend {
     return {
       to,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -220,6 +220,8 @@
     kind: GatewayMessageKind.Answered;
     id: string;
     attempt: number;
+    /** Ticket that the answer names; another than the attempt's own is refused. */
+    ticket: Ticket;
     /** HTTP status; 500 and above counts as a failure of the upstream. */
     status: number;
   }
--- a/src/daemon/control_task.ts
+++ b/src/daemon/control_task.ts
@@ -54,7 +54,6 @@
   send(sends: readonly ControlSend[]): void;
   /** Greets the peers of the settings; resolves when each replied or failed. */
   greetFirstPeers(): Promise<void>;
-  greet(host: HostId): void;
   /** Bytes sent and received by control messages. */
   getBytes(): number;
   close(): Promise<void>;
@@ -83,7 +82,6 @@
   const { membership, logger } = options;
   const spread = createSpread(host, {
     ...options,
-    intervalMs: ROUND_MS,
     fanout: FANOUT,
   });
   const clients = new Map<string, Client>();
@@ -95,7 +93,6 @@
     start,
     send,
     greetFirstPeers,
-    greet: (id) => send([spread.greet(id)]),
     getBytes: () => bytes,
     close,
   };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -36,8 +36,6 @@
 import { createPlatformTask } from "./platform_task.ts";
 import { createProbeTask } from "./probe_task.ts";
 
-/** Time between greetings of a peer with other revisions, in ms. */
-const GREET_AGAIN_MS = 200;
 const MAX_ATTEMPTS = 4;
 const OUTLIER_FACTOR = 3;
 const MAX_EJECTED_SHARE = 0.34;
@@ -86,7 +84,6 @@
     failureDomain: settings.failureDomain,
     subsetSize: settings.subset,
   });
-  const greetedAt = new Map<string, number>();
   let isReady = false;
   let isDraining = false;
 
@@ -277,13 +274,8 @@
     };
   }
 
-  /** A peer with other revisions is greeted, but not at every message. */
   function hearRevisions(from: string, revisions: string): void {
-    if (revisions === config.getDigest()) return;
-    const last = greetedAt.get(from) ?? -Infinity;
-    if (clock.now() - last < GREET_AGAIN_MS) return;
-    greetedAt.set(from, clock.now());
-    control.greet(from);
+    control.send(control.spread.hearDigest(from, revisions));
   }
 
   function explain(
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -17,6 +17,7 @@
   type KeptAnswer,
   type OfKind,
   type RequestHead,
+  type Ticket,
   type Verdict,
 } from "../core/types.ts";
 import {
@@ -228,9 +229,15 @@
           verdict: reply.verdict,
         });
       case ReplyKind.Replay:
-        return takeAnswer(id, attempt, { replay: reply.answer });
+        return takeAnswer(id, attempt, {
+          ticket: reply.ticket,
+          replay: reply.answer,
+        });
       case ReplyKind.Answer:
-        return takeAnswer(id, attempt, { answer: reply.answer });
+        return takeAnswer(id, attempt, {
+          ticket: reply.ticket,
+          answer: reply.answer,
+        });
       case ReplyKind.Granted:
         return fail(id, attempt, true);
     }
@@ -239,14 +246,15 @@
   function takeAnswer(
     id: string,
     attempt: number,
-    content: { answer?: StreamedAnswer; replay?: KeptAnswer },
+    content: { ticket: Ticket; answer?: StreamedAnswer; replay?: KeptAnswer },
   ): void {
-    const io = exchanges.get(id)?.attempts.get(attempt);
-    if (io !== undefined) Object.assign(io, content);
-    const status = (content.answer ?? content.replay)!.status;
-    tell({ kind: GatewayMessageKind.Answered, id, attempt, status });
-    const isDelivered = io !== undefined && io.answer === undefined;
-    if (!isDelivered) dropBody(content.answer);
+    const { ticket, ...io } = content;
+    const known = exchanges.get(id)?.attempts.get(attempt);
+    if (known !== undefined) Object.assign(known, io);
+    const status = (io.answer ?? io.replay)!.status;
+    tell({ kind: GatewayMessageKind.Answered, id, attempt, ticket, status });
+    const isDelivered = known !== undefined && known.answer === undefined;
+    if (!isDelivered) dropBody(io.answer);
   }
 
   function fail(id: string, attempt: number, mayHaveArrived: boolean): void {
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -87,7 +87,7 @@
       flows.delete(ticket);
     },
     [GuardActionKind.Replay]: ({ ticket, answer }) => {
-      reply(ticket, { kind: ReplyKind.Replay, answer });
+      reply(ticket, { kind: ReplyKind.Replay, ticket, answer });
       flows.delete(ticket);
     },
     [GuardActionKind.Start]: ({ ticket }) => void startUpstream(ticket),
@@ -195,7 +195,11 @@
     const isKept = flow.head?.repeatability === Repeatability.AtMostOnce;
     const body = isKept ? record(ticket, answer) : answer.body;
     watchEnd(ticket, answer.body, { status: answer.status, isKept });
-    reply(ticket, { kind: ReplyKind.Answer, answer: { ...answer, body } });
+    reply(ticket, {
+      kind: ReplyKind.Answer,
+      ticket,
+      answer: { ...answer, body },
+    });
   }
 
   function failUpstream(ticket: Ticket, failure: UpstreamFailure): void {
--- /dev/null
+++ b/src/lab/check_faults.ts
@@ -0,0 +1,45 @@
+/** Runs many fault schedules: node dist/lab/check_faults.js [first seed] [count]. */
+
+import process from "node:process";
+import { runSchedule } from "./fault_schedule.ts";
+
+const DEFAULT_COUNT = 1_000;
+
+const first = Number(process.argv[2] ?? 1);
+const count = Number(process.argv[3] ?? DEFAULT_COUNT);
+process.exitCode = checkFaults() ? 0 : 1;
+
+function checkFaults(): boolean {
+  const totals: Record<string, number> = {};
+  let calls = 0;
+  let broken = 0;
+  for (let seed = first; seed < first + count; seed++) {
+    const judgement = runSchedule({ seed });
+    calls += judgement.calls;
+    for (const [name, n] of Object.entries(judgement.protectedOutcomes)) {
+      totals[name] = (totals[name] ?? 0) + n;
+    }
+    if (judgement.violations.length === 0) continue;
+    broken += 1;
+    for (const { promise, detail } of judgement.violations) {
+      process.stdout.write(`seed ${seed}: ${promise}: ${detail}\n`);
+    }
+  }
+  report({ calls, broken, totals });
+  return broken === 0;
+}
+
+function report(
+  result: { calls: number; broken: number; totals: Record<string, number> },
+): void {
+  const { calls, broken, totals } = result;
+  const sum = Object.values(totals).reduce((a, b) => a + b, 0);
+  const shares = Object.entries(totals).sort().map(([name, n]) =>
+    `${name} ${(100 * n / sum).toFixed(2)}%`
+  );
+  process.stdout.write(
+    `${count} schedules from seed ${first}, ${calls} calls, ` +
+      `${broken} schedules with a broken promise\n` +
+      `protected calls: ${shares.join(", ")}\n`,
+  );
+}
--- /dev/null
+++ b/src/lab/lab_guard.ts
@@ -0,0 +1,210 @@
+/** The guard side of a lab daemon: the real guard in front of a modelled upstream. */
+
+import { Buffer } from "node:buffer";
+import { Diagnostics } from "../core/diagnostics.ts";
+import { createGuard, type Guard, type GuardOptions } from "../core/guard.ts";
+import {
+  type CoreHost,
+  Execution,
+  type GuardAction,
+  GuardActionKind,
+  type GuardMessage,
+  GuardMessageKind,
+  type Millis,
+  type OfKind,
+  Repeatability,
+} from "../core/types.ts";
+import { formatGuardMessage, formatReply } from "./format.ts";
+import type { NodePort } from "./node.ts";
+import type { LabCall, LabPayload, LabReply, ReplyAddress } from "./types.ts";
+
+const MAX_RETRIES = 3;
+
+/** A request at the local upstream. */
+export interface LabWork {
+  readonly ticket: string;
+  readonly call: LabCall;
+  readonly key: string;
+  readonly isProtected: boolean;
+  readonly deadline: Millis;
+  /** Retries that the call tree may still spend below this work. */
+  readonly retriesLeft: number;
+  isCancelled: boolean;
+}
+
+/** The guard side. */
+export interface LabGuard {
+  readonly guard: Guard;
+  receiveAsk(payload: OfKind<LabPayload, "ask">): void;
+  /** The upstream answered some work. */
+  finishWork(work: LabWork, status: number): void;
+  /** The upstream gave no answer to some work. */
+  failWork(work: LabWork, execution: Execution): void;
+  drain(): void;
+}
+
+interface Flow {
+  readonly replyTo: ReplyAddress;
+  readonly call: LabCall;
+  readonly isSettlement: boolean;
+  readonly deadline: Millis;
+  key: string;
+  work?: LabWork;
+}
+
+/** Creates the guard side of one run of a daemon. */
+export function createLabGuard(
+  port: NodePort,
+  options: {
+    host: CoreHost;
+    guard: GuardOptions;
+    piggybacks: boolean;
+    isAlive(): boolean;
+    getDigest(): string | undefined;
+    execute(work: LabWork): void;
+  },
+): LabGuard {
+  const { self } = options.guard;
+  const guard = createGuard(options.host, options.guard);
+  const flows = new Map<string, Flow>();
+  let wakeAt: Millis = Infinity;
+  const actions: {
+    [K in GuardActionKind]: (action: OfKind<GuardAction, K>) => void;
+  } = {
+    [GuardActionKind.Grant]: ({ ticket, grant, key }) => {
+      const flow = flows.get(ticket)!;
+      flow.key = key;
+      reply(ticket, { kind: "granted", grant, key });
+    },
+    [GuardActionKind.Refuse]: ({ ticket, verdict }) =>
+      reply(ticket, { kind: "refused", verdict }),
+    [GuardActionKind.Replay]: ({ ticket, answer }) => {
+      const call = Buffer.from(answer.body, "base64").toString();
+      reply(ticket, { kind: "answer", status: answer.status, call });
+    },
+    [GuardActionKind.Start]: ({ ticket }) => start(ticket),
+    [GuardActionKind.CancelUpstream]: ({ ticket }) => cancel(ticket),
+  };
+  return {
+    guard,
+    receiveAsk,
+    finishWork,
+    failWork,
+    drain: () => tell({ kind: GuardMessageKind.Drain }),
+  };
+
+  function receiveAsk(payload: OfKind<LabPayload, "ask">): void {
+    const { msg, call, replyTo, key } = payload;
+    if (!("ticket" in msg)) return;
+    const { id, attempt } = replyTo;
+    port.record(
+      `${self} guard takes ${formatGuardMessage(msg)} ${id}/${attempt}`,
+    );
+    if (call !== undefined && !flows.has(msg.ticket)) {
+      const isSettlement = msg.kind === GuardMessageKind.Settle;
+      const timeoutMs = "head" in msg ? msg.head.timeoutMs : 0;
+      flows.set(msg.ticket, {
+        replyTo,
+        call,
+        isSettlement,
+        deadline: port.loop.now() + timeoutMs,
+        key: key ?? "",
+      });
+    }
+    tell(msg);
+  }
+
+  function tell(msg: GuardMessage): void {
+    for (const action of guard.handle(msg)) {
+      (actions[action.kind] as (a: GuardAction) => void)(action);
+    }
+    const next = guard.getNextWake();
+    if (next === undefined || next >= wakeAt) return;
+    wakeAt = next;
+    port.loop.schedule(next, () => {
+      if (wakeAt !== next || !options.isAlive()) return;
+      wakeAt = Infinity;
+      tell({ kind: GuardMessageKind.Tick });
+    });
+  }
+
+  function start(ticket: string): void {
+    const flow = flows.get(ticket)!;
+    const { call, key, deadline, replyTo } = flow;
+    flow.work = {
+      ticket,
+      call,
+      key,
+      isProtected: call.repeatability === Repeatability.AtMostOnce,
+      deadline,
+      retriesLeft: Math.max(
+        0,
+        (call.retriesLeft ?? MAX_RETRIES) - (replyTo.attempt - 1),
+      ),
+      isCancelled: false,
+    };
+    port.record(`${self} guard starts ${call.id}`);
+    options.execute(flow.work);
+  }
+
+  function cancel(ticket: string): void {
+    const work = flows.get(ticket)?.work;
+    if (work === undefined) return;
+    failWork(work, Execution.MayHaveRun);
+    work.isCancelled = true;
+  }
+
+  function finishWork(work: LabWork, status: number): void {
+    if (work.isCancelled || !options.isAlive()) return;
+    const { ticket, call } = work;
+    const body = Buffer.from(call.id).toString("base64");
+    const kept = { status, contentType: "text/plain", body };
+    tell({
+      kind: GuardMessageKind.UpstreamAnswered,
+      ticket,
+      status,
+      ...(work.isProtected && { kept }),
+    });
+    reply(ticket, { kind: "answer", status, call: call.id });
+  }
+
+  function failWork(work: LabWork, execution: Execution): void {
+    if (work.isCancelled || !options.isAlive()) return;
+    const isRefusal = execution === Execution.NotRun;
+    tell({
+      kind: GuardMessageKind.UpstreamFailed,
+      ticket: work.ticket,
+      execution,
+      diagnostic: isRefusal
+        ? Diagnostics.upstream_refused
+        : Diagnostics.upstream_lost,
+    });
+  }
+
+  function reply(ticket: string, reply: LabReply): void {
+    const flow = flows.get(ticket);
+    if (flow === undefined) return;
+    if (reply.kind !== "granted") flows.delete(ticket);
+    const { replyTo, isSettlement } = flow;
+    const { host, id, attempt } = replyTo;
+    port.record(
+      `${self} guard > ${host} ${formatReply(reply)} ${id}/${attempt}`,
+    );
+    const digest = options.getDigest();
+    port.send({
+      from: self,
+      to: host,
+      payload: {
+        kind: "reply",
+        from: self,
+        to: replyTo,
+        ticket,
+        reply,
+        isSettlement,
+        ...(options.piggybacks && { report: guard.getReport() }),
+        ...(digest !== undefined && { digest }),
+      },
+      onNewConnection: isSettlement,
+    });
+  }
+}
--- /dev/null
+++ b/src/lab/policies.ts
@@ -0,0 +1,57 @@
+/** Policies of the lab: the product's own, and one with each part taken out. */
+
+import { ChoicePolicy } from "../core/choice.ts";
+import type { LabPolicy } from "./types.ts";
+
+/** The product's own policy, for an account that pays for the tail. */
+export const OWN_POLICY: LabPolicy = {
+  choice: ChoicePolicy.ExpectedTime,
+  ejectsStragglers: true,
+  hasRetryBudget: true,
+  isFair: true,
+  refusesEarly: true,
+  prefersOwnDomain: true,
+  warmUpMs: 2_000,
+  hedgeBudget: 0.05,
+  piggybacks: true,
+  probesPerSecond: 0,
+};
+
+/** A plain policy that the baselines start from. */
+const PLAIN_POLICY: LabPolicy = {
+  choice: ChoicePolicy.Random,
+  ejectsStragglers: false,
+  hasRetryBudget: true,
+  isFair: true,
+  refusesEarly: true,
+  prefersOwnDomain: false,
+  warmUpMs: 0,
+  hedgeBudget: 0,
+  piggybacks: true,
+  probesPerSecond: 0,
+};
+
+/** Policies by name: first ours, then baselines, then ours less one part. */
+export const POLICIES: Readonly<Record<string, LabPolicy>> = {
+  own: OWN_POLICY,
+  random: PLAIN_POLICY,
+  "round-robin": { ...PLAIN_POLICY, choice: ChoicePolicy.RoundRobin },
+  "least-own-in-flight": {
+    ...PLAIN_POLICY,
+    choice: ChoicePolicy.LeastOwnInFlight,
+  },
+  "two-choices-stale": {
+    ...PLAIN_POLICY,
+    choice: ChoicePolicy.TwoChoices,
+    piggybacks: false,
+    probesPerSecond: 1,
+  },
+  "hot-cold": { ...OWN_POLICY, choice: ChoicePolicy.HotCold },
+  "no-hedge": { ...OWN_POLICY, hedgeBudget: 0 },
+  "no-ejection": { ...OWN_POLICY, ejectsStragglers: false },
+  "no-own-domain": { ...OWN_POLICY, prefersOwnDomain: false },
+  "no-warm-up": { ...OWN_POLICY, warmUpMs: 0 },
+  "no-early-refusal": { ...OWN_POLICY, refusesEarly: false },
+  "no-retry-budget": { ...OWN_POLICY, hasRetryBudget: false },
+  "first-come": { ...OWN_POLICY, isFair: false },
+};
--- /dev/null
+++ b/src/lab/scenario.ts
@@ -0,0 +1,225 @@
+/** Scenarios in YAML that drive the real core and write what happened as text. */
+
+import { z } from "zod";
+import { ListedState } from "../core/config_types.ts";
+import { Repeatability } from "../core/types.ts";
+import { decodeYaml, formatProblem } from "../settings/decode.ts";
+import { judge } from "./judge.ts";
+import { OWN_POLICY } from "./policies.ts";
+import type { LabOutcome } from "./types.ts";
+import { createWorld, type World } from "./world.ts";
+
+const DRAIN_GRACE_MS = 1_000;
+const DEFAULT_TIMEOUT_MS = 1_000;
+
+const callSchema = z.strictObject({
+  id: z.string(),
+  gateway: z.string(),
+  service: z.string(),
+  account: z.string().default("karaca"),
+  repeatability: z.enum(Repeatability).default(Repeatability.Idempotent),
+  timeoutMs: z.number().default(DEFAULT_TIMEOUT_MS),
+  /** Name of a key taken by an earlier step. */
+  key: z.string().optional(),
+  /** The operation that this call asks for; its own by default. */
+  operation: z.string().optional(),
+  replayable: z.boolean().default(true),
+});
+
+const hosts = z.array(z.string());
+
+/** One step; exactly one of the fields beside `at` says what happens. */
+const stepSchema = z.strictObject({
+  at: z.number().min(0),
+  call: callSchema.optional(),
+  takeKey: z.strictObject({ name: z.string(), home: z.string() }).optional(),
+  kill: z.string().optional(),
+  vanish: z.string().optional(),
+  restart: z.string().optional(),
+  pause: z.string().optional(),
+  resume: z.string().optional(),
+  drain: z.string().optional(),
+  cut: z.strictObject({ left: hosts, right: hosts }).optional(),
+  heal: z.literal(true).optional(),
+  silence: z.strictObject({ from: z.string(), to: z.string() }).optional(),
+  slow: z.strictObject({ host: z.string(), factor: z.number() }).optional(),
+  crossNext: z.literal(true).optional(),
+  publish: z.strictObject({ key: z.string(), value: z.string() }).optional(),
+  /** A host reads the platform, from a replica that may be stale. */
+  read: z.string().optional(),
+  /** A host reads the platform, from a replica that is not stale. */
+  readCurrent: z.string().optional(),
+  stale: z.boolean().optional(),
+  outage: z.boolean().optional(),
+  list: z.record(z.string(), z.enum(ListedState)).optional(),
+});
+
+/** Schema of a scenario. */
+export const scenarioSchema = z.strictObject({
+  about: z.string(),
+  seed: z.int().default(1),
+  untilMs: z.number(),
+  spreads: z.boolean().default(false),
+  keysKept: z.int().default(1_000),
+  hosts: z.array(z.strictObject({
+    host: z.string(),
+    service: z.string(),
+    failureDomain: z.string(),
+    slots: z.int().default(2),
+    serviceMs: z.number().default(20),
+  })),
+  steps: z.array(stepSchema),
+});
+
+type Scenario = z.output<typeof scenarioSchema>;
+type Step = Scenario["steps"][number];
+
+interface Session {
+  readonly world: World;
+  readonly keys: Map<string, string>;
+  readonly outcomes: LabOutcome[];
+  callsMade: number;
+  record(line: string): void;
+}
+
+type StepHandlers = {
+  [K in Exclude<keyof Step, "at">]-?: (
+    session: Session,
+    value: NonNullable<Step[K]>,
+  ) => void;
+};
+
+const HANDLERS: StepHandlers = {
+  call: makeCall,
+  takeKey: ({ world, keys }, { name, home }) => {
+    const key = world.issueKeys(home, "karaca", { count: 1 })[0];
+    if (key !== undefined) keys.set(name, key);
+  },
+  kill: ({ world }, host) => world.kill(host),
+  vanish: ({ world }, host) => world.vanish(host),
+  restart: ({ world }, host) => world.restart(host),
+  pause: ({ world }, host) => world.pause(host),
+  resume: ({ world }, host) => world.resume(host),
+  drain: ({ world }, host) => world.drain(host),
+  cut: ({ world }, { left, right }) => world.network.cut(left, right),
+  heal: ({ world }) => world.network.heal(),
+  silence: ({ world }, { from, to }) => world.network.silence(from, to),
+  slow: ({ world }, { host, factor }) => {
+    world.getModel(host).behaviour.slowFactor = factor;
+  },
+  crossNext: ({ world }) => void (world.network.faults.crossesNext = true),
+  publish: ({ world }, { key, value }) =>
+    void world.platform.publish(key, value),
+  read: (session, host) => takeDocuments(session, host),
+  readCurrent: ({ world }, host) =>
+    world.getNode(host).takeDocuments(world.platform.readCurrent()),
+  stale: ({ world }, isStale) => world.platform.setStale(isStale),
+  outage: ({ world }, isOut) => world.platform.setOutage(isOut),
+  list: ({ world }, states) => world.publishList(states),
+};
+
+/** Runs a scenario; the text has every message, decision, counter and verdict. */
+export function runScenario(file: string, text: string): string {
+  const decoded = decodeYaml(text, { file, schema: scenarioSchema });
+  if (decoded.err) throw new Error(decoded.val.map(formatProblem).join("\n"));
+  const scenario = decoded.val;
+  const lines = [`# ${scenario.about}`];
+  const world = createWorld({
+    seed: scenario.seed,
+    hosts: scenario.hosts,
+    policy: OWN_POLICY,
+    latency: { sameDomainMs: 0.1, crossDomainMs: 1.5, callerMs: 8 },
+    keyCapacity: scenario.keysKept,
+    spreads: scenario.spreads,
+    record: (line) => lines.push(line),
+  });
+  const session: Session = {
+    world,
+    keys: new Map(),
+    outcomes: [],
+    callsMade: 0,
+    record: (line) =>
+      lines.push(`${world.loop.now().toFixed(1).padStart(8)} ${line}`),
+  };
+  for (const step of scenario.steps) {
+    world.loop.schedule(step.at, () => runStep(session, step));
+  }
+  world.loop.runUntil(scenario.untilMs);
+  lines.push(...summarise(session));
+  return `${lines.join("\n")}\n`;
+}
+
+function takeDocuments({ world, record }: Session, host: string): void {
+  const documents = world.platform.read();
+  record(`${host} reads the platform: ${documents?.length ?? "no answer"}`);
+  if (documents !== undefined) world.getNode(host).takeDocuments(documents);
+}
+
+function runStep(session: Session, step: Step): void {
+  const { at: _, ...rest } = step;
+  for (const [name, value] of Object.entries(rest)) {
+    if (value === undefined) continue;
+    const handler = HANDLERS[name as keyof StepHandlers] as (
+      session: Session,
+      value: unknown,
+    ) => void;
+    session.record(`step ${name} ${name === "publish" ? "" : toText(value)}`);
+    handler(session, value);
+  }
+}
+
+function toText(value: unknown): string {
+  return typeof value === "object" ? JSON.stringify(value) : String(value);
+}
+
+function makeCall(session: Session, step: NonNullable<Step["call"]>): void {
+  const { gateway, key: keyName, operation, ...rest } = step;
+  const key = keyName === undefined ? undefined : session.keys.get(keyName);
+  session.callsMade += 1;
+  session.world.call(gateway, {
+    ...rest,
+    operation: operation ?? rest.id.split("~")[0]!,
+    ...(key !== undefined && { key }),
+  }, (outcome) => {
+    session.outcomes.push(outcome);
+    const { execution, reason, answeredCall, retryAfterMs } = outcome;
+    const parts = [`caller of ${rest.id} hears ${execution} ${reason}`];
+    if (answeredCall !== undefined) parts.push(`answer of ${answeredCall}`);
+    if (retryAfterMs !== undefined) {
+      parts.push(`retry after ${retryAfterMs} ms`);
+    }
+    session.record(parts.join(", "));
+  });
+}
+
+function summarise(session: Session): string[] {
+  const { world, outcomes, callsMade } = session;
+  const lines = ["# counters"];
+  for (const { host } of world.getHosts()) {
+    const node = world.getNode(host);
+    const sets = {
+      gateway: node.gateway.gateway.counters,
+      guard: node.guard.guard.counters,
+      control: node.spread.counters,
+    };
+    for (const [role, counters] of Object.entries(sets)) {
+      counters.forEachCounter((name, value) =>
+        lines.push(`${host} ${role} ${name} ${value}`)
+      );
+    }
+    const revisions = node.config.getRevisions();
+    for (const { key, revision } of revisions) {
+      lines.push(`${host} config ${key}@${revision}`);
+    }
+  }
+  const { violations } = judge({
+    executions: world.executions,
+    outcomes,
+    callsMade,
+    drainGraceMs: DRAIN_GRACE_MS,
+  });
+  lines.push("# verdict of the journal");
+  if (violations.length === 0) lines.push("no promise broken");
+  for (const v of violations) lines.push(`BROKEN ${v.promise}: ${v.detail}`);
+  return lines;
+}
--- /dev/null
+++ b/src/lab/world.ts
@@ -0,0 +1,356 @@
+/**
+ * A few daemons with modelled upstreams, callers, a platform and faults, in
+ * virtual time. Everything that decides is the real core.
+ */
+
+import { type ListedHost, ListedState } from "../core/config_types.ts";
+import type { ConfigDocument } from "../core/config_types.ts";
+import { Execution, type HostId, type Millis } from "../core/types.ts";
+import { createEventLoop, type EventLoop } from "./event_loop.ts";
+import type { LabWork } from "./lab_guard.ts";
+import { createNetwork, type Network } from "./network.ts";
+import { createLabNode, type LabNode, type NodePort } from "./node.ts";
+import type {
+  LabCall,
+  LabEnvelope,
+  LabExecution,
+  LabHost,
+  LabOptions,
+  LabOutcome,
+} from "./types.ts";
+import { createUpstreamModel, type UpstreamModel } from "./upstream_model.ts";
+
+const HTTP_OK = 200;
+const HTTP_ERROR = 500;
+/** Time that a failing upstream takes to say so, in ms. */
+const FAIL_FAST_MS = 0.5;
+
+/** A lab. */
+export interface World {
+  readonly loop: EventLoop;
+  readonly network: Network;
+  readonly executions: readonly LabExecution[];
+  /** Platform values as published. */
+  readonly platform: LabPlatform;
+  getNode(host: HostId): LabNode;
+  getModel(host: HostId): UpstreamModel;
+  getHosts(): readonly LabHost[];
+  /** Sends a call to a gateway; `done` hears of it when the caller would. */
+  call(
+    gateway: HostId,
+    call: LabCall,
+    done: (outcome: LabOutcome) => void,
+  ): void;
+  /** Takes keys ahead of use from a home, as callers do. */
+  issueKeys(
+    home: HostId,
+    account: string,
+    options: { count: number },
+  ): string[];
+  /** Ends the daemon and its upstream; peers' connections are reset. */
+  kill(host: HostId): void;
+  /** The host disappears without a word. */
+  vanish(host: HostId): void;
+  /** Starts a new daemon in place of an ended one. */
+  restart(host: HostId): void;
+  pause(host: HostId): void;
+  resume(host: HostId): void;
+  drain(host: HostId): void;
+  /** Gives all live daemons the platform's list. */
+  publishList(states?: Readonly<Record<HostId, ListedState>>): void;
+}
+
+/** The platform of a lab. */
+export interface LabPlatform {
+  publish(key: string, value: string): number;
+  /** Freezes what readers see. */
+  setStale(isStale: boolean): void;
+  setOutage(isOut: boolean): void;
+  /** What a reader gets now; undefined during an outage. */
+  read(): readonly ConfigDocument[] | undefined;
+  /** What a replica that is not stale has. */
+  readCurrent(): readonly ConfigDocument[];
+}
+
+/** Creates a lab whose daemons know each other. */
+export function createWorld(options: LabOptions): World {
+  const loop = createEventLoop(options.seed);
+  const hosts = new Map(options.hosts.map((h) => [h.host, h]));
+  const nodes = new Map<HostId, LabNode>();
+  const models = new Map<HostId, UpstreamModel>();
+  const backlogs = new Map<HostId, (() => void)[]>();
+  const starts = new Map<HostId, number>();
+  const vanished = new Set<HostId>();
+  const executions: LabExecution[] = [];
+  const openCalls = new Map<LabNode, Set<(reason: string) => void>>();
+  let listed: ListedHost[] = [];
+  const network = createNetwork(loop, {
+    latency: options.latency,
+    getDomain: (id) => hosts.get(id)?.failureDomain,
+    deliver,
+    record,
+  });
+  const platform = createPlatform();
+  const port: NodePort = {
+    loop,
+    send,
+    replaceLink: network.replace,
+    execute,
+    record,
+  };
+  for (const host of options.hosts) {
+    const { host: id, serviceMs } = host;
+    models.set(id, createUpstreamModel(loop, { host: id, serviceMs }));
+  }
+  for (const host of options.hosts) start(host);
+  publishList();
+  return {
+    loop,
+    network,
+    executions,
+    platform,
+    getNode,
+    getModel: (id) => models.get(id)!,
+    getHosts: () => options.hosts,
+    call,
+    issueKeys: (home, account, { count }) =>
+      getNode(home).guard.guard.issueKeys(account, count),
+    kill,
+    vanish,
+    restart,
+    pause: (id) => void backlogs.set(id, backlogs.get(id) ?? []),
+    resume,
+    drain: (id) => runAt(id, () => getNode(id).drain()),
+    publishList,
+  };
+
+  function record(line: string): void {
+    options.record?.(`${loop.now().toFixed(1).padStart(8)} ${line}`);
+  }
+
+  function getNode(id: HostId): LabNode {
+    return nodes.get(id)!;
+  }
+
+  function start(host: LabHost): LabNode {
+    const count = (starts.get(host.host) ?? 0) + 1;
+    starts.set(host.host, count);
+    const incarnation = `${host.host}#${count}`;
+    const node = createLabNode(port, { lab: options, host, incarnation });
+    nodes.set(host.host, node);
+    openCalls.set(node, new Set());
+    return node;
+  }
+
+  /** Runs something in a daemon, after its pause where it is paused. */
+  function runAt(id: HostId, run: () => void): void {
+    const backlog = backlogs.get(id);
+    if (backlog === undefined) run();
+    else backlog.push(run);
+  }
+
+  function send(envelope: LabEnvelope): void {
+    network.send(envelope);
+  }
+
+  function deliver(envelope: LabEnvelope): void {
+    const { from, to, payload } = envelope;
+    const node = nodes.get(to);
+    if (node === undefined || !node.isAlive) return refuseConnection(envelope);
+    runAt(to, () => {
+      const current = getNode(to);
+      if (current.isAlive) current.receive(payload);
+      else refuseConnection({ from, to, payload });
+    });
+  }
+
+  /** A host that ended refuses connections; one that vanished says nothing. */
+  function refuseConnection({ from, to, payload }: LabEnvelope): void {
+    if (payload.kind !== "ask" || vanished.has(to)) return;
+    resetLater(from, to, { mayHaveArrived: false });
+  }
+
+  function resetLater(
+    id: HostId,
+    peer: HostId,
+    how: { mayHaveArrived: boolean },
+  ): void {
+    const node = getNode(id);
+    loop.schedule(loop.now() + network.getDelay(id, peer), () => {
+      if (network.isCut(id, peer)) return;
+      runAt(id, () => {
+        if (node.isAlive) node.gateway.onPeerReset(peer, how);
+      });
+    });
+  }
+
+  function execute(node: LabNode, work: LabWork): void {
+    const { host } = node.place;
+    const model = models.get(host)!;
+    if (model.behaviour.failsFast) {
+      return after(FAIL_FAST_MS, () => node.guard.finishWork(work, HTTP_ERROR));
+    }
+    if (model.sheds()) {
+      return after(0, () => node.guard.failWork(work, Execution.NotRun));
+    }
+    executions.push({
+      call: work.call.id,
+      operation: work.call.operation,
+      key: work.key,
+      host,
+      at: loop.now(),
+      isProtected: work.isProtected,
+      ...(node.drainingSince !== undefined && {
+        drainingSince: node.drainingSince,
+      }),
+    });
+    record(`${host} upstream runs ${work.call.id}`);
+    after(model.drawServiceMs(), () => callChain(node, work));
+
+    function after(ms: Millis, run: () => void): void {
+      loop.schedule(loop.now() + ms, () => runAt(host, run));
+    }
+  }
+
+  /** The upstream's own outgoing call, through its own daemon. */
+  function callChain(node: LabNode, work: LabWork): void {
+    const [next, ...rest] = work.call.chain ?? [];
+    if (next === undefined || !node.isAlive || work.isCancelled) {
+      return node.guard.finishWork(work, HTTP_OK);
+    }
+    const child: LabCall = {
+      ...work.call,
+      id: `${work.ticket}>${next}`,
+      operation: `${work.ticket}>${next}`,
+      service: next,
+      chain: rest,
+      timeoutMs: Math.max(1, work.deadline - loop.now()),
+      retriesLeft: work.retriesLeft,
+    };
+    node.gateway.call(child, (outcome) => {
+      const isGood = outcome.execution === Execution.Ran &&
+        outcome.status === HTTP_OK;
+      node.guard.finishWork(work, isGood ? HTTP_OK : HTTP_ERROR);
+    });
+  }
+
+  function call(
+    gateway: HostId,
+    call: LabCall,
+    done: (outcome: LabOutcome) => void,
+  ): void {
+    const sentAt = loop.now();
+    const toCaller = options.latency.callerMs;
+    loop.schedule(sentAt + toCaller, () => {
+      const node = getNode(gateway);
+      if (!node.isAlive) {
+        return finish({ execution: "unknown", reason: "connection refused" });
+      }
+      const open = openCalls.get(node)!;
+      const lose = (reason: string) => finish({ execution: "unknown", reason });
+      open.add(lose);
+      runAt(gateway, () => {
+        if (!node.isAlive) return;
+        node.gateway.call(call, (outcome) => {
+          open.delete(lose);
+          finish(outcome);
+        });
+      });
+    });
+
+    function finish(
+      result: Omit<LabOutcome, "call" | "latencyMs">,
+    ): void {
+      loop.schedule(loop.now() + toCaller, () => {
+        done({ ...result, call, latencyMs: loop.now() - sentAt });
+      });
+    }
+  }
+
+  function end(id: HostId): LabNode {
+    const node = getNode(id);
+    node.isAlive = false;
+    backlogs.delete(id);
+    for (const lose of openCalls.get(node) ?? []) lose("connection lost");
+    openCalls.delete(node);
+    return node;
+  }
+
+  function kill(id: HostId): void {
+    record(`${id} is killed`);
+    end(id);
+    for (const peer of nodes.values()) {
+      if (peer.place.host !== id && peer.isAlive) {
+        resetLater(peer.place.host, id, { mayHaveArrived: true });
+      }
+    }
+  }
+
+  function vanish(id: HostId): void {
+    record(`${id} vanishes`);
+    end(id);
+    vanished.add(id);
+  }
+
+  function restart(id: HostId): void {
+    if (getNode(id).isAlive) return;
+    vanished.delete(id);
+    record(`${id} starts again`);
+    models.get(id)!.restart();
+    const node = start(hosts.get(id)!);
+    node.takeList(listed);
+    const documents = platform.read();
+    if (documents !== undefined) node.takeDocuments(documents);
+    const peers = options.hosts.filter((h) => h.host !== id);
+    for (const peer of peers.slice(0, 2)) node.greet(peer.host);
+  }
+
+  function resume(id: HostId): void {
+    const backlog = backlogs.get(id) ?? [];
+    backlogs.delete(id);
+    record(`${id} resumes`);
+    for (const run of backlog) run();
+  }
+
+  function publishList(
+    states: Readonly<Record<HostId, ListedState>> = {},
+  ): void {
+    listed = options.hosts.map(({ host, service, failureDomain }) => ({
+      host,
+      service,
+      failureDomain,
+      dataAddress: `${host}:data`,
+      controlAddress: `${host}:control`,
+      state: states[host] ?? ListedState.Live,
+    }));
+    for (const node of nodes.values()) {
+      if (node.isAlive) runAt(node.place.host, () => node.takeList(listed));
+    }
+  }
+
+  function createPlatform(): LabPlatform {
+    const documents = new Map<string, ConfigDocument>();
+    let frozen: readonly ConfigDocument[] | undefined;
+    let isOut = false;
+    let revision = 0;
+    const read = () => isOut ? undefined : frozen ?? [...documents.values()];
+    return {
+      publish,
+      read,
+      readCurrent: () => [...documents.values()],
+      setStale,
+      setOutage: (v) => void (isOut = v),
+    };
+
+    function publish(key: string, value: string): number {
+      revision += 1;
+      documents.set(key, { key, revision, value });
+      record(`platform publishes ${key}@${revision}`);
+      return revision;
+    }
+
+    function setStale(isStale: boolean): void {
+      frozen = isStale ? frozen ?? [...documents.values()] : undefined;
+    }
+  }
+}
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -1,7 +1,6 @@
 /** A link to the guard of another host over HTTP/1.1 with kept connections. */
 
 import type { IncomingHttpHeaders } from "node:http";
-import type { Readable } from "node:stream";
 import { Client, type Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import { Diagnostics } from "../core/diagnostics.ts";
@@ -171,7 +170,7 @@
   ): Promise<GuardReply> {
     try {
       const res = await call(dispatcher, step, headers);
-      return await readReply(res, headers[Header.Ticket]!);
+      return await readReply(res);
     } catch (error) {
       return toFailure(error);
     }
@@ -202,7 +201,7 @@
         body: forward.body,
         signal: forward.signal,
       });
-      return await readReply(res, headers[Header.Ticket]!);
+      return await readReply(res);
     } catch (error) {
       return toFailure(error);
     }
@@ -216,19 +215,17 @@
     };
   }
 
-  async function readReply(res: Response, ticket: Ticket): Promise<GuardReply> {
+  async function readReply(res: Response): Promise<GuardReply> {
     hear(res.headers);
     const verdictText = getHeader(res.headers, Header.VerdictJson);
     if (verdictText !== undefined) {
       await res.body.dump();
       return readVerdict(verdictText);
     }
-    if (getHeader(res.headers, Header.Ticket) !== ticket) {
-      return rejectForeign(res.body, ticket);
-    }
+    const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
       const answer = replaySchema.parse(await res.body.json());
-      return { kind: ReplyKind.Replay, answer };
+      return { kind: ReplyKind.Replay, ticket, answer };
     }
     const grant = getHeader(res.headers, Header.Grant);
     if (grant !== undefined) {
@@ -241,7 +238,7 @@
       headers: res.headers,
       body: res.body,
     };
-    return { kind: ReplyKind.Answer, answer };
+    return { kind: ReplyKind.Answer, ticket, answer };
   }
 
   function readVerdict(text: string): GuardReply {
@@ -251,14 +248,6 @@
     return createMismatch();
   }
 
-  /** An answer that is not for this ticket is dropped, never delivered. */
-  function rejectForeign(body: Readable, ticket: Ticket): GuardReply {
-    body.on("error", () => {});
-    body.destroy();
-    options.onNonsense(`no answer to ticket ${ticket}`);
-    return createMismatch();
-  }
-
   function hear(headers: IncomingHttpHeaders): void {
     const revisions = getHeader(headers, Header.Revisions);
     const text = getHeader(headers, Header.Report);
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -42,8 +42,8 @@
 export type GuardReply =
   | { kind: ReplyKind.Granted; grant: string; key: string }
   | { kind: ReplyKind.Refused; verdict: Verdict }
-  | { kind: ReplyKind.Replay; answer: KeptAnswer }
-  | { kind: ReplyKind.Answer; answer: StreamedAnswer }
+  | { kind: ReplyKind.Replay; ticket: Ticket; answer: KeptAnswer }
+  | { kind: ReplyKind.Answer; ticket: Ticket; answer: StreamedAnswer }
   | { kind: ReplyKind.Failed; mayHaveArrived: boolean; message: string };
 
 /** A link to one guard. Every method resolves; none rejects. */
--- /dev/null
+++ b/test/baselines_test.ts
@@ -0,0 +1,13 @@
+/** Golden sessions, compared whole. Accept changes by `npm run baselines:accept`. */
+
+import { expect, test } from "vitest";
+import { readBaselines } from "../src/lab/baselines.ts";
+
+test.each(readBaselines())("$name is as accepted", ({ actual, accepted }) => {
+  expect(actual).toBe(accepted);
+});
+
+test("no golden session shows a broken promise", () => {
+  const broken = readBaselines().filter((b) => b.actual.includes("BROKEN"));
+  expect(broken.map((b) => b.name)).toEqual([]);
+});
