--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -43,6 +43,10 @@
 const WARM_UP_MS = 5_000;
 /** Time that draining is announced before the callers' listener closes, in ms. */
 const ANNOUNCE_MS = 300;
+/** How long a fresh daemon waits to hear from a peer, in ms. */
+const HEAR_PEERS_MS = 3_000;
+const HEAR_PEERS_POLL_MS = 10;
+const NOT_READY_POLL_MS = 500;
 const NO_LIMITS: AccountLimits = {
   retryBudget: 0,
   hedgeBudget: 0,
@@ -230,16 +234,31 @@
     membership.takeWord(control.spread.getWord(), { isDirect: true });
     await Promise.all([platform.readOnce(), control.greetFirstPeers()]);
     control.send(control.spread.tick());
+    await hearPeers();
     platform.start();
     probes.start();
     while (accounts.size() === 0) {
       logger.warn("not_ready", { reason: "no configuration" });
-      await pause(500);
+      await pause(NOT_READY_POLL_MS);
       await platform.readOnce();
     }
     isReady = true;
   }
 
+  /**
+   * Waits until a peer had nothing newer: a stale replica of the platform must
+   * not bring back an older value. Gives up where no peer answers in time.
+   */
+  async function hearPeers(): Promise<void> {
+    const until = clock.now() + HEAR_PEERS_MS;
+    const hasPeers = settings.peers.length > 0 || membership.size() > 1;
+    while (hasPeers && clock.now() < until) {
+      if (control.spread.getPeersHeard() > 0) return;
+      await pause(HEAR_PEERS_POLL_MS);
+    }
+    if (hasPeers) logger.warn("no_peer_heard", { waitedMs: HEAR_PEERS_MS });
+  }
+
   function onAccepted({ key, revision }: ConfigDocument): void {
     accounts.take(config.get(key)!.parsed);
     logger.info("config_in_force", { key, revision });
@@ -392,8 +411,8 @@
     host: settings.host,
     service: settings.service,
     failureDomain: settings.failureDomain,
-    dataAddress: settings.listen.peers,
-    controlAddress: settings.listen.control,
+    dataAddress: settings.announce.peers ?? settings.listen.peers,
+    controlAddress: settings.announce.control ?? settings.listen.control,
   };
 }
 
--- a/src/settings/host_settings.ts
+++ b/src/settings/host_settings.ts
@@ -23,6 +23,11 @@
     control: address,
     operators: address,
   }),
+  /** Addresses told to peers where they differ from those listened on. */
+  announce: z.strictObject({
+    peers: address.optional(),
+    control: address.optional(),
+  }).prefault({}),
   upstream: z.strictObject({
     address,
     slots: z.int().min(1).max(10_000),
