--- /dev/null
+++ b/model/answers.pml
@@ -0,0 +1,38 @@
+/*
+ * An answer goes to its own request alone: two gateways' requests, answers that
+ * the network delivers late, twice, or to the wrong connection.
+ */
+
+byte delivered[2];
+bit answered[2];
+bit waiting[2];
+
+/* Each answer names the ticket of its request. */
+proctype Guard(byte t) {
+	answered[t] = 1
+}
+
+proctype Gateway(byte t) {
+	byte from;
+	waiting[t] = 1;
+	do
+	:: atomic { answered[0] && waiting[t] -> from = 0 }; goto check
+	:: atomic { answered[1] && waiting[t] -> from = 1 }; goto check
+	/* The deadline passes. */
+	:: waiting[t] -> waiting[t] = 0; break
+check:
+#ifdef NO_TICKET_CHECK
+		atomic { printf("gateway %d delivers answer %d\n", t, from);
+			assert(from == t); delivered[t]++; waiting[t] = 0 }; break
+#else
+		if
+		:: from == t -> atomic { assert(delivered[t] == 0); delivered[t]++; waiting[t] = 0 }; break
+		:: else -> skip
+		fi
+#endif
+	od
+}
+
+init {
+	atomic { run Guard(0); run Guard(1); run Gateway(0); run Gateway(1) }
+}
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -202,6 +202,7 @@
     }
     const { attempt } = found;
     attempt.phase = AttemptPhase.Sent;
+    attempt.grant = msg.grant;
     attempt.key = msg.key;
     attempt.wasToldToRun = true;
     scheduleSettle(msg.id, attempt, options.silenceMs);
@@ -221,6 +222,10 @@
     const found = tryFind(msg.id, msg.attempt);
     if (found === undefined || !isOpen(found.attempt)) return [];
     const { request, attempt } = found;
+    if (attempt.grant !== undefined && attempt.grant !== msg.grant) {
+      counters.add("stale_refusal");
+      return [];
+    }
     counters.add(`refused_${msg.verdict.diagnostic.reason}`);
     loads.noteEnded(attempt.host);
     endByVerdict(request, attempt, msg.verdict);
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -94,6 +94,8 @@
   phase: AttemptPhase;
   /** When a reservation is given up, in ms. */
   reserveDeadline?: Millis;
+  /** The grant that the attempt was told to run with. */
+  grant?: string;
   /** Key under which a granted attempt runs. */
   key?: string;
   wasToldToRun: boolean;
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -390,6 +390,7 @@
       kind: GuardActionKind.Refuse,
       ticket,
       verdict: { execution, diagnostic: Diagnostics[name] },
+      grant: grantText,
     };
   }
 
@@ -509,7 +510,12 @@
     const verdict: Verdict = retryAfterMs === undefined
       ? { execution, diagnostic }
       : { execution, diagnostic, retryAfterMs };
-    return { kind: GuardActionKind.Refuse, ticket: entry.ticket, verdict };
+    return {
+      kind: GuardActionKind.Refuse,
+      ticket: entry.ticket,
+      verdict,
+      ...(entry.grant !== undefined && { grant: entry.grant }),
+    };
   }
 
   function sealRecord(entry: Entry): void {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -166,7 +166,13 @@
     key: string;
   }
   | { kind: GuardActionKind.Start; ticket: Ticket }
-  | { kind: GuardActionKind.Refuse; ticket: Ticket; verdict: Verdict }
+  | {
+    kind: GuardActionKind.Refuse;
+    ticket: Ticket;
+    verdict: Verdict;
+    /** The grant that is refused, where the ticket had one. */
+    grant?: string;
+  }
   | { kind: GuardActionKind.Replay; ticket: Ticket; answer: KeptAnswer }
   | { kind: GuardActionKind.CancelUpstream; ticket: Ticket };
 
@@ -215,6 +221,8 @@
     id: string;
     attempt: number;
     verdict: Verdict;
+    /** The grant that is refused; an attempt told to run hears no other. */
+    grant?: string;
   }
   | {
     kind: GatewayMessageKind.Answered;
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -227,6 +227,7 @@
           id,
           attempt,
           verdict: reply.verdict,
+          ...(reply.grant !== undefined && { grant: reply.grant }),
         });
       case ReplyKind.Replay:
         return takeAnswer(id, attempt, {
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -82,8 +82,8 @@
     [GuardActionKind.Grant]: ({ ticket, grant, key }) => {
       reply(ticket, { kind: ReplyKind.Granted, grant, key });
     },
-    [GuardActionKind.Refuse]: ({ ticket, verdict }) => {
-      reply(ticket, { kind: ReplyKind.Refused, verdict });
+    [GuardActionKind.Refuse]: ({ kind: _, ticket, ...refusal }) => {
+      reply(ticket, { kind: ReplyKind.Refused, ...refusal });
       flows.delete(ticket);
     },
     [GuardActionKind.Replay]: ({ ticket, answer }) => {
@@ -127,7 +127,9 @@
     { forward }: { forward: ForwardRequest },
   ): Promise<GuardReply> {
     const flow = openFlow(ticket, forward);
-    if (flow === undefined) return Promise.resolve(createUsedReply());
+    if (flow === undefined) {
+      return Promise.resolve({ ...createUsedReply(), grant });
+    }
     return ask(ticket, { kind: GuardMessageKind.Run, ticket, grant });
   }
 
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -146,7 +146,7 @@
           [Header.Replayed]: "true",
         });
       case ReplyKind.Refused:
-        return refuse(outgoing, reply.verdict);
+        return refuse(outgoing, reply.verdict, reply.grant);
       case ReplyKind.Failed:
         outgoing.destroy();
         return;
@@ -168,9 +168,14 @@
     pipeline(body, msg.outgoing, () => {});
   }
 
-  function refuse(outgoing: ServerResponse, verdict: Verdict): void {
+  function refuse(
+    outgoing: ServerResponse,
+    verdict: Verdict,
+    grant?: string,
+  ): void {
     end(outgoing, verdict.diagnostic.status, undefined, {
       [Header.VerdictJson]: encodeVerdict(verdict),
+      ...(grant !== undefined && { [Header.Grant]: grant }),
     });
   }
 
--- a/src/lab/lab_gateway.ts
+++ b/src/lab/lab_gateway.ts
@@ -224,14 +224,7 @@
         return takeGrant(payload, open);
       case "refused":
         if (isSettlement) open.settling.delete(attempt);
-        return tell({
-          kind: isSettlement
-            ? GatewayMessageKind.Settled
-            : GatewayMessageKind.Refused,
-          id,
-          attempt,
-          verdict: reply.verdict,
-        });
+        return takeRefusal(payload, reply);
       case "answer":
         open.settling.delete(attempt);
         open.answers.set(attempt, reply);
@@ -245,6 +238,22 @@
     }
   }
 
+  function takeRefusal(
+    { to: { id, attempt }, isSettlement }: OfKind<LabPayload, "reply">,
+    { verdict, grant }: OfKind<LabReply, "refused">,
+  ): void {
+    if (isSettlement) {
+      return tell({ kind: GatewayMessageKind.Settled, id, attempt, verdict });
+    }
+    tell({
+      kind: GatewayMessageKind.Refused,
+      id,
+      attempt,
+      verdict,
+      ...(grant !== undefined && { grant }),
+    });
+  }
+
   function takeGrant(
     payload: OfKind<LabPayload, "reply">,
     open: OpenCall,
--- a/src/lab/lab_guard.ts
+++ b/src/lab/lab_guard.ts
@@ -76,8 +76,8 @@
       flow.key = key;
       reply(ticket, { kind: "granted", grant, key });
     },
-    [GuardActionKind.Refuse]: ({ ticket, verdict }) =>
-      reply(ticket, { kind: "refused", verdict }),
+    [GuardActionKind.Refuse]: ({ kind: _, ticket, ...refusal }) =>
+      reply(ticket, { kind: "refused", ...refusal }),
     [GuardActionKind.Replay]: ({ ticket, answer }) => {
       const call = Buffer.from(answer.body, "base64").toString();
       reply(ticket, { kind: "answer", status: answer.status, call });
--- a/src/lab/types.ts
+++ b/src/lab/types.ts
@@ -119,7 +119,7 @@
 /** A guard's reply in the lab. */
 export type LabReply =
   | { kind: "granted"; grant: string; key: string }
-  | { kind: "refused"; verdict: Verdict }
+  | { kind: "refused"; verdict: Verdict; grant?: string }
   | { kind: "answer"; status: number; call: string };
 
 /** What travels between hosts of the lab. */
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -52,6 +52,12 @@
   body: z.string(),
 });
 
+/** A verdict that can't be read proves nothing. */
+const MISMATCH: Verdict = {
+  execution: Execution.MayHaveRun,
+  diagnostic: Diagnostics.answer_mismatch,
+};
+
 type Response = Dispatcher.ResponseData;
 
 /** Creates a link; connections open as they are needed. */
@@ -220,7 +226,7 @@
     const verdictText = getHeader(res.headers, Header.VerdictJson);
     if (verdictText !== undefined) {
       await res.body.dump();
-      return readVerdict(verdictText);
+      return readVerdict(verdictText, getHeader(res.headers, Header.Grant));
     }
     const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
@@ -241,11 +247,14 @@
     return { kind: ReplyKind.Answer, ticket, answer };
   }
 
-  function readVerdict(text: string): GuardReply {
+  function readVerdict(text: string, grant: string | undefined): GuardReply {
     const decoded = decodeVerdict(text);
-    if (decoded.ok) return { kind: ReplyKind.Refused, verdict: decoded.val };
-    options.onNonsense(`verdict: ${decoded.val}`);
-    return createMismatch();
+    if (decoded.err) options.onNonsense(`verdict: ${decoded.val}`);
+    return {
+      kind: ReplyKind.Refused,
+      verdict: decoded.ok ? decoded.val : MISMATCH,
+      ...(grant !== undefined && { grant }),
+    };
   }
 
   function hear(headers: IncomingHttpHeaders): void {
@@ -260,14 +269,6 @@
   }
 }
 
-function createMismatch(): GuardReply {
-  const verdict: Verdict = {
-    execution: Execution.MayHaveRun,
-    diagnostic: Diagnostics.answer_mismatch,
-  };
-  return { kind: ReplyKind.Refused, verdict };
-}
-
 function toFailure(error: unknown): GuardReply {
   return {
     kind: ReplyKind.Failed,
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -41,7 +41,7 @@
 /** What came of a message to a guard. */
 export type GuardReply =
   | { kind: ReplyKind.Granted; grant: string; key: string }
-  | { kind: ReplyKind.Refused; verdict: Verdict }
+  | { kind: ReplyKind.Refused; verdict: Verdict; grant?: string }
   | { kind: ReplyKind.Replay; ticket: Ticket; answer: KeptAnswer }
   | { kind: ReplyKind.Answer; ticket: Ticket; answer: StreamedAnswer }
   | { kind: ReplyKind.Failed; mayHaveArrived: boolean; message: string };
