--- a/src/lab/world.ts
+++ b/src/lab/world.ts
@@ -22,6 +22,8 @@
 
 const HTTP_OK = 200;
 const HTTP_ERROR = 500;
+/** Time that an upstream spends on a probe, in ms. */
+const PROBE_MS = 6;
 /** Time that a failing upstream takes to say so, in ms. */
 const FAIL_FAST_MS = 0.5;
 
@@ -56,6 +58,8 @@
   pause(host: HostId): void;
   resume(host: HostId): void;
   drain(host: HostId): void;
+  /** A gateway asks a host for its load; the report arrives after the round trip. */
+  probe(from: HostId, to: HostId): void;
   /** Gives all live daemons the platform's list. */
   publishList(states?: Readonly<Record<HostId, ListedState>>): void;
 }
@@ -121,6 +125,7 @@
     pause: (id) => void backlogs.set(id, backlogs.get(id) ?? []),
     resume,
     drain: (id) => runAt(id, () => getNode(id).drain()),
+    probe,
     publishList,
   };
 
@@ -305,6 +310,19 @@
     for (const peer of peers.slice(0, 2)) node.greet(peer.host);
   }
 
+  function probe(from: HostId, to: HostId): void {
+    const there = network.getDelay(from, to) + PROBE_MS;
+    loop.schedule(loop.now() + there, () => {
+      if (network.isCut(from, to) || !getNode(to).isAlive) return;
+      const report = getNode(to).guard.guard.getReport();
+      const back = network.getDelay(to, from);
+      loop.schedule(loop.now() + back, () => {
+        const node = getNode(from);
+        if (node.isAlive) node.gateway.gateway.takeReport(report);
+      });
+    });
+  }
+
   function resume(id: HostId): void {
     const backlog = backlogs.get(id) ?? [];
     backlogs.delete(id);
--- a/src/stand_in/platform.ts
+++ b/src/stand_in/platform.ts
@@ -25,6 +25,8 @@
   setOutage(isOut: boolean): void;
   /** Freezes what readers see; publications wait until it is lifted. */
   setStale(isStale: boolean): void;
+  /** Serves the values as they were before the last publication. */
+  setBehind(isBehind: boolean): void;
   getCalls(): number;
   close(): Promise<void>;
 }
@@ -47,6 +49,7 @@
 ): Promise<PlatformStandIn> {
   let current: State = { revision: 0, values: new Map(), hosts: [] };
   let frozen: State | undefined;
+  let before: State = current;
   let isOut = false;
   let calls = 0;
   let windowStart = Date.now();
@@ -62,6 +65,9 @@
     setHosts,
     setOutage: (value) => void (isOut = value),
     setStale,
+    setBehind: (isBehind) => {
+      frozen = isBehind ? { ...before, hosts: current.hosts } : undefined;
+    },
     getCalls: () => calls,
     close: () => closeServer(server),
   };
@@ -144,6 +150,7 @@
   function publish(key: string, value: string): number {
     const revision = current.revision + 1;
     const values = new Map(current.values).set(key, { key, revision, value });
+    before = current;
     current = { ...current, revision, values };
     if (frozen === undefined) wakeWaiters();
     return revision;
--- a/src/stand_in/upstream.ts
+++ b/src/stand_in/upstream.ts
@@ -171,7 +171,7 @@
     });
     outgoing.writeHead(200, {
       "content-type": "application/json",
-      "content-length": text.length,
+      ...(!behaviour.short && { "content-length": text.length }),
       [Header.RequestId]: behaviour.crossed ? `other-${id}` : id,
     });
     if (!behaviour.short) return void outgoing.end(text);
--- /dev/null
+++ b/test/core_test.ts
@@ -0,0 +1,333 @@
+/** The core by itself: keys, queues, budgets, membership, configuration. */
+
+import fc from "fast-check";
+import { ok } from "neverthrow";
+import { expect, test } from "vitest";
+import { ChoicePolicy } from "../src/core/choice.ts";
+import { createConfigState } from "../src/core/config_state.ts";
+import { ListedState, type MemberWord } from "../src/core/config_types.ts";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { createFairQueue } from "../src/core/fair_queue.ts";
+import { createGateway } from "../src/core/gateway.ts";
+import { createGuard } from "../src/core/guard.ts";
+import { createKeyBook, KeyStanding, KeyState } from "../src/core/key_book.ts";
+import { createMembership } from "../src/core/membership.ts";
+import { createSpread } from "../src/core/spread.ts";
+import {
+  Execution,
+  GatewayActionKind,
+  GatewayMessageKind,
+  GuardActionKind,
+  GuardMessageKind,
+  Repeatability,
+} from "../src/core/types.ts";
+import { createTestHost, type TestHost } from "./support/core_host.ts";
+
+const HOSTS = ["a", "b", "c"];
+
+function createTestGateway(host: TestHost, retryBudget = 0.1) {
+  return createGateway(host, {
+    self: "a",
+    incarnation: "a#1",
+    maxAttempts: 4,
+    reserveTimeoutMs: 100,
+    silenceMs: 400,
+    chooser: {
+      policy: ChoicePolicy.ExpectedTime,
+      failureDomain: "x",
+      crossDomainMs: 3,
+      warmUpMs: 0,
+    },
+    outliers: { isEnabled: true, factor: 3, maxShare: 0.34, ejectionMs: 2_000 },
+    getCandidates: () => HOSTS.map((h) => ({ host: h, failureDomain: "x" })),
+    getLimits: () => ({ retryBudget, hedgeBudget: 0, hedgePercentile: 95 }),
+  });
+}
+
+function arrive(
+  gateway: ReturnType<typeof createTestGateway>,
+  id: string,
+  repeatability: Repeatability,
+) {
+  return gateway.handle({
+    kind: GatewayMessageKind.Arrived,
+    arrival: {
+      id,
+      account: "karaca",
+      service: "orders",
+      repeatability,
+      timeoutMs: 1_000,
+      replayable: true,
+      retriesLeft: 3,
+    },
+  });
+}
+
+test("an attempt told to run hears only refusals of its own grant", () => {
+  const gateway = createTestGateway(createTestHost());
+  arrive(gateway, "r", Repeatability.AtMostOnce);
+  gateway.handle({
+    kind: GatewayMessageKind.Granted,
+    id: "r",
+    attempt: 1,
+    grant: "g#1-1",
+    key: "k",
+  });
+  const verdict = {
+    execution: Execution.NotRun,
+    diagnostic: Diagnostics.grant_expired,
+  };
+  const refused = { kind: GatewayMessageKind.Refused, id: "r", attempt: 1 };
+  const stale = gateway.handle(
+    { ...refused, verdict, grant: "g#2-1" } as never,
+  );
+  expect(stale).toEqual([]);
+  const own = gateway.handle({ ...refused, verdict, grant: "g#1-1" } as never);
+  expect(own[0]?.kind).toBe(GatewayActionKind.Reserve);
+});
+
+test("retries stay within the account's budget", () => {
+  const gateway = createTestGateway(createTestHost(), 0);
+  let attempts = 0;
+  for (let index = 0; index < 200; index++) {
+    let actions = arrive(gateway, `r${index}`, Repeatability.Idempotent);
+    while (actions[0]?.kind === GatewayActionKind.Submit) {
+      attempts += 1;
+      actions = gateway.handle({
+        kind: GatewayMessageKind.Refused,
+        id: `r${index}`,
+        attempt: actions[0].attempt,
+        verdict: {
+          execution: Execution.NotRun,
+          diagnostic: Diagnostics.queue_full,
+        },
+      });
+    }
+  }
+  expect(attempts).toBeLessThanOrEqual(200 + 10);
+});
+
+test("the horizon of a key book only rises and forgets nothing silently", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: 19 }), { maxLength: 60 }),
+      (uses) => {
+        const book = createKeyBook(createTestHost(), {
+          home: "a",
+          incarnation: "a#1",
+          capacity: 3,
+        });
+        const keys = Array.from({ length: 20 }, () => book.issue("karaca"));
+        const used = new Set<string>();
+        let horizon = 0;
+        for (const use of uses) {
+          const key = keys[use]!;
+          const standing = book.getStanding(key, "karaca");
+          if (used.has(key)) expect(standing).not.toBe(KeyStanding.Unused);
+          if (standing === KeyStanding.Unused) {
+            book.open(key, "f").state = KeyState.Answered;
+            used.add(key);
+          }
+          expect(book.getHorizon()).toBeGreaterThanOrEqual(horizon);
+          horizon = book.getHorizon();
+          expect(book.size()).toBeLessThanOrEqual(3);
+        }
+      },
+    ),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test("a key of another account, home or incarnation is not genuine", () => {
+  const host = createTestHost();
+  const options = { home: "a", incarnation: "a#1", capacity: 3 };
+  const book = createKeyBook(host, options);
+  const key = book.issue("karaca");
+  expect(book.getStanding(key, "karaca")).toBe(KeyStanding.Unused);
+  expect(book.getStanding(key, "mesas")).toBe(KeyStanding.Malformed);
+  const later = createKeyBook(host, { ...options, incarnation: "a#2" });
+  later.issue("karaca");
+  const standing = later.getStanding(key, "karaca");
+  expect(standing).toBe(KeyStanding.EarlierIncarnation);
+});
+
+test("a large account uses idle capacity and never starves a small one", () => {
+  const queue = createFairQueue<{ account: string }>({
+    capacity: 10,
+    getWeight: () => 1,
+  });
+  for (let index = 0; index < 10; index++) {
+    expect(queue.push({ account: "large" })).toBeUndefined();
+  }
+  for (let index = 0; index < 5; index++) {
+    expect(queue.push({ account: "small" })?.account).toBe("large");
+  }
+  const order = Array.from({ length: 10 }, () => queue.pop()!.account);
+  expect(order.slice(0, 4).filter((a) => a === "small")).toHaveLength(2);
+  expect(order.filter((a) => a === "small")).toHaveLength(5);
+});
+
+test("a guard never overcommits its slots and refuses what can't finish", () => {
+  const host = createTestHost();
+  const guard = createGuard(host, {
+    self: "a",
+    incarnation: "a#1",
+    slots: 2,
+    queueCapacity: 3,
+    grantTtlMs: 100,
+    keyCapacity: 10,
+    getWeight: () => 1,
+  });
+  const actions = Array.from({ length: 8 }, (_, index) =>
+    guard.handle({
+      kind: GuardMessageKind.Submit,
+      ticket: `t${index}`,
+      head: {
+        account: "karaca",
+        service: "boards",
+        repeatability: Repeatability.Idempotent,
+        fingerprint: "f",
+        timeoutMs: index === 7 ? 1 : 1_000,
+      },
+    })).flat();
+  const count = (kind: GuardActionKind) =>
+    actions.filter((a) => a.kind === kind).length;
+  expect(count(GuardActionKind.Start)).toBe(2);
+  expect(count(GuardActionKind.Refuse)).toBe(3);
+  expect(guard.getReport()).toMatchObject({ inFlight: 2, queued: 3 });
+  expect(guard.counters.get("deadline_too_short")).toBe(1);
+  for (const action of actions) {
+    if (action.kind !== GuardActionKind.Refuse) continue;
+    expect(action.verdict.retryAfterMs).toBeGreaterThan(0);
+  }
+});
+
+function createWord(
+  host: string,
+  change: Partial<MemberWord> = {},
+): MemberWord {
+  return {
+    host,
+    service: "orders",
+    failureDomain: "x",
+    dataAddress: `${host}:1`,
+    controlAddress: `${host}:2`,
+    incarnation: "1",
+    sequence: 1,
+    draining: false,
+    ...change,
+  };
+}
+
+test("a host that leaves by the list gets no work until it has restarted", () => {
+  const view = createMembership(createTestHost(), {
+    self: "z",
+    failureDomain: "x",
+    subsetSize: 8,
+  });
+  const row = { ...createWord("a"), state: ListedState.Live };
+  view.takeWord(createWord("a"), { isDirect: true });
+  view.takeList([row]);
+  expect(view.getCandidates("orders")).toHaveLength(1);
+  view.takeList([{ ...row, state: ListedState.Leaving }]);
+  expect(view.getCandidates("orders")).toHaveLength(0);
+  view.takeWord(createWord("a", { incarnation: "2" }), { isDirect: true });
+  expect(view.getCandidates("orders")).toHaveLength(1);
+  view.takeWord(
+    createWord("a", { incarnation: "2", sequence: 2, draining: true }),
+    {
+      isDirect: true,
+    },
+  );
+  expect(view.getCandidates("orders")).toHaveLength(0);
+  view.takeWord(createWord("a", { incarnation: "1", sequence: 9 }), {
+    isDirect: false,
+  });
+  expect(view.getCandidates("orders")).toHaveLength(0);
+});
+
+test("a subset keeps every failure domain", () => {
+  const view = createMembership(createTestHost(), {
+    self: "z",
+    failureDomain: "d0",
+    subsetSize: 8,
+  });
+  view.takeList(Array.from({ length: 90 }, (_, index) => ({
+    ...createWord(`h${index}`, { failureDomain: `d${index % 6}` }),
+    state: ListedState.Live,
+  })));
+  const subset = view.getCandidates("orders");
+  expect(subset).toHaveLength(8);
+  expect(new Set(subset.map((c) => c.failureDomain)).size).toBe(6);
+});
+
+test("few watch the platform, and a silent watcher is replaced", () => {
+  const hosts = Array.from({ length: 12 }, (_, index) => `h${index}`);
+  const views = hosts.map((self) => {
+    const host = createTestHost();
+    const view = createMembership(host, {
+      self,
+      failureDomain: "x",
+      subsetSize: 8,
+    });
+    for (const other of hosts) {
+      view.takeWord(createWord(other), { isDirect: true });
+    }
+    return { self, host, view };
+  });
+  const watchers = () => views.filter((v) => v.view.isWatcher(2, 5_000));
+  expect(watchers()).toHaveLength(2);
+  const silent = watchers()[0]!.self;
+  for (const { host, view } of views) {
+    host.advance(6_000);
+    for (const other of hosts) {
+      if (other === silent) continue;
+      view.takeWord(createWord(other, { sequence: 2 }), { isDirect: true });
+    }
+  }
+  const others = watchers().filter((v) => v.self !== silent);
+  expect(others).toHaveLength(2);
+});
+
+test("revisions never fall, whatever the order of offers", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.integer({ min: 1, max: 9 }), fc.boolean())),
+      (offers) => {
+        const state = createConfigState({ validate: (_, value) => ok(value) });
+        let highest = 0;
+        for (const [revision, isOther] of offers) {
+          const value = isOther ? "other" : "value";
+          state.offer({ key: "k", revision, value });
+          highest = Math.max(highest, revision);
+          expect(state.get("k")?.document.revision).toBe(highest);
+        }
+      },
+    ),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test("a daemon that hears another digest on the data path asks for it", () => {
+  const host = createTestHost();
+  const config = createConfigState({ validate: (_, value) => ok(value) });
+  const membership = createMembership(host, {
+    self: "a",
+    failureDomain: "x",
+    subsetSize: 8,
+  });
+  const spread = createSpread(host, {
+    place: createWord("a"),
+    incarnation: "1",
+    config,
+    membership,
+    fanout: 3,
+    onAccepted: () => {},
+    onRejected: () => {},
+  });
+  expect(spread.hearDigest("b", config.getDigest())).toEqual([]);
+  expect(spread.hearDigest("b", "1-1")).toHaveLength(1);
+  expect(spread.hearDigest("b", "1-1")).toHaveLength(0);
+  host.advance(500);
+  expect(spread.hearDigest("b", "1-1")).toHaveLength(1);
+});
--- /dev/null
+++ b/test/recovery_test.ts
@@ -0,0 +1,162 @@
+/** Stops, starts and links that fail, over real sockets. */
+
+import { Readable } from "node:stream";
+import { request } from "undici";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { Header } from "../src/link/wire.ts";
+import { type Relay, startRelay } from "./support/relay.ts";
+import { type SmallFleet, startSmallFleet } from "./support/small_fleet.ts";
+
+const BASE_PORT = 22_000;
+const RELAY_OFFSET = 700;
+const ORDERS = 0;
+const UPLOADS = 3;
+
+let fleet: SmallFleet;
+const relays: Relay[] = [];
+
+beforeAll(async () => {
+  fleet = await startSmallFleet(BASE_PORT, {
+    services: { orders: 3, uploads: 1 },
+    overrides: { linkSilenceMs: 300, reserveTimeoutMs: 150 },
+    adjust: ({ settings, ...host }, index) => {
+      const peers = `127.0.0.1:${BASE_PORT + RELAY_OFFSET + index}`;
+      return { ...host, settings: { ...settings, announce: { peers } } };
+    },
+  });
+  for (const [index, { settings }] of fleet.hosts.entries()) {
+    const port = Number(settings.listen.peers.split(":")[1]);
+    relays.push(await startRelay(BASE_PORT + RELAY_OFFSET + index, port));
+  }
+});
+
+afterAll(async () => {
+  await Promise.all(relays.map((relay) => relay.close()));
+  await fleet.stop();
+});
+
+test("links that fall silent are replaced; no order runs twice", async () => {
+  await sendOrders(6);
+  for (const relay of relays) relay.silence();
+  const results = await sendOrders(12);
+  expect(results.map((r) => r.status)).toEqual(results.map(() => 200));
+  expectNoRepeats();
+});
+
+test("links that are cut leave no order in a wrong state", async () => {
+  for (const { behaviour } of fleet.upstreams) behaviour.serviceMs = 40;
+  const pending = sendOrders(30);
+  for (let round = 0; round < 4; round++) {
+    await pause(15);
+    for (const relay of relays) relay.cut();
+  }
+  const results = await pending;
+  for (const { behaviour } of fleet.upstreams) behaviour.serviceMs = 2;
+  expectNoRepeats();
+  const started = new Set(getStarted().map((e) => e.id));
+  for (const res of results) {
+    expect(["ran", "not-run", "may-have-run"]).toContain(res.execution);
+    if (res.execution === "not-run") expect(started).not.toContain(res.id);
+    if (res.execution === "ran") expect(started).toContain(res.id);
+  }
+});
+
+test("a stop cuts off no upload that is open", async () => {
+  const address = fleet.hosts[UPLOADS]!.settings.listen.callers;
+  const upload = request(`http://${address}/photos`, {
+    method: "POST",
+    headers: { [Header.Account]: "karaca" },
+    body: Readable.from(drip(12, 100)),
+  });
+  await pause(300);
+  const stopped = fleet.daemons[UPLOADS]!.stop();
+  const res = await upload;
+  expect(res.statusCode).toBe(200);
+  expect((await res.body.json() as { bytes: number }).bytes).toBe(12_000);
+  await stopped;
+  await fleet.start(UPLOADS);
+});
+
+test("a drained daemon gets no new work while it stops", async () => {
+  const before = getStarted().length;
+  const stopped = fleet.daemons[ORDERS]!.stop();
+  await pause(50);
+  const results = await sendOrders(10, [1, 2]);
+  expect(results.every((r) => r.status === 200)).toBe(true);
+  await stopped;
+  const journal = fleet.upstreams[ORDERS]!.getJournal();
+  expect(getStarted().length).toBe(before + 10);
+  const late = journal.filter((e) => results.some((r) => r.id === e.id));
+  expect(late).toEqual([]);
+  await fleet.start(ORDERS);
+});
+
+test("a restarted daemon does not revert to what a stale replica says", async () => {
+  const template = `kind: template
+name: studio
+parameters: { timeoutMs: 1500, weight: 1, retryBudget: 0.1, hedgeBudget: 0,
+  hedgePercentile: 95, tailWeight: 0.5, maxBodyBytes: 9000000 }
+`;
+  const revision = fleet.platform.publish("template/studio", template);
+  await expect.poll(
+    () => fleet.daemons.map(getTemplateRevision),
+    { timeout: 10_000 },
+  ).toEqual(fleet.daemons.map(() => revision));
+  fleet.platform.setBehind(true);
+  await fleet.daemons[1]!.stop();
+  await fleet.start(1);
+  expect(getTemplateRevision(fleet.daemons[1]!)).toBe(revision);
+  fleet.platform.setBehind(false);
+});
+
+test("a daemon starts from its peers while the platform is out", async () => {
+  fleet.platform.setOutage(true);
+  await fleet.daemons[2]!.stop();
+  await fleet.start(2);
+  const res = await fleet.call(2, { path: "/orders" });
+  expect(res.status).toBe(200);
+  fleet.platform.setOutage(false);
+});
+
+function getTemplateRevision(daemon: SmallFleet["daemons"][number]) {
+  return daemon.getStatus().revisions["template/studio"];
+}
+
+async function sendOrders(count: number, gateways = [0, 1, 2]) {
+  return await Promise.all(Array.from({ length: count }, async (_, index) => {
+    const gateway = gateways[index % gateways.length]!;
+    const address = fleet.hosts[gateway]!.settings.listen.callers;
+    const res = await request(`http://${address}/orders`, {
+      method: "POST",
+      headers: { [Header.Account]: "karaca" },
+      body: "velvet",
+    });
+    await res.body.dump();
+    return {
+      status: res.statusCode,
+      id: String(res.headers[Header.RequestId]),
+      execution: String(res.headers[Header.Execution]),
+    };
+  }));
+}
+
+function getStarted() {
+  return fleet.upstreams.flatMap((u) => u.getJournal())
+    .filter((e) => e.event === "started" && e.method === "POST");
+}
+
+function expectNoRepeats(): void {
+  const ids = getStarted().map((e) => e.id);
+  expect(new Set(ids).size).toBe(ids.length);
+}
+
+async function* drip(chunks: number, gapMs: number): AsyncGenerator<string> {
+  for (let index = 0; index < chunks; index++) {
+    yield "x".repeat(1_000);
+    await pause(gapMs);
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
