Find what the proofs did not notice; mend readiness, empty queues and the lab

Mutations: 21 mechanisms are taken out one by one; 5 were not noticed at first. Causes: the schedules kept too many keys to reach a horizon, and never delayed a message past a settlement; two mutations were no change at all; the test of a restart saw only a fast control plane.

Found by the stronger checks: - A fresh daemon counted a peer as heard when what it lacked was on its way from another, so it served with an older revision (test of a restart with 40 ms control messages: revision 1 where 3 was in force). A free slot is now taken without the queue.

--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -313,6 +313,7 @@
         refuse(entry, "deadline_too_short", NotRun, getRetryAfter()),
       ];
     }
+    if (busySlots < options.slots && queue.size() === 0) return [begin(entry)];
     wakes.add(entry.deadline, entry.ticket);
     const leaving = queue.push(entry);
     if (leaving === undefined) return [];
@@ -325,12 +326,17 @@
     while (busySlots < options.slots) {
       const entry = queue.pop();
       if (entry === undefined) break;
-      busySlots += 1;
-      actions.push(entry.reserves ? grant(entry) : start(entry));
+      actions.push(begin(entry));
     }
     return actions;
   }
 
+  /** Gives an entry a free slot. */
+  function begin(entry: Entry): GuardAction {
+    busySlots += 1;
+    return entry.reserves ? grant(entry) : start(entry);
+  }
+
   function grant(entry: Entry): GuardAction {
     const key = entry.head.key ?? keys.issue(entry.account);
     entry.record ??= keys.open(key, entry.head.fingerprint);
@@ -349,6 +355,7 @@
   }
 
   function start(entry: Entry): GuardAction {
+    wakes.add(entry.deadline, entry.ticket);
     entry.state = EntryState.Running;
     entry.startedAt = host.now();
     if (entry.record !== undefined) entry.record.state = KeyState.Running;
--- a/src/core/spread.ts
+++ b/src/core/spread.ts
@@ -122,11 +122,10 @@
     from: HostId,
     msg: OfKind<ControlMessage, ControlKind.Index>,
   ): ControlSend[] {
-    const wanted = config.getWanted(msg.revisions).filter(isWorthFetching);
-    if (wanted.length === 0) {
-      heard.add(from);
-      return [];
-    }
+    const newer = config.getWanted(msg.revisions);
+    if (newer.length === 0) heard.add(from);
+    const wanted = newer.filter(isWorthFetching);
+    if (wanted.length === 0) return [];
     for (const key of wanted) fetching.set(key, host.now());
     return [{ to: from, msg: { kind: ControlKind.Fetch, keys: wanted } }];
   }
--- a/src/lab/fault_schedule.ts
+++ b/src/lab/fault_schedule.ts
@@ -38,7 +38,7 @@
     hosts: createHosts(),
     policy: OWN_POLICY,
     latency: { sameDomainMs: 0.1, crossDomainMs: 1.5, callerMs: 2 },
-    keyCapacity: 12,
+    keyCapacity: 4,
     queueCapacity: 6,
     spreads: true,
     ...(options.record && { record: options.record }),
@@ -48,6 +48,7 @@
   world.network.faults.loss = loop.random() < 0.5 ? 0.02 : 0;
   world.network.faults.duplication = loop.random() < 0.5 ? 0.03 : 0;
   world.network.faults.jitterMs = loop.random() < 0.5 ? 10 : 0;
+  world.network.faults.delay = loop.random() < 0.5 ? 0.03 : 0;
   for (let index = 0; index < CALLS; index++) {
     loop.schedule(
       loop.random() * RUN_MS,
@@ -198,6 +199,7 @@
   world.network.heal();
   world.network.faults.loss = 0;
   world.network.faults.duplication = 0;
+  world.network.faults.delay = 0;
   for (const { host } of world.getHosts()) {
     world.resume(host);
     world.restart(host);
--- a/src/lab/lab_gateway.ts
+++ b/src/lab/lab_gateway.ts
@@ -27,8 +27,10 @@
   readonly gateway: Gateway;
   call(call: LabCall, done: (outcome: LabOutcome) => void): void;
   receiveReply(payload: OfKind<LabPayload, "reply">): void;
-  /** The connections to a peer ended, or it refused one. */
-  onPeerReset(peer: HostId, how: { mayHaveArrived: boolean }): void;
+  /** The open connections to a peer ended. */
+  onPeerReset(peer: HostId): void;
+  /** A peer refused the connection for a message. */
+  onRefused(payload: OfKind<LabPayload, "ask">): void;
 }
 
 interface OpenCall {
@@ -63,7 +65,7 @@
     [GatewayActionKind.Deliver]: deliver,
     [GatewayActionKind.Finish]: finish,
   };
-  return { gateway, call, receiveReply, onPeerReset };
+  return { gateway, call, receiveReply, onPeerReset, onRefused };
 
   function call(call: LabCall, done: (outcome: LabOutcome) => void): void {
     calls.set(call.id, {
@@ -318,18 +320,23 @@
     open.done({ call, latencyMs, ...result });
   }
 
-  function onPeerReset(
-    peer: HostId,
-    how: { mayHaveArrived: boolean },
-  ): void {
+  /** A settlement asks anew; a run goes over the connection of its reservation. */
+  function onRefused({ msg, replyTo }: OfKind<LabPayload, "ask">): void {
+    const { id, attempt } = replyTo;
+    if (msg.kind === GuardMessageKind.Settle) return endSettlement(id, attempt);
+    if (!calls.get(id)?.waiting.delete(attempt)) return;
+    const mayHaveArrived = msg.kind === GuardMessageKind.Run;
+    const kind = GatewayMessageKind.LinkFailed;
+    tell({ kind, id, attempt, mayHaveArrived });
+  }
+
+  function onPeerReset(peer: HostId): void {
     for (const [id, open] of [...calls]) {
-      if (!how.mayHaveArrived) {
-        for (const attempt of [...open.settling]) endSettlement(id, attempt);
-      }
       for (const [attempt, to] of [...open.waiting]) {
         if (to !== peer) continue;
         open.waiting.delete(attempt);
-        tell({ kind: GatewayMessageKind.LinkFailed, id, attempt, ...how });
+        const kind = GatewayMessageKind.LinkFailed;
+        tell({ kind, id, attempt, mayHaveArrived: true });
       }
     }
   }
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1,14 +1,19 @@
 /** The mechanisms of the promises, how each is taken out, and what proves it. */
 
+/** One change of a file. */
+export interface Edit {
+  /** Text that stands once in the file. */
+  readonly find: string;
+  readonly replace: string;
+}
+
 /** One mechanism taken out. */
 export interface Mutation {
   readonly name: string;
   /** The promise that depends on the mechanism. */
   readonly promise: string;
   readonly file: string;
-  /** Text that stands once in the file. */
-  readonly find: string;
-  readonly replace: string;
+  readonly edits: readonly Edit[];
   /** Test file that has to fail. */
   readonly proof: string;
 }
@@ -24,173 +29,227 @@
     name: "incarnation_check",
     promise: "at most once",
     file: "src/core/key_book.ts",
-    find: "if (key.incarnation !== options.incarnation) {",
-    replace: "if (key.incarnation === '') {",
+    edits: [{
+      find: "if (key.incarnation !== options.incarnation) {",
+      replace: "if (key.incarnation === '') {",
+    }],
     proof: FAULTS,
   },
   {
     name: "horizon",
     promise: "at most once",
     file: "src/core/key_book.ts",
-    find: "horizon = Math.max(horizon, record.sequence);",
-    replace: "",
+    edits: [{
+      find: "horizon = Math.max(horizon, record.sequence);",
+      replace: "",
+    }],
     proof: FAULTS,
   },
   {
     name: "doubt_ends_protected",
     promise: "at most once",
     file: "src/core/gateway.ts",
-    find:
-      'if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";',
-    replace: "",
+    edits: [{
+      find:
+        'if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";',
+      replace: "",
+    }],
     proof: FAULTS,
   },
   {
     name: "doubt_after_silence",
     promise: "NotRun ran nowhere",
     file: "src/core/attempts.ts",
-    find:
-      "const isDoubtful = how.mayHaveRun && attempt.phase === AttemptPhase.Sent;",
-    replace: "const isDoubtful = false;",
+    edits: [{
+      find:
+        "const isDoubtful = how.mayHaveRun && attempt.phase === AttemptPhase.Sent;",
+      replace: "const isDoubtful = false;",
+    }],
     proof: FAULTS,
   },
   {
     name: "seal_on_settle",
     promise: "NotRun ran nowhere",
     file: "src/core/guard.ts",
-    find:
-      'if (holder.state === EntryState.Granted) freeSlot();\n    return [refuse(holder, "key_sealed")];',
-    replace: "return [];",
-    proof: FAULTS,
+    edits: [{
+      find:
+        'if (holder.state === EntryState.Granted) freeSlot();\n    return [refuse(holder, "key_sealed")];',
+      replace: "return [];",
+    }],
+    proof: UNITS,
   },
   {
     name: "seal_on_refusal",
     promise: "NotRun ran nowhere",
-    file: "src/core/guard.ts",
-    find: "if (execution === NotRun) sealRecord(entry);",
-    replace: "",
-    proof: FAULTS,
+    file: "src/core/key_book.ts",
+    edits: [{
+      find: "if (records.has(key.sequence)) return KeyStanding.Recorded;",
+      replace:
+        "const known = records.get(key.sequence);\n    if (known !== undefined && known.state !== KeyState.Sealed) return KeyStanding.Recorded;",
+    }, {
+      find: "!records.has(key.sequence) && key.sequence > horizon,",
+      replace: "true,",
+    }],
+    proof: UNITS,
   },
   {
     name: "home_decides_for_a_key",
     promise: "NotRun ran nowhere",
     file: "src/core/attempts.ts",
-    find: "return isHomesWord ? lastVerdict.execution : Execution.MayHaveRun;",
-    replace: "return isHomesWord ? lastVerdict.execution : Execution.NotRun;",
+    edits: [{
+      find:
+        "return isHomesWord ? lastVerdict.execution : Execution.MayHaveRun;",
+      replace: "return isHomesWord ? lastVerdict.execution : Execution.NotRun;",
+    }],
     proof: FAULTS,
   },
   {
     name: "expired_grant",
     promise: "NotRun ran nowhere",
     file: "src/core/guard.ts",
-    find: "if (entry === undefined || entry.state === EntryState.Finished) {",
-    replace: "if (entry === undefined) {",
+    edits: [{
+      find: "if (entry === undefined || entry.state === EntryState.Finished) {",
+      replace: "if (entry === undefined) {",
+    }, {
+      find:
+        "if (entry.state !== EntryState.Granted || entry.grant !== grantText) {",
+      replace: "if (entry.grant !== grantText) {",
+    }, {
+      find: "if (host.now() >= entry.grantExpires!) {",
+      replace: "if (entry.grantExpires === undefined) {",
+    }],
     proof: FAULTS,
   },
   {
     name: "refusal_names_its_grant",
     promise: "NotRun ran nowhere",
     file: "src/core/gateway.ts",
-    find: "if (attempt.grant !== undefined && attempt.grant !== msg.grant) {",
-    replace: "if (attempt.grant === '') {",
+    edits: [{
+      find: "if (attempt.grant !== undefined && attempt.grant !== msg.grant) {",
+      replace: "if (attempt.grant === '') {",
+    }],
     proof: UNITS,
   },
   {
     name: "one_run_a_key",
     promise: "at most once",
     file: "src/core/guard.ts",
-    find: "if (settled !== undefined) return settled;",
-    replace: "if (settled !== undefined) return enqueue(entry);",
+    edits: [{
+      find: "if (settled !== undefined) return settled;",
+      replace: "if (settled !== undefined) return enqueue(entry);",
+    }],
     proof: FAULTS,
   },
   {
     name: "answer_names_its_ticket",
     promise: "an answer reaches its own caller",
     file: "src/core/gateway.ts",
-    find: "if (!isOwnTicket(msg)) return rejectForeign(request, attempt);",
-    replace: "",
+    edits: [{
+      find: "if (!isOwnTicket(msg)) return rejectForeign(request, attempt);",
+      replace: "",
+    }],
     proof: SESSIONS,
   },
   {
     name: "upstream_names_its_request",
     promise: "an answer reaches its own caller",
     file: "src/upstream/upstream_client.ts",
-    find: "if (answeredId !== undefined && answeredId !== sentId) {",
-    replace: "if (answeredId === '') {",
+    edits: [{
+      find: "if (answeredId !== undefined && answeredId !== sentId) {",
+      replace: "if (answeredId === '') {",
+    }],
     proof: SOCKETS,
   },
   {
     name: "short_answer_breaks_off",
     promise: "the whole answer",
     file: "src/daemon/caller_server.ts",
-    find: "pipeline(answer.body, outgoing, (error) => {",
-    replace:
-      "answer.body.once('error', () => outgoing.end()).pipe(outgoing, { end: true });\n    pipeline(answer.body, new PassThrough(), (error) => {",
+    edits: [{
+      find: "pipeline(answer.body, outgoing, (error) => {",
+      replace:
+        "answer.body.once('error', () => outgoing.end()).pipe(outgoing, { end: true });\n    pipeline(answer.body, new PassThrough(), (error) => {",
+    }],
     proof: SOCKETS,
   },
   {
     name: "drain_refuses",
     promise: "a leaving upstream gets no new work",
     file: "src/core/guard.ts",
-    find: 'if (draining) return [refuse(entry, "draining")];',
-    replace: "",
+    edits: [{
+      find: 'if (draining) return [refuse(entry, "draining")];',
+      replace: "",
+    }],
     proof: FAULTS,
   },
   {
     name: "leaving_by_the_list",
     promise: "a leaving upstream gets no new work",
     file: "src/core/membership.ts",
-    find: "if (place?.service !== service || isLeaving(entry)) continue;",
-    replace: "if (place?.service !== service) continue;",
+    edits: [{
+      find: "if (place?.service !== service || isLeaving(entry)) continue;",
+      replace: "if (place?.service !== service) continue;",
+    }],
     proof: UNITS,
   },
   {
     name: "revisions_rise",
     promise: "an accepted configuration never reverts",
     file: "src/core/config_state.ts",
-    find: "if (known !== undefined && document.revision < known.revision) {",
-    replace: "if (document.revision < 0) {",
+    edits: [{
+      find: "if (known !== undefined && document.revision < known.revision) {",
+      replace: "if (document.revision < 0) {",
+    }],
     proof: SESSIONS,
   },
   {
     name: "validation",
     promise: "an accepted configuration never reverts",
     file: "src/lab/node.ts",
-    find: "return decoded.ok ? ok(decoded.val) : err(decoded.val);",
-    replace:
-      "return decoded.ok ? ok(decoded.val) : decoded.val.length > 99 ? err(decoded.val) : ok({} as AccountDocument);",
+    edits: [{
+      find: "return decoded.ok ? ok(decoded.val) : err(decoded.val);",
+      replace:
+        "return decoded.ok ? ok(decoded.val) : decoded.val.length > 99 ? err(decoded.val) : ok({} as AccountDocument);",
+    }],
     proof: SESSIONS,
   },
   {
     name: "peers_before_serving",
     promise: "an accepted configuration never reverts",
     file: "src/daemon/daemon.ts",
-    find: "await hearPeers();",
-    replace: "",
+    edits: [{
+      find: "await hearPeers();",
+      replace: "",
+    }],
     proof: "test/recovery_test.ts",
   },
   {
     name: "spread_on_the_data_path",
     promise: "in force everywhere",
     file: "src/core/spread.ts",
-    find: "if (digest === config.getDigest()) return [];",
-    replace: "if (digest !== '') return [];",
+    edits: [{
+      find: "if (digest === config.getDigest()) return [];",
+      replace: "if (digest !== '') return [];",
+    }],
     proof: UNITS,
   },
   {
     name: "stop_waits_for_requests",
     promise: "a planned stop cuts off no request",
     file: "src/daemon/daemon.ts",
-    find: "await withTimeout(finishOpenRequests(), settings.stopTimeoutMs);",
-    replace: "",
+    edits: [{
+      find: "await withTimeout(finishOpenRequests(), settings.stopTimeoutMs);",
+      replace: "",
+    }],
     proof: "test/recovery_test.ts",
   },
   {
     name: "measuring_budget",
     promise: "the load of measuring stays within the budget",
     file: "src/daemon/probe_task.ts",
-    find: "if (!tryTakeBudget()) return;",
-    replace: "tryTakeBudget();",
+    edits: [{
+      find: "if (!tryTakeBudget()) return;",
+      replace: "tryTakeBudget();",
+    }],
     proof: "test/budget_test.ts",
   },
 ];
--- a/src/lab/mutations.ts
+++ b/src/lab/mutations.ts
@@ -14,7 +14,7 @@
   writeFileSync,
 } from "node:fs";
 import process from "node:process";
-import { type Mutation, MUTATIONS } from "./mutation_table.ts";
+import { type Edit, type Mutation, MUTATIONS } from "./mutation_table.ts";
 
 const FOLDER = "reports/mutants";
 const COPIED = ["src", "test", "examples", "vitest.config.ts", "package.json"];
@@ -69,13 +69,22 @@
     symlinkSync(`../../../${name}`, `${folder}/${name}`);
   }
   const path = `${folder}/${mutation.file}`;
-  const text = readFileSync(path, "utf8");
-  if (text.split(mutation.find).length !== 2) {
-    throw new Error(
-      `${mutation.name}: its text stands not once in ${mutation.file}`,
-    );
+  const edited = mutation.edits.reduce(
+    (text, edit) => applyEdit(text, edit, { name: mutation.name }),
+    readFileSync(path, "utf8"),
+  );
+  writeFileSync(path, edited);
+}
+
+function applyEdit(
+  text: string,
+  edit: Edit,
+  { name }: { name: string },
+): string {
+  if (text.split(edit.find).length !== 2) {
+    throw new Error(`${name}: this does not stand just once: ${edit.find}`);
   }
-  writeFileSync(path, text.replace(mutation.find, () => mutation.replace));
+  return text.replace(edit.find, () => edit.replace);
 }
 
 /** Resolves to whether the proof passes in a folder. */
--- a/src/lab/network.ts
+++ b/src/lab/network.ts
@@ -13,6 +13,8 @@
   duplication: number;
   /** Extra time of some messages, which reorders them, in ms. */
   jitterMs: Millis;
+  /** Share of messages that wait for retransmission, up to RETRANSMIT_MS. */
+  delay: number;
   /** True exchanges the addresses of the next two answers to one host. */
   crossesNext: boolean;
 }
@@ -42,6 +44,7 @@
 
 /** Spread of a message's time around its mean, as a share. */
 const TIME_SPREAD = 0.2;
+const RETRANSMIT_MS = 2_000;
 
 /** Creates a network without faults. */
 export function createNetwork(
@@ -54,6 +57,7 @@
     loss: 0,
     duplication: 0,
     jitterMs: 0,
+    delay: 0,
     crossesNext: false,
   };
   let held: LabEnvelope | undefined;
@@ -73,7 +77,7 @@
     transmit(envelope);
     if (faults.duplication > 0 && loop.random() < faults.duplication) {
       options.record(`network duplicates a message to ${envelope.to}`);
-      transmit(envelope);
+      transmit({ ...envelope, isRepeated: true });
     }
   }
 
@@ -101,10 +105,14 @@
       options.record(`network loses a message ${from} > ${to}`);
       return;
     }
-    loop.schedule(loop.now() + getDelay(from, to), () => {
+    const isDelayed = faults.delay > 0 && loop.random() < faults.delay;
+    const extra = isDelayed ? RETRANSMIT_MS * loop.random() : 0;
+    loop.schedule(loop.now() + getDelay(from, to) + extra, () => {
       if (cuts.has(getPair(from, to))) {
         options.record(`network is cut ${from} > ${to}`);
-      } else options.deliver(envelope);
+      } else {options.deliver(
+          isDelayed ? { ...envelope, isRepeated: true } : envelope,
+        );}
     });
   }
 
--- a/src/lab/types.ts
+++ b/src/lab/types.ts
@@ -152,4 +152,6 @@
   readonly payload: LabPayload;
   /** True opens a connection of its own, which a silent link does not touch. */
   readonly onNewConnection?: boolean;
+  /** True for a copy that the network made, or one that it kept back. */
+  readonly isRepeated?: boolean;
 }
--- a/src/lab/world.ts
+++ b/src/lab/world.ts
@@ -159,32 +159,34 @@
   }
 
   function deliver(envelope: LabEnvelope): void {
-    const { from, to, payload } = envelope;
+    const { to, payload } = envelope;
     const node = nodes.get(to);
     if (node === undefined || !node.isAlive) return refuseConnection(envelope);
     runAt(to, () => {
       const current = getNode(to);
       if (current.isAlive) current.receive(payload);
-      else refuseConnection({ from, to, payload });
+      else refuseConnection(envelope);
     });
   }
 
   /** A host that ended refuses connections; one that vanished says nothing. */
-  function refuseConnection({ from, to, payload }: LabEnvelope): void {
-    if (payload.kind !== "ask" || vanished.has(to)) return;
-    resetLater(from, to, { mayHaveArrived: false });
+  function refuseConnection(envelope: LabEnvelope): void {
+    const { from, to, payload, isRepeated } = envelope;
+    if (payload.kind !== "ask" || vanished.has(to) || isRepeated) return;
+    toLivePeer(from, to, (node) => node.gateway.onRefused(payload));
   }
 
-  function resetLater(
+  /** Tells a daemon of something that happened at a peer, after the way back. */
+  function toLivePeer(
     id: HostId,
     peer: HostId,
-    how: { mayHaveArrived: boolean },
+    run: (node: LabNode) => void,
   ): void {
     const node = getNode(id);
     loop.schedule(loop.now() + network.getDelay(id, peer), () => {
       if (network.isCut(id, peer)) return;
       runAt(id, () => {
-        if (node.isAlive) node.gateway.onPeerReset(peer, how);
+        if (node.isAlive) run(node);
       });
     });
   }
@@ -286,7 +288,7 @@
     end(id);
     for (const peer of nodes.values()) {
       if (peer.place.host !== id && peer.isAlive) {
-        resetLater(peer.place.host, id, { mayHaveArrived: true });
+        toLivePeer(peer.place.host, id, (n) => n.gateway.onPeerReset(id));
       }
     }
   }
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -202,6 +202,70 @@
   }
 });
 
+function createSmallGuard(slots: number, queueCapacity: number) {
+  const guard = createGuard(createTestHost(), {
+    self: "a",
+    incarnation: "a#1",
+    slots,
+    queueCapacity,
+    grantTtlMs: 100,
+    keyCapacity: 10,
+    getWeight: () => 1,
+  });
+  return { guard, reserve };
+
+  function reserve(ticket: string, key?: string) {
+    return guard.handle({
+      kind: GuardMessageKind.Reserve,
+      ticket,
+      head: {
+        account: "karaca",
+        service: "orders",
+        repeatability: Repeatability.AtMostOnce,
+        fingerprint: "f",
+        timeoutMs: 1_000,
+        ...(key !== undefined && { key }),
+      },
+    });
+  }
+}
+
+test("a settlement that proves NotRun seals the grant against a late run", () => {
+  const { guard, reserve } = createSmallGuard(1, 1);
+  const [grant] = reserve("t1");
+  if (grant?.kind !== GuardActionKind.Grant) throw new Error("no grant");
+  const settled = guard.handle({
+    kind: GuardMessageKind.Settle,
+    ticket: "s1",
+    account: "karaca",
+    key: grant.key,
+  });
+  expect(settled.at(-1)).toMatchObject({
+    kind: GuardActionKind.Refuse,
+    verdict: { execution: Execution.NotRun },
+  });
+  const late = guard.handle({
+    kind: GuardMessageKind.Run,
+    ticket: "t1",
+    grant: grant.grant,
+  });
+  expect(late.map((a) => a.kind)).toEqual([GuardActionKind.Refuse]);
+});
+
+test("a key refused as NotRun is sealed and never runs later", () => {
+  const { guard, reserve } = createSmallGuard(1, 0);
+  const [key] = guard.issueKeys("karaca", 1);
+  reserve("busy");
+  const [refused] = reserve("t1", key);
+  expect(refused).toMatchObject({ kind: GuardActionKind.Refuse });
+  guard.handle({ kind: GuardMessageKind.Release, ticket: "busy" });
+  const again = reserve("t2", key);
+  expect(again).toMatchObject([{
+    kind: GuardActionKind.Refuse,
+    verdict: { diagnostic: { reason: "key_sealed" } },
+  }]);
+});
+
 function createWord(
   host: string,
   change: Partial<MemberWord> = {},
--- a/test/recovery_test.ts
+++ b/test/recovery_test.ts
@@ -9,30 +9,42 @@
 
 const BASE_PORT = 22_000;
 const RELAY_OFFSET = 700;
+const CONTROL_OFFSET = 800;
+/** Control messages take this long, so that a hasty start shows, in ms. */
+const CONTROL_DELAY_MS = 40;
 const ORDERS = 0;
 const UPLOADS = 3;
 
 let fleet: SmallFleet;
 const relays: Relay[] = [];
+const controlRelays: Relay[] = [];
 
 beforeAll(async () => {
+  for (let index = 0; index < 4; index++) {
+    const peers = BASE_PORT + 200 + index;
+    const control = BASE_PORT + 300 + index;
+    relays.push(await startRelay(BASE_PORT + RELAY_OFFSET + index, peers));
+    controlRelays.push(
+      await startRelay(BASE_PORT + CONTROL_OFFSET + index, control, {
+        delayMs: CONTROL_DELAY_MS,
+      }),
+    );
+  }
   fleet = await startSmallFleet(BASE_PORT, {
     services: { orders: 3, uploads: 1 },
     overrides: { linkSilenceMs: 300, reserveTimeoutMs: 150 },
     adjust: ({ settings, ...host }, index) => {
       const peers = `127.0.0.1:${BASE_PORT + RELAY_OFFSET + index}`;
-      return { ...host, settings: { ...settings, announce: { peers } } };
+      const control = `127.0.0.1:${BASE_PORT + CONTROL_OFFSET + index}`;
+      const announce = { peers, control };
+      return { ...host, settings: { ...settings, announce } };
     },
   });
-  for (const [index, { settings }] of fleet.hosts.entries()) {
-    const port = Number(settings.listen.peers.split(":")[1]);
-    relays.push(await startRelay(BASE_PORT + RELAY_OFFSET + index, port));
-  }
 });
 
 afterAll(async () => {
-  await Promise.all(relays.map((relay) => relay.close()));
   await fleet.stop();
+  for (const relay of [...relays, ...controlRelays]) await relay.close();
 });
 
 test("links that fall silent are replaced; no order runs twice", async () => {
--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -2,6 +2,7 @@
 
 import { createServer, type Socket } from "node:net";
 import { connect } from "node:net";
+import { Transform } from "node:stream";
 
 /** A running relay. */
 export interface Relay {
@@ -17,15 +18,19 @@
   readonly right: Socket;
 }
 
-/** Starts a relay from one loopback port to another. */
-export async function startRelay(from: number, to: number): Promise<Relay> {
+/** Starts a relay from one loopback port to another; it may delay all bytes. */
+export async function startRelay(
+  from: number,
+  to: number,
+  { delayMs = 0 }: { delayMs?: number } = {},
+): Promise<Relay> {
   const pairs = new Set<Pair>();
   const server = createServer((left) => {
     const right = connect(to, "127.0.0.1");
     const pair = { left, right };
     pairs.add(pair);
-    left.pipe(right);
-    right.pipe(left);
+    left.pipe(createDelay(delayMs)).pipe(right);
+    right.pipe(createDelay(delayMs)).pipe(left);
     for (const socket of [left, right]) {
       socket.on("error", () => destroy(pair));
       socket.on("close", () => destroy(pair));
@@ -48,8 +53,8 @@
 
   function silence(): void {
     for (const { left, right } of pairs) {
-      left.unpipe(right);
-      right.unpipe(left);
+      left.unpipe();
+      right.unpipe();
       left.resume();
       right.resume();
     }
@@ -60,3 +65,12 @@
     return new Promise((resolve) => server.close(() => resolve()));
   }
 }
+
+function createDelay(ms: number): Transform {
+  return new Transform({
+    transform(chunk, _encoding, done) {
+      if (ms === 0) done(null, chunk);
+      else setTimeout(() => done(null, chunk), ms);
+    },
+  });
+}
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -86,6 +86,8 @@
     listFleet(hosts).map((row, index) => ({
       ...row,
       dataAddress: hosts[index]!.settings.announce.peers ?? row.dataAddress,
+      controlAddress: hosts[index]!.settings.announce.control ??
+        row.controlAddress,
     })),
   );
   const upstreams = await Promise.all(
