Choice: judge upstreams by the service's usual time unless clearly slower

Cause: each guard's mean service time is a noisy estimate (one request in a hundred takes ten times as long), and all gateways chase the same lucky one. In nested calls through 6 slots that herd costs more than it finds.

Change: waiting and service are worked out with the candidates' median time; an upstream's own time counts only above twice the median.

--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -52,6 +52,15 @@
 /** The least share of normal use that a cold upstream gets. */
 const COLD_SHARE = 0.1;
 
+/** Upstreams this many times slower than the median count as such. */
+const CLEARLY_SLOWER = 2;
+
+/** What is usual among the candidates. */
+interface Usual {
+  readonly load: number;
+  readonly serviceMs: Millis;
+}
+
 type Policy = (candidates: readonly Candidate[]) => Candidate;
 
 /** Creates a chooser over a load book. */
@@ -78,14 +87,14 @@
   }
 
   function getExpectedMs(candidate: Candidate): Millis {
-    return estimate(candidate, getPrior([candidate]));
+    return estimate(candidate, getUsual([candidate]));
   }
 
   function chooseExpectedTime(all: readonly Candidate[]): Candidate {
     const warm = all.filter((c) => isAdmitted(loads.get(c.host)));
     const pool = warm.length > 0 ? warm : all;
-    const prior = getPrior(pool);
-    const costs = pool.map((c) => estimate(c, prior));
+    const usual = getUsual(pool);
+    const costs = pool.map((c) => estimate(c, usual));
     const least = Math.min(...costs);
     const limit = least * (1 + TIE_SHARE);
     return pickRandom(pool.filter((_, index) => costs[index]! <= limit));
@@ -114,16 +123,31 @@
   }
 
   /** Expected time to answer: waiting in rounds of the slots, service, distance. */
-  function estimate(candidate: Candidate, prior: number): Millis {
+  function estimate(candidate: Candidate, usual: Usual): Millis {
     const entry = loads.get(candidate.host);
     const slots = entry.report?.slots ?? ASSUMED_SLOTS;
-    const load = loads.getExpectedLoad(entry, prior);
-    const serviceMs = getServiceMs(entry);
+    const load = loads.getExpectedLoad(entry, usual.load);
+    const serviceMs = getLikelyServiceMs(entry, usual);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
     return waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
   }
 
+  function getUsual(pool: readonly Candidate[]): Usual {
+    const times = pool.map((c) => getServiceMs(loads.get(c.host)))
+      .sort((a, b) => a - b);
+    return {
+      load: getPrior(pool),
+      serviceMs: times[(times.length - 1) >> 1]!,
+    };
+  }
+
+  /** The service's own time, unless this upstream is clearly slower. */
+  function getLikelyServiceMs(entry: LoadEntry, usual: Usual): Millis {
+    const own = getServiceMs(entry);
+    return own > usual.serviceMs * CLEARLY_SLOWER ? own : usual.serviceMs;
+  }
+
   function getPrior(pool: readonly Candidate[]): number {
     let sum = 0;
     let count = 0;
