Choice: the share of failed attempts raises an upstream's expected time

Cause: an upstream that refuses before it starts, or answers 500 at once, looks idle and draws the load of all gateways; the retry budget then runs dry.

Change: each gateway keeps the share of recent attempts without a good answer (smoothing 0.1, half-life 1 s); expected time is divided by what is left.

--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -46,6 +46,8 @@
 
 const ASSUMED_SLOTS = 8;
 const ASSUMED_SERVICE_MS = 10;
+/** Even an upstream that always fails is tried now and then. */
+const MAX_FAILURE_SHARE = 0.95;
 /** Share of the time below which two candidates count as equal. */
 const TIE_SHARE = 0.05;
 const LOAD_QUANTILE = 0.75;
@@ -130,7 +132,9 @@
     const serviceMs = getLikelyServiceMs(entry, usual);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
-    return waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
+    const answerMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
+    const failureShare = loads.getFailureShare(entry);
+    return answerMs / (1 - Math.min(failureShare, MAX_FAILURE_SHARE));
   }
 
   function getUsual(pool: readonly Candidate[]): Usual {
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -227,6 +227,7 @@
       return [];
     }
     counters.add(`refused_${msg.verdict.diagnostic.reason}`);
+    if (isUpstreamsFault(msg.verdict)) loads.noteResult(attempt.host, false);
     loads.noteEnded(attempt.host);
     endByVerdict(request, attempt, msg.verdict);
     return retryOrFinish(request);
@@ -423,11 +424,13 @@
     if (status >= FIRST_FAILURE_STATUS) {
       counters.add("answered_failure");
       loads.noteEnded(attempt.host);
+      loads.noteResult(attempt.host, false);
       outliers.noteFailure(attempt.host);
       return;
     }
     const latencyMs = host.now() - attempt.sentAt;
     loads.noteEnded(attempt.host, latencyMs);
+    loads.noteResult(attempt.host, true);
     outliers.noteAnswer(attempt.host, latencyMs);
     budgets.noteSuccess(account, service, latencyMs);
   }
@@ -586,3 +589,10 @@
     return { request, attempt };
   }
 }
+
+/** True where the upstream itself, not its guard's queue, turned work away. */
+function isUpstreamsFault({ diagnostic }: Verdict): boolean {
+  return diagnostic === Diagnostics.upstream_refused ||
+    diagnostic === Diagnostics.upstream_unreachable ||
+    diagnostic === Diagnostics.upstream_lost;
+}
--- a/src/core/load_book.ts
+++ b/src/core/load_book.ts
@@ -7,6 +7,8 @@
 
 /** Report age at which only half of it is believed, in ms. */
 const REPORT_HALF_LIFE_MS = 50;
+const FAILURE_SMOOTHING = 0.1;
+const FAILURE_HALF_LIFE_MS = 1_000;
 const LATENCY_SMOOTHING = 0.15;
 
 /** Knowledge of one upstream. */
@@ -22,6 +24,9 @@
   latencyMs?: Millis;
   samples: number;
   lastUsedAt: Millis;
+  /** Share of recent attempts without a good answer, as of failureAt. */
+  failureShare: number;
+  failureAt: Millis;
 }
 
 /** Loads by host. */
@@ -30,9 +35,12 @@
   /** Takes a report unless a newer one of that host is known. */
   takeReport(report: LoadReport): boolean;
   noteSent(host: HostId): void;
+  /** Notes whether an attempt got a good answer. */
+  noteResult(host: HostId, isGood: boolean): void;
   /** Notes the end of an attempt; latency is left out where it says nothing. */
   noteEnded(host: HostId, latencyMs?: Millis): void;
   getAge(entry: LoadEntry): Millis;
+  getFailureShare(entry: LoadEntry): number;
   /** Expected requests at the upstream: the decayed report and our own sends. */
   getExpectedLoad(entry: LoadEntry, prior: number): number;
   forget(host: HostId): void;
@@ -48,6 +56,8 @@
     takeReport,
     noteSent,
     noteEnded,
+    noteResult,
+    getFailureShare,
     getAge: (entry) => host.now() - entry.reportedAt,
     getExpectedLoad,
     forget: (id) => void entries.delete(id),
@@ -64,6 +74,8 @@
         unanswered: 0,
         sentSinceReport: 0,
         samples: 0,
+        failureShare: 0,
+        failureAt: -Infinity,
         lastUsedAt: -Infinity,
       };
       entries.set(id, entry);
@@ -102,6 +114,20 @@
       : entry.latencyMs + LATENCY_SMOOTHING * (latencyMs - entry.latencyMs);
   }
 
+  function noteResult(id: HostId, isGood: boolean): void {
+    const entry = get(id);
+    const sample = isGood ? 0 : 1;
+    const share = getFailureShare(entry);
+    entry.failureShare = share + FAILURE_SMOOTHING * (sample - share);
+    entry.failureAt = host.now();
+  }
+
+  /** Old failures count less, so that an upstream that recovered is tried. */
+  function getFailureShare(entry: LoadEntry): number {
+    const age = host.now() - entry.failureAt;
+    return entry.failureShare * 0.5 ** (age / FAILURE_HALF_LIFE_MS);
+  }
+
   function getExpectedLoad(entry: LoadEntry, prior: number): number {
     const report = entry.report;
     if (report === undefined) return Math.max(prior, entry.unanswered);
