Take ejection out: the share of failures does its work with less

Cause: with the share of failures in the expected time, ejection had nothing left to find, and its bound (a third of a service) kept it from the two hosts of five that a lost failure domain takes.

A straggler is seen by its guard's own service time.

--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -51,7 +51,9 @@
     (Number.isFinite(c.reportAgeMs) && c.reportAgeMs !== null
       ? `${Math.round(c.reportAgeMs)} ms old`
       : "none yet") +
-    (c.isEjected ? ", ejected as a straggler" : "")
+    (c.failureShare > 0.01
+      ? `, ${Math.round(100 * c.failureShare)}% failed lately`
+      : "")
   );
   return [`service ${reply.service} (${reply.repeatability})`, ...rows]
     .join("\n");
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -29,7 +29,6 @@
 } from "./gateway_types.ts";
 import { tryParseKey } from "./key_book.ts";
 import { createLoadBook } from "./load_book.ts";
-import { createOutliers } from "./outliers.ts";
 import {
   type Arrival,
   type CoreHost,
@@ -71,7 +70,6 @@
   const counters = createCounters();
   const loads = createLoadBook(host);
   const chooser = createChooser(host, { ...options.chooser, loads });
-  const outliers = createOutliers(host, { ...options.outliers, loads });
   const budgets = createAccountBudgets(host, options);
   const pending = new Map<string, PendingRequest>();
   const wakes = createWakeQueue<string>();
@@ -161,7 +159,7 @@
     );
     const fresh = live.filter((c) => !tried.has(c.host));
     const pool = fresh.length > 0 ? fresh : live;
-    return chooser.tryChoose(outliers.filter(pool));
+    return chooser.tryChoose(pool);
   }
 
   function scheduleReserveTimeout(
@@ -239,7 +237,7 @@
     const found = tryFind(msg.id, msg.attempt);
     if (found === undefined || !isOpen(found.attempt)) return [];
     const { request, attempt } = found;
-    outliers.noteFailure(attempt.host);
+    loads.noteResult(attempt.host, false);
     const isDoubtful = msg.mayHaveArrived &&
       attempt.phase === AttemptPhase.Sent;
     if (isDoubtful && attempt.key !== undefined) {
@@ -425,13 +423,11 @@
       counters.add("answered_failure");
       loads.noteEnded(attempt.host);
       loads.noteResult(attempt.host, false);
-      outliers.noteFailure(attempt.host);
       return;
     }
     const latencyMs = host.now() - attempt.sentAt;
     loads.noteEnded(attempt.host, latencyMs);
     loads.noteResult(attempt.host, true);
-    outliers.noteAnswer(attempt.host, latencyMs);
     budgets.noteSuccess(account, service, latencyMs);
   }
 
@@ -486,7 +482,7 @@
 
   function passDeadline(request: PendingRequest): GatewayAction[] {
     const silent = request.attempts.filter(isOpen);
-    for (const attempt of silent) outliers.noteFailure(attempt.host);
+    for (const attempt of silent) loads.noteResult(attempt.host, false);
     const actions = cancelOpen(request);
     const retryAfterMs = request.lastVerdict?.retryAfterMs;
     return [...actions, finish(request, "deadline_passed", retryAfterMs)];
@@ -496,7 +492,7 @@
     request: PendingRequest,
     attempt: Attempt,
   ): GatewayAction[] {
-    outliers.noteFailure(attempt.host);
+    loads.noteResult(attempt.host, false);
     const name = request.arrival.key === undefined
       ? "reserve_timeout"
       : "home_unreachable";
@@ -513,6 +509,9 @@
     const { account } = request.arrival;
     const silentAt = request.attempts[0]!.sentAt + options.silenceMs;
     if (host.now() >= silentAt) {
+      for (const attempt of request.attempts) {
+        if (isOpen(attempt)) loads.noteResult(attempt.host, false);
+      }
       if (!budgets.tryTakeRetry(account)) return [];
       counters.add("retry_link_silent");
       return sendAttempt(request, false);
@@ -565,7 +564,7 @@
       return {
         host: candidate.host,
         expectedMs: chooser.getExpectedMs(candidate),
-        isEjected: outliers.isEjected(candidate.host),
+        failureShare: loads.getFailureShare(entry),
         reportAgeMs: loads.getAge(entry),
         inFlight: entry.report?.inFlight ?? 0,
         queued: entry.report?.queued ?? 0,
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -2,7 +2,6 @@
 
 import type { ChooserOptions } from "./choice.ts";
 import type { Counters } from "./counters.ts";
-import type { OutlierOptions } from "./outliers.ts";
 import type {
   AccountName,
   Arrival,
@@ -33,7 +32,6 @@
   readonly self: HostId;
   readonly incarnation: Incarnation;
   readonly chooser: ChooserOptions;
-  readonly outliers: OutlierOptions;
   /** Attempts per request at most, hedges included. */
   readonly maxAttempts: number;
   /** Longest wait for a guard's word on a reservation, in ms. */
@@ -51,7 +49,8 @@
 export interface Explanation {
   readonly host: HostId;
   readonly expectedMs: Millis;
-  readonly isEjected: boolean;
+  /** Share of recent attempts without a good answer. */
+  readonly failureShare: number;
   readonly reportAgeMs: Millis;
   readonly inFlight: number;
   readonly queued: number;
--- a/src/core/load_book.ts
+++ b/src/core/load_book.ts
@@ -7,8 +7,8 @@
 
 /** Report age at which only half of it is believed, in ms. */
 const REPORT_HALF_LIFE_MS = 50;
-const FAILURE_SMOOTHING = 0.1;
-const FAILURE_HALF_LIFE_MS = 1_000;
+const FAILURE_SMOOTHING = 0.2;
+const FAILURE_HALF_LIFE_MS = 2_000;
 const LATENCY_SMOOTHING = 0.15;
 
 /** Knowledge of one upstream. */
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -260,8 +260,7 @@
     service: string,
     { count }: { count: number },
   ): Promise<string[]> {
-    for (const { host, isEjected } of task.gateway.explain(service)) {
-      if (isEjected) continue;
+    for (const { host } of task.gateway.explain(service)) {
       const keys = await options.getLink(host)?.issueKeys(account, count) ?? [];
       if (keys.length > 0) return keys;
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -37,9 +37,6 @@
 import { createProbeTask } from "./probe_task.ts";
 
 const MAX_ATTEMPTS = 4;
-const OUTLIER_FACTOR = 3;
-const MAX_EJECTED_SHARE = 0.34;
-const EJECTION_MS = 2_000;
 const WARM_UP_MS = 5_000;
 /** Time that draining is announced before the callers' listener closes, in ms. */
 const ANNOUNCE_MS = 300;
@@ -144,12 +141,6 @@
         crossDomainMs: settings.crossDomainMs,
         warmUpMs: WARM_UP_MS,
       },
-      outliers: {
-        isEnabled: true,
-        factor: OUTLIER_FACTOR,
-        maxShare: MAX_EJECTED_SHARE,
-        ejectionMs: EJECTION_MS,
-      },
       getCandidates: membership.getCandidates,
       getLimits,
     },
--- a/src/lab/node.ts
+++ b/src/lab/node.ts
@@ -28,9 +28,6 @@
 const DEFAULT_KEYS = 1_000;
 const SUBSET_SIZE = 24;
 const FANOUT = 3;
-const EJECTION_MS = 2_000;
-const OUTLIER_FACTOR = 3;
-const MAX_EJECTED_SHARE = 0.34;
 const ROUND_MS = 1_000;
 
 /** What a node asks of the lab. */
@@ -118,12 +115,6 @@
         ignoresFailureDomains: !policy.prefersOwnDomain,
         warmUpMs: policy.warmUpMs,
       },
-      outliers: {
-        isEnabled: policy.ejectsStragglers,
-        factor: OUTLIER_FACTOR,
-        maxShare: MAX_EJECTED_SHARE,
-        ejectionMs: EJECTION_MS,
-      },
       getCandidates: membership.getCandidates,
       getLimits: () => ({
         retryBudget: 0.1,
--- a/src/lab/policies.ts
+++ b/src/lab/policies.ts
@@ -6,7 +6,6 @@
 /** The product's own policy, for an account that pays for the tail. */
 export const OWN_POLICY: LabPolicy = {
   choice: ChoicePolicy.ExpectedTime,
-  ejectsStragglers: true,
   hasRetryBudget: true,
   isFair: true,
   refusesEarly: true,
@@ -20,7 +19,6 @@
 /** A plain policy that the baselines start from. */
 const PLAIN_POLICY: LabPolicy = {
   choice: ChoicePolicy.Random,
-  ejectsStragglers: false,
   hasRetryBudget: true,
   isFair: true,
   refusesEarly: true,
@@ -48,7 +46,6 @@
   },
   "hot-cold": { ...OWN_POLICY, choice: ChoicePolicy.HotCold },
   "no-hedge": { ...OWN_POLICY, hedgeBudget: 0 },
-  "no-ejection": { ...OWN_POLICY, ejectsStragglers: false },
   "no-own-domain": { ...OWN_POLICY, prefersOwnDomain: false },
   "no-warm-up": { ...OWN_POLICY, warmUpMs: 0 },
   "no-early-refusal": { ...OWN_POLICY, refusesEarly: false },
--- a/src/lab/types.ts
+++ b/src/lab/types.ts
@@ -30,7 +30,6 @@
 /** What the policy of a run consists of; each part can be taken out. */
 export interface LabPolicy {
   readonly choice: ChoicePolicy;
-  readonly ejectsStragglers: boolean;
   readonly hasRetryBudget: boolean;
   readonly isFair: boolean;
   readonly refusesEarly: boolean;
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -38,7 +38,6 @@
       crossDomainMs: 3,
       warmUpMs: 0,
     },
-    outliers: { isEnabled: true, factor: 3, maxShare: 0.34, ejectionMs: 2_000 },
     getCandidates: () => HOSTS.map((h) => ({ host: h, failureDomain: "x" })),
     getLimits: () => ({ retryBudget, hedgeBudget: 0, hedgePercentile: 95 }),
   });
