Try: an upstream that is silent costs at least its silence

Idea: with requests waiting and nothing heard, expected time is no less than the silence, so a host that vanished is left sooner than by failed attempts.

--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -132,7 +132,8 @@
     const serviceMs = getLikelyServiceMs(entry, usual);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
-    const answerMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
+    const usualMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
+    const answerMs = Math.max(usualMs, loads.getSilence(entry));
     const failureShare = loads.getFailureShare(entry);
     return answerMs / (1 - Math.min(failureShare, MAX_FAILURE_SHARE));
   }
