--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -132,8 +132,7 @@
     const serviceMs = getLikelyServiceMs(entry, usual);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
-    const usualMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
-    const answerMs = Math.max(usualMs, loads.getSilence(entry));
+    const answerMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
     const failureShare = loads.getFailureShare(entry);
     return answerMs / (1 - Math.min(failureShare, MAX_FAILURE_SHARE));
   }
--- a/src/core/load_book.ts
+++ b/src/core/load_book.ts
@@ -27,8 +27,6 @@
   /** Share of recent attempts without a good answer, as of failureAt. */
   failureShare: number;
   failureAt: Millis;
-  /** Since when requests wait and nothing was heard; unset where none does. */
-  silentSince?: Millis;
 }
 
 /** Loads by host. */
@@ -43,8 +41,6 @@
   noteEnded(host: HostId, latencyMs?: Millis): void;
   getAge(entry: LoadEntry): Millis;
   getFailureShare(entry: LoadEntry): number;
-  /** How long requests have waited without a word, in ms. */
-  getSilence(entry: LoadEntry): Millis;
   /** Expected requests at the upstream: the decayed report and our own sends. */
   getExpectedLoad(entry: LoadEntry, prior: number): number;
   forget(host: HostId): void;
@@ -62,7 +58,6 @@
     noteEnded,
     noteResult,
     getFailureShare,
-    getSilence: (entry) => host.now() - (entry.silentSince ?? host.now()),
     getAge: (entry) => host.now() - entry.reportedAt,
     getExpectedLoad,
     forget: (id) => void entries.delete(id),
@@ -99,13 +94,11 @@
     entry.report = report;
     entry.reportedAt = host.now();
     entry.sentSinceReport = 0;
-    if (entry.unanswered > 0) entry.silentSince = host.now();
     return true;
   }
 
   function noteSent(id: HostId): void {
     const entry = get(id);
-    if (entry.unanswered === 0) entry.silentSince = host.now();
     entry.unanswered += 1;
     entry.sentSinceReport += 1;
     entry.lastUsedAt = host.now();
@@ -114,8 +107,6 @@
   function noteEnded(id: HostId, latencyMs?: Millis): void {
     const entry = get(id);
     entry.unanswered = Math.max(0, entry.unanswered - 1);
-    if (entry.unanswered === 0) delete entry.silentSince;
-    else if (latencyMs !== undefined) entry.silentSince = host.now();
     if (latencyMs === undefined) return;
     entry.samples += 1;
     entry.latencyMs = entry.latencyMs === undefined
