Hedge before enough latencies are known

Cause: a service that a gateway asks a few times a second has no percentile of recent latency, so nothing is hedged and a vanished host costs the full time until its link counts as silent.

Change: until then the hedge goes out after three mean service times of the upstream's guard.

--- a/src/bench/run_policy.ts
+++ b/src/bench/run_policy.ts
@@ -62,6 +62,9 @@
     seed,
     hosts: scenario.hosts,
     policy,
+    limits: {
+      hedgeBudget: Math.min(policy.hedgeBudget, scenario.hedgeBudget),
+    },
     latency: { sameDomainMs: 0.1, crossDomainMs: 1.5, callerMs: 8 },
     spreads: true,
   });
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -23,6 +23,8 @@
   readonly streams: readonly Stream[];
   /** Retries of a caller after a refusal, at the time that the refusal names. */
   readonly callerRetries: number;
+  /** Hedges per request that the account's template allows. */
+  readonly hedgeBudget: number;
   readonly durationMs: number;
   /** Requests before this time are not counted, in ms. */
   readonly warmUpMs: number;
@@ -34,6 +36,8 @@
 const MESAS_DOMAINS = ["Cordón", "Pocitos", "Prado"] as const;
 const DURATION_MS = 6_000;
 const WARM_UP_MS = 1_000;
+/** The hedge budget of the studio template times its tail weight. */
+const KARACA_HEDGES = 0.05 * 0.9;
 const READ_TIMEOUT_MS = 1_000;
 const WRITE_TIMEOUT_MS = 2_000;
 
@@ -149,6 +153,7 @@
     hosts: KARACA_HOSTS,
     streams: [read(0.6, () => 1), ...others()],
     callerRetries: 0,
+    hedgeBudget: KARACA_HEDGES,
     durationMs: DURATION_MS,
     warmUpMs: WARM_UP_MS,
     ...changes,
@@ -172,6 +177,7 @@
       stream("planos", 60, {}),
     ],
     callerRetries: 0,
+    hedgeBudget: 0,
     durationMs: DURATION_MS,
     warmUpMs: WARM_UP_MS,
     ...rest,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -48,6 +48,8 @@
 
 /** A hedge is never sent sooner, in ms. */
 const MIN_HEDGE_DELAY_MS = 2;
+/** Hedge delay in mean service times, while too few latencies are known. */
+const EARLY_HEDGE_FACTOR = 3;
 /** How often an unreachable guard is asked what became of an attempt. */
 const MAX_SETTLE_TRIES = 2;
 const SETTLE_RETRY_MS = 50;
@@ -140,7 +142,7 @@
     request.attempts.push(attempt);
     loads.noteSent(to);
     if (reserves) scheduleReserveTimeout(request, attempt);
-    else scheduleHedge(request);
+    else scheduleHedge(request, to);
     return [{
       kind: reserves ? GatewayActionKind.Reserve : GatewayActionKind.Submit,
       id: request.arrival.id,
@@ -175,13 +177,14 @@
   }
 
   /** A hedge goes out after the account's percentile, or after silence. */
-  function scheduleHedge(request: PendingRequest): void {
+  function scheduleHedge(request: PendingRequest, to: HostId): void {
     const { arrival } = request;
     const isAllowed = !isProtected(arrival) && arrival.replayable &&
       request.attempts.length === 1;
     if (!isAllowed) return;
-    const usual = budgets.tryGetHedgeDelay(arrival.account, arrival.service);
-    const delay = Math.min(usual ?? Infinity, options.silenceMs);
+    const usual = budgets.tryGetHedgeDelay(arrival.account, arrival.service) ??
+      EARLY_HEDGE_FACTOR * loads.getServiceMs(to);
+    const delay = Math.min(usual, options.silenceMs);
     setHedgeAt(request, host.now() + Math.max(delay, MIN_HEDGE_DELAY_MS));
   }
 
--- a/src/core/load_book.ts
+++ b/src/core/load_book.ts
@@ -41,6 +41,8 @@
   noteEnded(host: HostId, latencyMs?: Millis): void;
   getAge(entry: LoadEntry): Millis;
   getFailureShare(entry: LoadEntry): number;
+  /** Mean time of one request at the upstream, in ms; Infinity where unknown. */
+  getServiceMs(host: HostId): Millis;
   /** Expected requests at the upstream: the decayed report and our own sends. */
   getExpectedLoad(entry: LoadEntry, prior: number): number;
   forget(host: HostId): void;
@@ -58,6 +60,7 @@
     noteEnded,
     noteResult,
     getFailureShare,
+    getServiceMs: (id) => get(id).report?.serviceMs ?? Infinity,
     getAge: (entry) => host.now() - entry.reportedAt,
     getExpectedLoad,
     forget: (id) => void entries.delete(id),
