Load reports in 56 bytes on the wire where they took 199

Cause: a report rode on every reply as JSON with the host and the whole incarnation: 177 bytes and 22 of header name; at 150,000 calls a second over 2,400 daemons that is 12 KB/s of the 14 KB/s that control may take.

Change: eight fields in fixed order (34 bytes); the link knows the host, and the end of the incarnation is enough to see a change. The digest of revisions goes along when it changed and once a second, not with every message.

Ruled out: sending reports only now and then; the choice lives on their age. Conclusion: 3.5 KB/s at the same rate of calls.

--- a/src/bench/run_policy.ts
+++ b/src/bench/run_policy.ts
@@ -10,7 +10,7 @@
 const MICROS_PER_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** Size of a load report on the wire, in bytes, and of a probe with its answer. */
-const REPORT_BYTES = 190;
+const REPORT_BYTES = 55;
 const PROBE_BYTES = 900;
 const HTTP_ERROR = 500;
 const GOODPUT_BIN_MS = 250;
--- a/src/daemon/link_table.ts
+++ b/src/daemon/link_table.ts
@@ -48,6 +48,7 @@
     return createHttpLink({
       address,
       self: options.self,
+      peer: to,
       connections: CONNECTIONS_PER_LINK,
       getRevisions: options.getRevisions,
       onHeard: ({ report, revisions }) => {
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -162,7 +162,7 @@
     const { status, headers, body } = reply.answer;
     msg.outgoing.writeHead(status, {
       ...getForwardHeaders(headers),
-      ...createHeaders(),
+      ...createHeaders(msg.incoming),
       [Header.Ticket]: msg.ticket,
     });
     pipeline(body, msg.outgoing, () => {});
@@ -191,14 +191,16 @@
     body?: string,
     headers: Record<string, string> = {},
   ): void {
-    outgoing.writeHead(status, { ...createHeaders(), ...headers });
+    outgoing.writeHead(status, { ...createHeaders(outgoing.req), ...headers });
     outgoing.end(body);
   }
 
-  function createHeaders(): Record<string, string> {
+  /** Revisions go to a peer that has just said its own. */
+  function createHeaders(req: IncomingMessage): Record<string, string> {
+    const hasSaid = req.headers[Header.Revisions] !== undefined;
     return {
       [Header.Report]: encodeReport(guard.guard.getReport()),
-      [Header.Revisions]: options.getRevisions(),
+      ...(hasSaid && { [Header.Revisions]: options.getRevisions() }),
     };
   }
 }
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -1,6 +1,7 @@
 /** A link to the guard of another host over HTTP/1.1 with kept connections. */
 
 import type { IncomingHttpHeaders } from "node:http";
+import { performance } from "node:perf_hooks";
 import { Client, type Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import { Diagnostics } from "../core/diagnostics.ts";
@@ -31,6 +32,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const SETTLE_TIMEOUT_MS = 1_000;
+/** Time between statements of unchanged revisions, in ms. */
+const SAY_REVISIONS_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 
 /** Settings of a link. */
@@ -38,6 +41,7 @@
   /** IP address and port of the peer's data listener. */
   readonly address: string;
   readonly self: HostId;
+  readonly peer: HostId;
   readonly connections: number;
   /** Digest of the revisions in force here, said with every message. */
   getRevisions(): string;
@@ -64,6 +68,7 @@
 export function createHttpLink(options: HttpLinkOptions): GuardLink {
   const origin = `http://${options.address}`;
   let pool = createPool();
+  let said = { revisions: "", at: -Infinity };
   return {
     reserve,
     run,
@@ -213,11 +218,18 @@
     }
   }
 
+  /** The digest goes along when it changed, and once a second. */
   function createHeaders(step: Step): Record<string, string> {
+    const revisions = options.getRevisions();
+    const now = performance.now();
+    const isKnown = revisions === said.revisions &&
+      now - said.at < SAY_REVISIONS_MS;
+    if (isKnown) return { [Header.Step]: step };
+    said = { revisions, at: now };
     return {
       [Header.Step]: step,
       [Header.From]: options.self,
-      [Header.Revisions]: options.getRevisions(),
+      [Header.Revisions]: revisions,
     };
   }
 
@@ -260,7 +272,9 @@
   function hear(headers: IncomingHttpHeaders): void {
     const revisions = getHeader(headers, Header.Revisions);
     const text = getHeader(headers, Header.Report);
-    const decoded = text === undefined ? undefined : decodeReport(text);
+    const decoded = text === undefined
+      ? undefined
+      : decodeReport(text, options.peer);
     if (decoded?.err) options.onNonsense(`report: ${decoded.val}`);
     options.onHeard({
       ...(decoded?.ok && { report: decoded.val }),
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -8,6 +8,7 @@
 import { tryGetDiagnostic } from "../core/diagnostics.ts";
 import {
   Execution,
+  type HostId,
   type LoadReport,
   Repeatability,
   type RequestHead,
@@ -64,17 +65,13 @@
   retryAfterMs: z.number().min(0).optional(),
 });
 
-const reportSchema = z.object({
-  host: z.string(),
-  incarnation: z.string(),
-  sequence: z.int().min(0),
-  slots: z.int().min(1),
-  inFlight: z.int().min(0),
-  queued: z.int().min(0),
-  serviceMs: z.number().min(0),
-  draining: z.boolean(),
-  ageMs: z.number().min(0),
-});
+/** Fields of a report in their order on the wire. */
+const REPORT_PATTERN =
+  /^([0-9a-f]{8}) (\d+) (\d+) (\d+) (\d+) (\d+) ([01]) (\d+)$/;
+/** Service times travel in tenths of a ms, ages in tenths of a second. */
+const TENTHS = 10;
+const AGE_STEP_MS = 100;
+const SHORT_INCARNATION = 8;
 
 /** Encodes a request's head. */
 export function encodeHead(head: RequestHead): string {
@@ -110,18 +107,53 @@
   );
 }
 
-/** Encodes a load report, rounded to what the choice needs. */
+/**
+ * Encodes a load report in some 30 bytes, since it rides on every reply. The
+ * host is left out, as the link knows it; of the incarnation, the end is enough
+ * to see that it changed.
+ */
 export function encodeReport(report: LoadReport): string {
-  return JSON.stringify({
-    ...report,
-    serviceMs: Math.round(report.serviceMs * 100) / 100,
-    ageMs: Math.round(report.ageMs),
-  });
+  return [
+    report.incarnation.slice(-SHORT_INCARNATION),
+    report.sequence,
+    report.slots,
+    report.inFlight,
+    report.queued,
+    Math.round(report.serviceMs * TENTHS),
+    report.draining ? 1 : 0,
+    Math.round(report.ageMs / AGE_STEP_MS),
+  ].join(" ");
 }
 
-/** Decodes a load report, or says what is wrong with it. */
-export function decodeReport(text: string): Result<LoadReport, string> {
-  return decode(text, reportSchema);
+/** Decodes the load report of a host, or says what is wrong with it. */
+export function decodeReport(
+  text: string,
+  host: HostId,
+): Result<LoadReport, string> {
+  const match = REPORT_PATTERN.exec(text);
+  if (match === null) return new Err("not a load report");
+  const [sequence, slots, inFlight, queued, service, draining, age] = match
+    .slice(2).map(Number) as [
+      number,
+      number,
+      number,
+      number,
+      number,
+      number,
+      number,
+    ];
+  if (slots === 0) return new Err("no slots");
+  return new Ok({
+    host,
+    incarnation: match[1]!,
+    sequence,
+    slots,
+    inFlight,
+    queued,
+    serviceMs: service / TENTHS,
+    draining: draining === 1,
+    ageMs: age * AGE_STEP_MS,
+  });
 }
 
 function decode<S extends z.ZodType>(
