--- a/src/demo/fleet.ts
+++ b/src/demo/fleet.ts
@@ -37,6 +37,8 @@
   /** Starts a daemon or upstream that has ended. */
   restart(host: string, role: FleetRole): Promise<void>;
   getLog(host: string): string;
+  /** Process id of a daemon. */
+  getPid(host: string): number;
   /** Stops all gracefully; resolves to the exit codes. */
   stop(): Promise<(number | null)[]>;
 }
@@ -80,6 +82,7 @@
     signal,
     restart,
     getLog: (host) => members.get(`daemon ${host}`)?.log ?? "",
+    getPid: (host) => members.get(`daemon ${host}`)?.child.pid ?? 0,
     stop,
   };
 
