--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -11,7 +11,10 @@
   Execution,
   type GatewayAction,
   GatewayActionKind,
+  type HostId,
+  type Millis,
   Repeatability,
+  type Ticket,
   type Verdict,
 } from "./types.ts";
 
@@ -57,6 +60,13 @@
   };
 }
 
+/** Ends an attempt that is not waited for any longer. */
+export function endCancelled(attempt: Attempt): void {
+  attempt.phase = attempt.phase === AttemptPhase.Reserving
+    ? AttemptPhase.NotRun
+    : AttemptPhase.InDoubt;
+}
+
 /** Ends an attempt by the word of its guard. */
 export function endByVerdict(
   request: PendingRequest,
@@ -70,7 +80,7 @@
 }
 
 /** NotRun needs proof for every attempt; a key asked before needs its home's. */
-export function getExecution(request: PendingRequest): Execution {
+function getExecution(request: PendingRequest): Execution {
   const { arrival, attempts, lastVerdict } = request;
   if (lastVerdict?.execution === Execution.Ran) return Execution.Ran;
   if (attempts.some(isInDoubt)) return Execution.MayHaveRun;
@@ -80,6 +90,27 @@
   return isHomesWord ? lastVerdict.execution : Execution.MayHaveRun;
 }
 
+/** The final word on a request. */
+export function createVerdict(
+  request: PendingRequest,
+  name: DiagnosticName,
+  { retryAfterMs }: { retryAfterMs: Millis },
+): Verdict {
+  return {
+    execution: getExecution(request),
+    diagnostic: Diagnostics[name],
+    retryAfterMs: Math.ceil(retryAfterMs),
+  };
+}
+
+/** What a lost attempt is called: with a key, only its home could have said. */
+export function getLossName(
+  request: PendingRequest,
+  name: DiagnosticName,
+): DiagnosticName {
+  return request.arrival.key === undefined ? name : "home_unreachable";
+}
+
 /** The action that ends an open attempt at its guard. */
 export function createEnding(
   request: PendingRequest,
@@ -96,3 +127,46 @@
     ...how,
   };
 }
+
+/** An answer names its attempt's ticket, or that of a settlement of it. */
+export function isOwnTicket(named: Ticket, own: Ticket): boolean {
+  return named === own || named.startsWith(`${own}/`);
+}
+
+/** True where the upstream itself, not its guard's queue, turned work away. */
+export function isUpstreamsFault({ diagnostic }: Verdict): boolean {
+  return diagnostic === Diagnostics.upstream_refused ||
+    diagnostic === Diagnostics.upstream_unreachable ||
+    diagnostic === Diagnostics.upstream_lost;
+}
+
+/** A request as it arrives. */
+export function createPending(arrival: Arrival, now: Millis): PendingRequest {
+  return {
+    arrival,
+    deadline: now + arrival.timeoutMs,
+    attempts: [],
+    retriesLeft: arrival.retriesLeft,
+    isDelivering: false,
+  };
+}
+
+/** Adds an attempt at a host to a request. */
+export function addAttempt(
+  request: PendingRequest,
+  host: HostId,
+  how: { now: Millis; isHedge: boolean },
+): Attempt {
+  const reserves = isReserving(request.arrival);
+  const attempt: Attempt = {
+    number: request.attempts.length + 1,
+    host,
+    sentAt: how.now,
+    isHedge: how.isHedge,
+    phase: reserves ? AttemptPhase.Reserving : AttemptPhase.Sent,
+    wasToldToRun: !reserves,
+    settleTries: 0,
+  };
+  request.attempts.push(attempt);
+  return attempt;
+}
--- /dev/null
+++ b/src/core/explain.ts
@@ -0,0 +1,34 @@
+/** What a gateway knows of a service's upstreams, for people and for probes. */
+
+import type { Chooser } from "./choice.ts";
+import type { Explanation } from "./gateway_types.ts";
+import type { LoadBook } from "./load_book.ts";
+import type { Candidate, HostId, Millis } from "./types.ts";
+
+/** Candidates with what speaks for and against them, the best first. */
+export function explainChoice(
+  candidates: readonly Candidate[],
+  { loads, chooser }: { loads: LoadBook; chooser: Chooser },
+): Explanation[] {
+  return candidates.map((candidate) => {
+    const entry = loads.get(candidate.host);
+    return {
+      host: candidate.host,
+      expectedMs: chooser.getExpectedMs(candidate),
+      failureShare: loads.getFailureShare(entry),
+      reportAgeMs: loads.getAge(entry),
+      inFlight: entry.report?.inFlight ?? 0,
+      queued: entry.report?.queued ?? 0,
+    };
+  }).sort((a, b) => a.expectedMs - b.expectedMs);
+}
+
+/** Hosts whose newest report is older than an age, in ms. */
+export function findStaleHosts(
+  candidates: readonly Candidate[],
+  { loads, ageMs }: { loads: LoadBook; ageMs: Millis },
+): HostId[] {
+  return candidates
+    .filter((c) => loads.getAge(loads.get(c.host)) > ageMs)
+    .map((c) => c.host);
+}
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -5,32 +5,39 @@
 
 import { createAccountBudgets } from "./account_budgets.ts";
 import {
+  addAttempt,
   createEnding,
+  createPending,
+  createVerdict,
   endByVerdict,
+  endCancelled,
   endUnanswered,
-  getExecution,
-  isBodyUnsent,
-  isInDoubt,
+  getLossName,
   isOpen,
+  isOwnTicket,
   isProtected,
   isReserving,
+  isUpstreamsFault,
 } from "./attempts.ts";
 import { createChooser } from "./choice.ts";
 import { createCounters } from "./counters.ts";
+import { explainChoice, findStaleHosts } from "./explain.ts";
 import { Debug } from "./debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import {
   type Attempt,
   AttemptPhase,
-  type Explanation,
   type Gateway,
   type GatewayOptions,
   type PendingRequest,
 } from "./gateway_types.ts";
 import { tryParseKey } from "./key_book.ts";
+import { findObstacle, hasOtherHost } from "./retry_rules.ts";
+import { createSettling } from "./settling.ts";
 import { createLoadBook } from "./load_book.ts";
 import {
   type Arrival,
+  type Candidate,
   type CoreHost,
   Execution,
   type GatewayAction,
@@ -40,9 +47,7 @@
   type HostId,
   type Millis,
   type OfKind,
-  type ServiceName,
   type Ticket,
-  type Verdict,
 } from "./types.ts";
 import { createWakeQueue } from "./wake_queue.ts";
 
@@ -75,6 +80,7 @@
   const budgets = createAccountBudgets(host, options);
   const pending = new Map<string, PendingRequest>();
   const wakes = createWakeQueue<string>();
+  const settling = createSettling(host, { counters, wakes });
 
   const handlers: Handlers = {
     [GatewayMessageKind.Arrived]: (msg) => arrive(msg.arrival),
@@ -94,8 +100,10 @@
     getNextWake: wakes.getNext,
     getOpenCount: () => pending.size,
     getTicket,
-    explain,
-    getStaleHosts,
+    explain: (service) =>
+      explainChoice(options.getCandidates(service), { loads, chooser }),
+    getStaleHosts: (service, ageMs) =>
+      findStaleHosts(options.getCandidates(service), { loads, ageMs }),
     forgetHost: loads.forget,
     counters,
   };
@@ -107,13 +115,7 @@
   function arrive(arrival: Arrival): GatewayAction[] {
     Debug.assert(!pending.has(arrival.id), "request ids are unique");
     counters.add("arrived");
-    const request: PendingRequest = {
-      arrival,
-      deadline: host.now() + arrival.timeoutMs,
-      attempts: [],
-      retriesLeft: arrival.retriesLeft,
-      isDelivering: false,
-    };
+    const request = createPending(arrival, host.now());
     pending.set(arrival.id, request);
     budgets.noteRequest(arrival.account);
     wakes.add(request.deadline, arrival.id);
@@ -130,16 +132,7 @@
     }
     const reserves = isReserving(request.arrival);
     const now = host.now();
-    const attempt: Attempt = {
-      number: request.attempts.length + 1,
-      host: to,
-      sentAt: now,
-      isHedge,
-      phase: reserves ? AttemptPhase.Reserving : AttemptPhase.Sent,
-      wasToldToRun: !reserves,
-      settleTries: 0,
-    };
-    request.attempts.push(attempt);
+    const attempt = addAttempt(request, to, { now, isHedge });
     loads.noteSent(to);
     if (reserves) scheduleReserveTimeout(request, attempt);
     else scheduleHedge(request, to);
@@ -206,7 +199,7 @@
     attempt.grant = msg.grant;
     attempt.key = msg.key;
     attempt.wasToldToRun = true;
-    scheduleSettle(msg.id, attempt, options.silenceMs);
+    settling.schedule(msg.id, attempt, { delayMs: options.silenceMs });
     return [{
       kind: GatewayActionKind.Run,
       id: msg.id,
@@ -246,18 +239,14 @@
     if (isDoubtful && attempt.key !== undefined) {
       counters.add("link_lost");
       attempt.isLinkLost = true;
-      return [createSettle(request, attempt)];
+      return [settling.ask(request, attempt)];
     }
     return giveUp(request, attempt, {
-      name: getLossName(request),
+      name: getLossName(request, "link_lost"),
       mayHaveRun: msg.mayHaveArrived,
     });
   }
 
-  function getLossName(request: PendingRequest): DiagnosticName {
-    return request.arrival.key === undefined ? "link_lost" : "home_unreachable";
-  }
-
   function giveUp(
     request: PendingRequest,
     attempt: Attempt,
@@ -269,31 +258,6 @@
     return retryOrFinish(request);
   }
 
-  function scheduleSettle(
-    id: string,
-    attempt: Attempt,
-    delayMs: Millis,
-  ): void {
-    attempt.settleAt = host.now() + delayMs;
-    wakes.add(attempt.settleAt, id);
-  }
-
-  function createSettle(
-    request: PendingRequest,
-    attempt: Attempt,
-  ): GatewayAction {
-    delete attempt.settleAt;
-    attempt.settleTries += 1;
-    counters.add("settle_sent");
-    return {
-      kind: GatewayActionKind.Settle,
-      id: request.arrival.id,
-      attempt: attempt.number,
-      to: attempt.host,
-      key: Debug.checkDefined(attempt.key, "the key of a granted attempt"),
-    };
-  }
-
   function onSettled(
     msg: OfKind<GatewayMessage, GatewayMessageKind.Settled>,
   ): GatewayAction[] {
@@ -304,7 +268,7 @@
     const isRunning = msg.verdict.diagnostic === Diagnostics.key_in_progress;
     if (isRunning) {
       const delayMs = attempt.isLinkLost ? SETTLE_RETRY_MS : options.silenceMs;
-      scheduleSettle(msg.id, attempt, delayMs);
+      settling.schedule(msg.id, attempt, { delayMs });
       return [];
     }
     counters.add(`settled_${msg.verdict.execution}`);
@@ -319,7 +283,9 @@
     attempt: Attempt,
   ): GatewayAction[] {
     if (attempt.settleTries < MAX_SETTLE_TRIES) {
-      scheduleSettle(request.arrival.id, attempt, SETTLE_RETRY_MS);
+      settling.schedule(request.arrival.id, attempt, {
+        delayMs: SETTLE_RETRY_MS,
+      });
       return [];
     }
     const ending = createEnding(request, attempt);
@@ -332,7 +298,12 @@
   function retryOrFinish(request: PendingRequest): GatewayAction[] {
     if (request.attempts.some(isOpen)) return [];
     const verdict = Debug.checkDefined(request.lastVerdict, "a verdict");
-    const obstacle = findObstacle(request);
+    const obstacle = findObstacle(request, {
+      now: host.now(),
+      maxAttempts: options.maxAttempts,
+      hasOtherHost: hasOtherHost(request, getCandidatesOf(request)),
+      tryTakeRetry: budgets.tryTakeRetry,
+    });
     if (obstacle === undefined) {
       request.retriesLeft -= 1;
       counters.add(`retry_${verdict.diagnostic.reason}`);
@@ -344,31 +315,6 @@
     return [finish(request, name, verdict.retryAfterMs)];
   }
 
-  /** What forbids another attempt; "last" stands for the last verdict's reason. */
-  function findObstacle(
-    request: PendingRequest,
-  ): DiagnosticName | "last" | undefined {
-    const { arrival, attempts } = request;
-    if (arrival.key !== undefined) return "last";
-    if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";
-    if (!arrival.replayable && !isBodyUnsent(request)) return "last";
-    if (host.now() >= request.deadline) return "deadline_passed";
-    if (attempts.length >= options.maxAttempts || request.retriesLeft <= 0) {
-      return "last";
-    }
-    if (!hasOtherHost(request)) return "last";
-    return budgets.tryTakeRetry(arrival.account)
-      ? undefined
-      : "retry_budget_empty";
-  }
-
-  function hasOtherHost(request: PendingRequest): boolean {
-    const tried = new Set(request.attempts.map((a) => a.host));
-    return options.getCandidates(request.arrival.service).some((c) =>
-      !tried.has(c.host)
-    );
-  }
-
   function onAnswered(
     msg: OfKind<GatewayMessage, GatewayMessageKind.Answered>,
   ): GatewayAction[] {
@@ -378,7 +324,8 @@
       return [];
     }
     const { request, attempt } = found;
-    if (!isOwnTicket(msg)) return rejectForeign(request, attempt);
+    const own = getTicket(msg.id, msg.attempt);
+    if (!isOwnTicket(msg.ticket, own)) return rejectForeign(request, attempt);
     noteAnswer(request, attempt, msg.status);
     attempt.phase = AttemptPhase.Delivering;
     request.isDelivering = true;
@@ -389,14 +336,6 @@
     ];
   }
 
-  /** An answer names its attempt's ticket, or that of a settlement of it. */
-  function isOwnTicket(
-    msg: OfKind<GatewayMessage, GatewayMessageKind.Answered>,
-  ): boolean {
-    const own = getTicket(msg.id, msg.attempt);
-    return msg.ticket === own || msg.ticket.startsWith(`${own}/`);
-  }
-
   function rejectForeign(
     request: PendingRequest,
     attempt: Attempt,
@@ -404,7 +343,7 @@
     counters.add("answer_mismatch");
     if (attempt.key !== undefined) {
       attempt.isLinkLost = true;
-      return [createSettle(request, attempt)];
+      return [settling.ask(request, attempt)];
     }
     loads.noteEnded(attempt.host);
     endByVerdict(request, attempt, {
@@ -478,7 +417,7 @@
       a.phase === AttemptPhase.Sent && a.settleAt !== undefined &&
       now >= a.settleAt
     );
-    if (doubted !== undefined) return [createSettle(request, doubted)];
+    if (doubted !== undefined) return [settling.ask(request, doubted)];
     if (request.hedgeAt === undefined || now < request.hedgeAt) return [];
     return sendHedge(request);
   }
@@ -496,9 +435,7 @@
     attempt: Attempt,
   ): GatewayAction[] {
     loads.noteResult(attempt.host, false);
-    const name = request.arrival.key === undefined
-      ? "reserve_timeout"
-      : "home_unreachable";
+    const name = getLossName(request, "reserve_timeout");
     const ending = createEnding(request, attempt, { isSilent: true });
     const rest = giveUp(request, attempt, { name, mayHaveRun: false });
     return [ending, ...rest];
@@ -507,7 +444,8 @@
   function sendHedge(request: PendingRequest): GatewayAction[] {
     delete request.hedgeAt;
     const isPossible = request.attempts.length < options.maxAttempts &&
-      request.attempts.some(isOpen) && hasOtherHost(request);
+      request.attempts.some(isOpen) &&
+      hasOtherHost(request, getCandidatesOf(request));
     if (!isPossible) return [];
     const { account } = request.arrival;
     const silentAt = request.attempts[0]!.sentAt + options.silenceMs;
@@ -528,16 +466,12 @@
   }
 
   function cancelOpen(request: PendingRequest): GatewayAction[] {
-    const actions: GatewayAction[] = [];
-    for (const attempt of request.attempts) {
-      if (!isOpen(attempt)) continue;
-      actions.push(createEnding(request, attempt));
+    return request.attempts.filter(isOpen).map((attempt) => {
+      const ending = createEnding(request, attempt);
       loads.noteEnded(attempt.host);
-      attempt.phase = attempt.phase === AttemptPhase.Reserving
-        ? AttemptPhase.NotRun
-        : AttemptPhase.InDoubt;
-    }
-    return actions;
+      endCancelled(attempt);
+      return ending;
+    });
   }
 
   function finish(
@@ -548,37 +482,17 @@
     Debug.assert(!request.attempts.some(isOpen), "no attempt is left open");
     const { arrival } = request;
     pending.delete(arrival.id);
-    const execution = getExecution(request);
-    counters.add(`verdict_${execution}`);
+    const verdict = createVerdict(request, name, {
+      retryAfterMs: retryAfterMs ??
+        DEFAULT_RETRY_AFTER_MS * (1 + host.random()),
+    });
+    counters.add(`verdict_${verdict.execution}`);
     counters.add(`finished_${name}`);
-    const verdict: Verdict = {
-      execution,
-      diagnostic: Diagnostics[name],
-      retryAfterMs: Math.ceil(
-        retryAfterMs ?? DEFAULT_RETRY_AFTER_MS * (1 + host.random()),
-      ),
-    };
     return { kind: GatewayActionKind.Finish, id: arrival.id, verdict };
   }
 
-  function explain(service: ServiceName): Explanation[] {
-    return options.getCandidates(service).map((candidate) => {
-      const entry = loads.get(candidate.host);
-      return {
-        host: candidate.host,
-        expectedMs: chooser.getExpectedMs(candidate),
-        failureShare: loads.getFailureShare(entry),
-        reportAgeMs: loads.getAge(entry),
-        inFlight: entry.report?.inFlight ?? 0,
-        queued: entry.report?.queued ?? 0,
-      };
-    }).sort((a, b) => a.expectedMs - b.expectedMs);
-  }
-
-  function getStaleHosts(service: ServiceName, ageMs: Millis): HostId[] {
-    return options.getCandidates(service)
-      .filter((c) => loads.getAge(loads.get(c.host)) > ageMs)
-      .map((c) => c.host);
+  function getCandidatesOf(request: PendingRequest): readonly Candidate[] {
+    return options.getCandidates(request.arrival.service);
   }
 
   function tryFind(
@@ -591,10 +505,3 @@
     return { request, attempt };
   }
 }
-
-/** True where the upstream itself, not its guard's queue, turned work away. */
-function isUpstreamsFault({ diagnostic }: Verdict): boolean {
-  return diagnostic === Diagnostics.upstream_refused ||
-    diagnostic === Diagnostics.upstream_unreachable ||
-    diagnostic === Diagnostics.upstream_lost;
-}
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -3,16 +3,19 @@
  * records of its idempotency keys. Messages go in, actions come out.
  */
 
-import { type Counters, createCounters } from "./counters.ts";
+import { createCounters } from "./counters.ts";
 import { Debug } from "./debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import { createFairQueue } from "./fair_queue.ts";
 import {
-  createKeyBook,
-  type KeyRecord,
-  KeyStanding,
-  KeyState,
-} from "./key_book.ts";
+  type Entry,
+  EntryState,
+  findWaiting,
+  isWaiting,
+} from "./guard_entry.ts";
+import type { Guard, GuardOptions } from "./guard_types.ts";
+import { judgeKey, type KeyVerdict } from "./key_verdict.ts";
+import { createKeyBook, KeyStanding, KeyState } from "./key_book.ts";
 import {
   type AccountName,
   type CoreHost,
@@ -21,8 +24,6 @@
   GuardActionKind,
   type GuardMessage,
   GuardMessageKind,
-  type HostId,
-  type Incarnation,
   type LoadReport,
   type Millis,
   type OfKind,
@@ -41,56 +42,6 @@
 /** Time that a finished ticket is remembered, against messages that come twice. */
 const TICKET_MEMORY_MS = 10_000;
 
-/** Settings of a guard. */
-export interface GuardOptions {
-  readonly self: HostId;
-  readonly incarnation: Incarnation;
-  readonly slots: number;
-  readonly queueCapacity: number;
-  /** How long a grant waits for its run, in ms. */
-  readonly grantTtlMs: Millis;
-  readonly keyCapacity: number;
-  getWeight(account: AccountName): number;
-  readonly isFirstComeFirstServed?: boolean;
-  /** False admits requests that can't finish in time, as a baseline. */
-  readonly refusesEarly?: boolean;
-}
-
-/** A guard. */
-export interface Guard {
-  handle(msg: GuardMessage): GuardAction[];
-  /** Issues keys ahead of use; none while draining. */
-  issueKeys(account: AccountName, count: number): string[];
-  getReport(): LoadReport;
-  getNextWake(): Millis | undefined;
-  isDraining(): boolean;
-  /** Requests queued, granted or running. */
-  getOpenCount(): number;
-  getKeyHorizon(): number;
-  readonly counters: Counters;
-}
-
-enum EntryState {
-  Queued,
-  Granted,
-  Running,
-  Finished,
-}
-
-interface Entry {
-  readonly ticket: Ticket;
-  readonly account: AccountName;
-  readonly head: RequestHead;
-  readonly reserves: boolean;
-  readonly deadline: Millis;
-  state: EntryState;
-  grant?: string;
-  grantExpires?: Millis;
-  startedAt?: Millis;
-  record?: KeyRecord;
-  isCancelled?: boolean;
-}
-
 type Handlers = {
   [K in GuardMessageKind]: (
     msg: OfKind<GuardMessage, K>,
@@ -191,29 +142,13 @@
     entries.set(ticket, entry);
     openCount += 1;
     if (head.key !== undefined) {
-      const settled = settleKey(entry, head.key);
-      if (settled !== undefined) return settled;
+      const settled = judgeKey(keys, { ...head, key: head.key });
+      if (settled !== undefined) return [answerKey(entry, settled)];
       entry.record = keys.open(head.key, head.fingerprint);
     }
     return enqueue(entry);
   }
 
-  /** Answers from the record of a key, or undefined where it may run now. */
-  function settleKey(entry: Entry, key: string): GuardAction[] | undefined {
-    switch (keys.getStanding(key, entry.account)) {
-      case KeyStanding.Unused:
-        return undefined;
-      case KeyStanding.Malformed:
-        return [refuse(entry, "malformed_key")];
-      case KeyStanding.EarlierIncarnation:
-        return [refuse(entry, "key_of_earlier_incarnation", MayHaveRun)];
-      case KeyStanding.Forgotten:
-        return [refuse(entry, "key_forgotten", MayHaveRun)];
-      case KeyStanding.Recorded:
-        return [settleRecorded(entry, keys.tryGetRecord(key)!)];
-    }
-  }
-
   /** Seals a key that has not run, so that its request may go elsewhere. */
   function settle(
     msg: OfKind<GuardMessage, GuardMessageKind.Settle>,
@@ -248,23 +183,13 @@
     if (standing !== KeyStanding.Recorded || record === undefined) {
       return undefined;
     }
-    const holder = findWaiting(record);
+    const holder = findWaiting(entries.values(), record);
     if (holder === undefined) return undefined;
     if (holder.state === EntryState.Queued) queue.remove(holder);
     if (holder.state === EntryState.Granted) freeSlot();
     return [refuse(holder, "key_sealed")];
   }
 
-  function findWaiting(record: KeyRecord): Entry | undefined {
-    const isWaitingState = record.state === KeyState.Queued ||
-      record.state === KeyState.Granted;
-    if (!isWaitingState) return undefined;
-    for (const entry of entries.values()) {
-      if (entry.record === record && isWaiting(entry)) return entry;
-    }
-    return undefined;
-  }
-
   function answerSealed(ticket: Ticket): GuardAction {
     counters.add("key_sealed");
     return {
@@ -274,34 +199,17 @@
     };
   }
 
-  function settleRecorded(entry: Entry, record: KeyRecord): GuardAction {
-    if (record.fingerprint !== entry.head.fingerprint) {
-      return refuse(entry, "key_mismatch");
-    }
-    switch (record.state) {
-      case KeyState.Queued:
-      case KeyState.Granted:
-      case KeyState.Running:
-        return refuse(entry, "key_in_progress", MayHaveRun, getRetryAfter());
-      case KeyState.Sealed:
-        return refuse(entry, "key_sealed");
-      case KeyState.InDoubt:
-        return refuse(entry, "key_in_doubt", MayHaveRun);
-      case KeyState.Answered:
-        return replay(entry, record);
-    }
-  }
-
-  function replay(entry: Entry, record: KeyRecord): GuardAction {
-    if (record.answer === undefined) {
-      return refuse(entry, "answer_not_kept", Execution.Ran);
+  function answerKey(entry: Entry, verdict: KeyVerdict): GuardAction {
+    if (!("replay" in verdict)) {
+      const retryAfter = verdict.isTransient ? getRetryAfter() : undefined;
+      return refuse(entry, verdict.name, verdict.execution, retryAfter);
     }
     counters.add("answer_replayed");
     finish(entry);
     return {
       kind: GuardActionKind.Replay,
       ticket: entry.ticket,
-      answer: record.answer,
+      answer: verdict.replay,
     };
   }
 
@@ -562,8 +470,3 @@
 }
 
 const { NotRun, MayHaveRun } = Execution;
-
-function isWaiting(entry: Entry): boolean {
-  return entry.state === EntryState.Queued ||
-    entry.state === EntryState.Granted;
-}
--- /dev/null
+++ b/src/core/guard_types.ts
@@ -0,0 +1,41 @@
+/** Settings of a guard and what it offers, apart from the code that uses them. */
+
+import type { Counters } from "./counters.ts";
+import type {
+  AccountName,
+  GuardAction,
+  GuardMessage,
+  HostId,
+  Incarnation,
+  LoadReport,
+  Millis,
+} from "./types.ts";
+
+/** Settings of a guard. */
+export interface GuardOptions {
+  readonly self: HostId;
+  readonly incarnation: Incarnation;
+  readonly slots: number;
+  readonly queueCapacity: number;
+  /** How long a grant waits for its run, in ms. */
+  readonly grantTtlMs: Millis;
+  readonly keyCapacity: number;
+  getWeight(account: AccountName): number;
+  readonly isFirstComeFirstServed?: boolean;
+  /** False admits requests that can't finish in time, as a baseline. */
+  readonly refusesEarly?: boolean;
+}
+
+/** A guard. */
+export interface Guard {
+  handle(msg: GuardMessage): GuardAction[];
+  /** Issues keys ahead of use; none while draining. */
+  issueKeys(account: AccountName, count: number): string[];
+  getReport(): LoadReport;
+  getNextWake(): Millis | undefined;
+  isDraining(): boolean;
+  /** Requests queued, granted or running. */
+  getOpenCount(): number;
+  getKeyHorizon(): number;
+  readonly counters: Counters;
+}
--- /dev/null
+++ b/src/core/retry_rules.ts
@@ -0,0 +1,42 @@
+/** Whether a request may be tried again, and what forbids it. */
+
+import { isBodyUnsent, isInDoubt, isProtected } from "./attempts.ts";
+import type { DiagnosticName } from "./diagnostics.ts";
+import type { PendingRequest } from "./gateway_types.ts";
+import type { AccountName, Candidate, Millis } from "./types.ts";
+
+/** What the rules depend on beside the request. */
+export interface RetryContext {
+  readonly now: Millis;
+  readonly maxAttempts: number;
+  /** True where an upstream is left that was not tried. */
+  readonly hasOtherHost: boolean;
+  tryTakeRetry(account: AccountName): boolean;
+}
+
+/** What forbids another attempt; "last" stands for the last verdict's reason. */
+export function findObstacle(
+  request: PendingRequest,
+  context: RetryContext,
+): DiagnosticName | "last" | undefined {
+  const { arrival, attempts } = request;
+  if (arrival.key !== undefined) return "last";
+  if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";
+  if (!arrival.replayable && !isBodyUnsent(request)) return "last";
+  if (context.now >= request.deadline) return "deadline_passed";
+  const isSpent = attempts.length >= context.maxAttempts ||
+    request.retriesLeft <= 0;
+  if (isSpent || !context.hasOtherHost) return "last";
+  return context.tryTakeRetry(arrival.account)
+    ? undefined
+    : "retry_budget_empty";
+}
+
+/** True where some candidate has not been tried. */
+export function hasOtherHost(
+  request: PendingRequest,
+  candidates: readonly Candidate[],
+): boolean {
+  const tried = new Set(request.attempts.map((a) => a.host));
+  return candidates.some((c) => !tried.has(c.host));
+}
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -6,7 +6,8 @@
 import { Buffer } from "node:buffer";
 import { EventEmitter } from "node:events";
 import { PassThrough, type Readable } from "node:stream";
-import { createGuard, type Guard, type GuardOptions } from "../core/guard.ts";
+import { createGuard } from "../core/guard.ts";
+import type { Guard, GuardOptions } from "../core/guard_types.ts";
 import {
   type CoreHost,
   Execution,
--- a/src/demo/fleet.ts
+++ b/src/demo/fleet.ts
@@ -26,6 +26,8 @@
   readonly documents: readonly string[];
   readonly basePort: number;
   readonly overrides?: Record<string, unknown>;
+  /** The built command line; the one beside this module by default. */
+  readonly cli?: string;
 }
 
 /** A running fleet. */
@@ -87,7 +89,7 @@
   };
 
   function launch(name: string, args: readonly string[]): void {
-    const child = spawn(process.execPath, [CLI, ...args], {
+    const child = spawn(process.execPath, [options.cli ?? CLI, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
     const member: Member = { child, args, log: members.get(name)?.log ?? "" };
--- a/src/lab/lab_guard.ts
+++ b/src/lab/lab_guard.ts
@@ -2,7 +2,8 @@
 
 import { Buffer } from "node:buffer";
 import { Diagnostics } from "../core/diagnostics.ts";
-import { createGuard, type Guard, type GuardOptions } from "../core/guard.ts";
+import { createGuard } from "../core/guard.ts";
+import type { Guard, GuardOptions } from "../core/guard_types.ts";
 import {
   type CoreHost,
   Execution,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -48,7 +48,7 @@
   {
     name: "doubt_ends_protected",
     promise: "at most once",
-    file: "src/core/gateway.ts",
+    file: "src/core/retry_rules.ts",
     edits: [{
       find:
         'if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";',
@@ -135,7 +135,7 @@
     promise: "at most once",
     file: "src/core/guard.ts",
     edits: [{
-      find: "if (settled !== undefined) return settled;",
+      find: "if (settled !== undefined) return [answerKey(entry, settled)];",
       replace: "if (settled !== undefined) return enqueue(entry);",
     }],
     proof: FAULTS,
@@ -145,7 +145,8 @@
     promise: "an answer reaches its own caller",
     file: "src/core/gateway.ts",
     edits: [{
-      find: "if (!isOwnTicket(msg)) return rejectForeign(request, attempt);",
+      find:
+        "if (!isOwnTicket(msg.ticket, own)) return rejectForeign(request, attempt);",
       replace: "",
     }],
     proof: SESSIONS,
