--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -162,7 +162,6 @@
       policy: ChoicePolicy.ExpectedTime,
       failureDomain: "d0",
       crossDomainMs: 3,
-      warmUpMs: 5_000,
     },
     getCandidates: () => candidates,
     getLimits: () => ({
--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -32,8 +32,6 @@
   readonly crossDomainMs: Millis;
   /** True ignores failure domains, as a baseline. */
   readonly ignoresFailureDomains?: boolean;
-  /** Full load only after this age, in ms; 0 switches the ramp off. */
-  readonly warmUpMs: Millis;
 }
 
 /** Chooses upstreams. */
@@ -51,8 +49,6 @@
 /** Share of the time below which two candidates count as equal. */
 const TIE_SHARE = 0.05;
 const LOAD_QUANTILE = 0.75;
-/** The least share of normal use that a cold upstream gets. */
-const COLD_SHARE = 0.1;
 
 /** Upstreams this many times slower than the median count as such. */
 const CLEARLY_SLOWER = 2;
@@ -93,13 +89,11 @@
   }
 
   function chooseExpectedTime(all: readonly Candidate[]): Candidate {
-    const warm = all.filter((c) => isAdmitted(loads.get(c.host)));
-    const pool = warm.length > 0 ? warm : all;
-    const usual = getUsual(pool);
-    const costs = pool.map((c) => estimate(c, usual));
+    const usual = getUsual(all);
+    const costs = all.map((c) => estimate(c, usual));
     const least = Math.min(...costs);
     const limit = least * (1 + TIE_SHARE);
-    return pickRandom(pool.filter((_, index) => costs[index]! <= limit));
+    return pickRandom(all.filter((_, index) => costs[index]! <= limit));
   }
 
   function chooseHotCold(all: readonly Candidate[]): Candidate {
@@ -179,14 +173,6 @@
     return isNear ? 0 : options.crossDomainMs;
   }
 
-  /** A cold upstream takes part in a growing share of the choices. */
-  function isAdmitted(entry: LoadEntry): boolean {
-    const age = entry.report?.ageMs;
-    if (age === undefined || age >= options.warmUpMs) return true;
-    const share = COLD_SHARE + (1 - COLD_SHARE) * age / options.warmUpMs;
-    return host.random() < share;
-  }
-
   function pickRandom(pool: readonly Candidate[]): Candidate {
     return pool[Math.floor(host.random() * pool.length)]!;
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -37,7 +37,6 @@
 import { createProbeTask } from "./probe_task.ts";
 
 const MAX_ATTEMPTS = 4;
-const WARM_UP_MS = 5_000;
 /** Time that draining is announced before the callers' listener closes, in ms. */
 const ANNOUNCE_MS = 300;
 /** How long a fresh daemon waits to hear from a peer, in ms. */
@@ -139,7 +138,6 @@
         policy: ChoicePolicy.ExpectedTime,
         failureDomain: settings.failureDomain,
         crossDomainMs: settings.crossDomainMs,
-        warmUpMs: WARM_UP_MS,
       },
       getCandidates: membership.getCandidates,
       getLimits,
--- a/src/lab/node.ts
+++ b/src/lab/node.ts
@@ -113,7 +113,6 @@
         failureDomain: self.failureDomain,
         crossDomainMs: 2 * lab.latency.crossDomainMs,
         ignoresFailureDomains: !policy.prefersOwnDomain,
-        warmUpMs: policy.warmUpMs,
       },
       getCandidates: membership.getCandidates,
       getLimits: () => ({
--- a/src/lab/types.ts
+++ b/src/lab/types.ts
@@ -34,7 +34,6 @@
   readonly isFair: boolean;
   readonly refusesEarly: boolean;
   readonly prefersOwnDomain: boolean;
-  readonly warmUpMs: Millis;
   readonly hedgeBudget: number;
   /** Reports ride on replies; false learns by probes alone. */
   readonly piggybacks: boolean;
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -36,7 +36,6 @@
       policy: ChoicePolicy.ExpectedTime,
       failureDomain: "x",
       crossDomainMs: 3,
-      warmUpMs: 0,
     },
     getCandidates: () => HOSTS.map((h) => ({ host: h, failureDomain: "x" })),
     getLimits: () => ({ retryBudget, hedgeBudget: 0, hedgePercentile: 95 }),
