--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -199,6 +199,7 @@
 function timeGuard(accounts: number): number {
   const guard = createGuard(host, {
     self: "boards-1",
+    service: "boards",
     incarnation: "i",
     slots: 12,
     queueCapacity: 64,
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -141,6 +141,7 @@
     };
     entries.set(ticket, entry);
     openCount += 1;
+    if (head.service !== options.service) return [refuse(entry, "wrong_host")];
     if (head.key !== undefined) {
       const settled = judgeKey(keys, { ...head, key: head.key });
       if (settled !== undefined) return [answerKey(entry, settled)];
@@ -160,7 +161,7 @@
     const record = keys.tryGetRecord(key);
     const head = {
       account,
-      service: "",
+      service: options.service,
       repeatability: Repeatability.AtMostOnce,
       key,
       fingerprint: record?.fingerprint ?? "",
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -9,11 +9,13 @@
   Incarnation,
   LoadReport,
   Millis,
+  ServiceName,
 } from "./types.ts";
 
 /** Settings of a guard. */
 export interface GuardOptions {
   readonly self: HostId;
+  readonly service: ServiceName;
   readonly incarnation: Incarnation;
   readonly slots: number;
   readonly queueCapacity: number;
--- a/src/core/key_book.ts
+++ b/src/core/key_book.ts
@@ -53,6 +53,8 @@
   Recorded = "recorded",
   Forgotten = "forgotten",
   EarlierIncarnation = "earlier-incarnation",
+  /** Issued by another host, as when an address was given to a new one. */
+  OtherHome = "other-home",
   Malformed = "malformed",
 }
 
@@ -119,9 +121,8 @@
 
   function getStanding(text: string, account: AccountName): KeyStanding {
     const key = tryParseKey(text);
-    if (key === undefined || key.home !== options.home) {
-      return KeyStanding.Malformed;
-    }
+    if (key === undefined) return KeyStanding.Malformed;
+    if (key.home !== options.home) return KeyStanding.OtherHome;
     if (key.incarnation !== options.incarnation) {
       return KeyStanding.EarlierIncarnation;
     }
--- a/src/core/key_verdict.ts
+++ b/src/core/key_verdict.ts
@@ -38,6 +38,8 @@
       return undefined;
     case KeyStanding.Malformed:
       return { name: "malformed_key", execution: NotRun };
+    case KeyStanding.OtherHome:
+      return { name: "wrong_host", execution: MayHaveRun };
     case KeyStanding.EarlierIncarnation:
       return { name: "key_of_earlier_incarnation", execution: MayHaveRun };
     case KeyStanding.Forgotten:
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -104,6 +104,7 @@
     upstream: createUpstreamClient(settings.upstream),
     guard: {
       self: settings.host,
+      service: settings.service,
       incarnation,
       slots: settings.upstream.slots,
       queueCapacity: settings.upstream.queue,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -130,6 +130,16 @@
     }],
     proof: UNITS,
   },
+  {
+    name: "home_of_a_key",
+    promise: "NotRun ran nowhere",
+    file: "src/core/key_book.ts",
+    edits: [{
+      find: "if (key.home !== options.home) return KeyStanding.OtherHome;",
+      replace: "if (key.home !== options.home) return KeyStanding.Malformed;",
+    }],
+    proof: UNITS,
+  },
   {
     name: "one_run_a_key",
     promise: "at most once",
--- a/src/lab/node.ts
+++ b/src/lab/node.ts
@@ -131,6 +131,7 @@
     execute: (work) => port.execute(node, work),
     guard: {
       self: self.host,
+      service: self.service,
       incarnation,
       slots: self.slots,
       queueCapacity: lab.queueCapacity ?? DEFAULT_QUEUE,
--- /dev/null
+++ b/src/mod.ts
@@ -0,0 +1,45 @@
+/**
+ * Public entrance of the library: the decision core without I/O, the daemon
+ * around it, and the stand-ins to try things with.
+ */
+
+export * from "./core/types.ts";
+export * from "./core/config_types.ts";
+export {
+  type Diagnostic,
+  DiagnosticCategory,
+  type DiagnosticName,
+  Diagnostics,
+  tryGetDiagnostic,
+} from "./core/diagnostics.ts";
+export { createGateway } from "./core/gateway.ts";
+export type {
+  AccountLimits,
+  Explanation,
+  Gateway,
+  GatewayOptions,
+} from "./core/gateway_types.ts";
+export { createGuard } from "./core/guard.ts";
+export type { Guard, GuardOptions } from "./core/guard_types.ts";
+export { ChoicePolicy, type ChooserOptions } from "./core/choice.ts";
+export { createFairQueue, type FairQueue } from "./core/fair_queue.ts";
+export { createKeyBook, type KeyBook, tryParseKey } from "./core/key_book.ts";
+export { createMembership, type Membership } from "./core/membership.ts";
+export {
+  type ConfigProblem,
+  type ConfigState,
+  createConfigState,
+} from "./core/config_state.ts";
+export { createSpread, type Spread } from "./core/spread.ts";
+export { createTokenBucket, type TokenBucket } from "./core/token_bucket.ts";
+export {
+  type Daemon,
+  type DaemonOptions,
+  startDaemon,
+} from "./daemon/daemon.ts";
+export {
+  type HostSettings,
+  hostSettingsSchema,
+} from "./settings/host_settings.ts";
+export { type PlatformStandIn, startPlatform } from "./stand_in/platform.ts";
+export { startUpstream, type UpstreamStandIn } from "./stand_in/upstream.ts";
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -149,6 +149,18 @@
   expect(standing).toBe(KeyStanding.EarlierIncarnation);
 });
 
+test("a guard at a reused address proves nothing of another host's key", () => {
+  const { reserve } = createSmallGuard(1, 1);
+  const [answer] = reserve("t1", "b.b#1.1.0123456789abcdef");
+  expect(answer).toMatchObject({
+    kind: GuardActionKind.Refuse,
+    verdict: {
+      execution: Execution.MayHaveRun,
+      diagnostic: { reason: "wrong_host" },
+    },
+  });
+});
+
 test("a large account uses idle capacity and never starves a small one", () => {
   const queue = createFairQueue<{ account: string }>({
     capacity: 10,
@@ -169,6 +181,7 @@
   const host = createTestHost();
   const guard = createGuard(host, {
     self: "a",
+    service: "boards",
     incarnation: "a#1",
     slots: 2,
     queueCapacity: 3,
@@ -203,6 +216,7 @@
 function createSmallGuard(slots: number, queueCapacity: number) {
   const guard = createGuard(createTestHost(), {
     self: "a",
+    service: "orders",
     incarnation: "a#1",
     slots,
     queueCapacity,
