Mutation run: proofs on fixed ports run one at a time

Cause: two copies of a test over sockets at once would fail for their ports, and count as noticed though the mechanism was not looked at.

--- a/src/lab/mutations.ts
+++ b/src/lab/mutations.ts
@@ -34,8 +34,9 @@
     print(`whole: ${proof} ${passes ? "passes" : "FAILS"}`);
     if (!passes) failures.push(proof);
   }
-  const queue = [...chosen];
-  await Promise.all(Array.from({ length: PARALLEL }, async () => {
+  const [sockets, others] = splitBySockets(chosen);
+  const lanes = [sockets, ...Array(PARALLEL - 1).fill(others)];
+  await Promise.all(lanes.map(async (queue: Mutation[]) => {
     for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
       if (!await isNoticed(next)) failures.push(next.name);
     }
@@ -46,6 +47,18 @@
   return failures.length === 0;
 }
 
+/** Proofs that listen on fixed ports run one at a time. */
+function splitBySockets(
+  mutations: readonly Mutation[],
+): [Mutation[], Mutation[]] {
+  const usesSockets = (m: Mutation) =>
+    /daemon_test|recovery_test/.test(m.proof);
+  return [
+    mutations.filter(usesSockets),
+    mutations.filter((m) => !usesSockets(m)),
+  ];
+}
+
 async function isNoticed(mutation: Mutation): Promise<boolean> {
   const folder = `${FOLDER}/${mutation.name}`;
   prepare(folder, mutation);
