Guard: a finished ticket is remembered for its whole time; one validation

Cause: a ticket was forgotten at its first wake after it finished, its deadline, not after the 10 s that repeated messages are guarded against. No promise hung on it: a run for a forgotten ticket is MayHaveRun, a reservation gets a grant that nobody uses. Change: the entry knows when it is forgotten.

--- a/src/client_account/decode.ts
+++ b/src/client_account/decode.ts
@@ -1,6 +1,7 @@
 /** Decoding of template and account documents, with all mistakes at once. */
 
 import { Buffer } from "node:buffer";
+import { err, ok, type Result as OperationResult } from "neverthrow";
 import { Err, type Result } from "../settings/results.ts";
 import { z } from "zod";
 import type { ConfigProblem } from "../core/config_state.ts";
@@ -39,6 +40,15 @@
   return problem(key, "name", expected, `the key's own name, ${key}`);
 }
 
+/** The same as a result of an operation, for the state of the configuration. */
+export function validateDocument(
+  key: string,
+  text: string,
+): OperationResult<AccountDocument, ConfigProblem[]> {
+  const decoded = decodeDocument(key, text);
+  return decoded.ok ? ok(decoded.val) : err(decoded.val);
+}
+
 /** Reads a document from a file, whose kind says which schema it has. */
 export function decodeAny(
   text: string,
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -403,7 +403,7 @@
       case EntryState.Running:
         return now < entry.deadline ? [] : cancel(entry.ticket);
       case EntryState.Finished:
-        entries.delete(entry.ticket);
+        if (now >= entry.forgetAt!) entries.delete(entry.ticket);
         return [];
     }
   }
@@ -447,7 +447,8 @@
   function finish(entry: Entry): void {
     entry.state = EntryState.Finished;
     openCount -= 1;
-    wakes.add(host.now() + TICKET_MEMORY_MS, entry.ticket);
+    entry.forgetAt = host.now() + TICKET_MEMORY_MS;
+    wakes.add(entry.forgetAt, entry.ticket);
   }
 
   function freeSlot(): void {
--- a/src/core/guard_entry.ts
+++ b/src/core/guard_entry.ts
@@ -22,6 +22,8 @@
   grant?: string;
   grantExpires?: Millis;
   startedAt?: Millis;
+  /** When a finished request is forgotten, in ms. */
+  forgetAt?: Millis;
   record?: KeyRecord;
   isCancelled?: boolean;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,9 +2,8 @@
 
 import type { Server } from "node:http";
 import process from "node:process";
-import { err as resultErr, ok as resultOk } from "neverthrow";
 import { v7 } from "uuid";
-import { decodeDocument } from "../client_account/decode.ts";
+import { decodeDocument, validateDocument } from "../client_account/decode.ts";
 import {
   createAccountDirectory,
   tryMatchRoute,
@@ -78,7 +77,9 @@
   const lifecycle = createLifecycle();
   const accounts = createAccountDirectory();
   const place = getPlace(settings);
-  const config = createConfigState<AccountDocument>({ validate });
+  const config = createConfigState<AccountDocument>({
+    validate: validateDocument,
+  });
   const membership = createMembership(host, {
     self: settings.host,
     failureDomain: settings.failureDomain,
@@ -412,11 +413,6 @@
   };
 }
 
-function validate(key: string, value: string) {
-  const decoded = decodeDocument(key, value);
-  return decoded.ok ? resultOk(decoded.val) : resultErr(decoded.val);
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -215,7 +215,7 @@
   {
     name: "validation",
     promise: "an accepted configuration never reverts",
-    file: "src/lab/node.ts",
+    file: "src/client_account/decode.ts",
     edits: [{
       find: "return decoded.ok ? ok(decoded.val) : err(decoded.val);",
       replace:
--- a/src/lab/node.ts
+++ b/src/lab/node.ts
@@ -1,8 +1,7 @@
 /** One daemon of the lab: gateway side, guard side, and the control plane. */
 
 import { createHash } from "node:crypto";
-import { err, ok } from "neverthrow";
-import { decodeDocument } from "../client_account/decode.ts";
+import { validateDocument } from "../client_account/decode.ts";
 import type { AccountDocument } from "../client_account/types.ts";
 import { type ConfigState, createConfigState } from "../core/config_state.ts";
 import type {
@@ -80,7 +79,9 @@
     sign: (text) =>
       createHash("sha256").update(`${incarnation} ${text}`).digest("hex"),
   };
-  const config = createConfigState<AccountDocument>({ validate });
+  const config = createConfigState<AccountDocument>({
+    validate: validateDocument,
+  });
   const membership = createMembership(host, {
     self: self.host,
     failureDomain: self.failureDomain,
@@ -208,8 +209,3 @@
     });
   }
 }
-
-function validate(key: string, value: string) {
-  const decoded = decodeDocument(key, value);
-  return decoded.ok ? ok(decoded.val) : err(decoded.val);
-}
