--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -89,7 +89,10 @@
     [GatewayMessageKind.Granted]: onGranted,
     [GatewayMessageKind.Refused]: onRefused,
     [GatewayMessageKind.Answered]: onAnswered,
-    [GatewayMessageKind.Completed]: onCompleted,
+    [GatewayMessageKind.Completed]: ({ id }) => {
+      pending.delete(id);
+      return [];
+    },
     [GatewayMessageKind.LinkFailed]: onLinkFailed,
     [GatewayMessageKind.Settled]: onSettled,
     [GatewayMessageKind.CallerGone]: onCallerGone,
@@ -375,13 +378,6 @@
     budgets.noteSuccess(account, service, latencyMs);
   }
 
-  function onCompleted(
-    msg: OfKind<GatewayMessage, GatewayMessageKind.Completed>,
-  ): GatewayAction[] {
-    pending.delete(msg.id);
-    return [];
-  }
-
   function onCallerGone(
     msg: OfKind<GatewayMessage, GatewayMessageKind.CallerGone>,
   ): GatewayAction[] {
