Guard and gateway: ask for a start at once, then queue at the best

Cause: a gateway's reports are older than the load that they describe, so a choice by them alone queues behind upstreams that are slow at this moment. The retry allowance is a daemon's part of a shared budget.

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -155,7 +155,7 @@
 export function addAttempt(
   request: PendingRequest,
   host: HostId,
-  how: { now: Millis; isHedge: boolean },
+  how: { now: Millis; isHedge: boolean; mayQueue: boolean },
 ): Attempt {
   const reserves = isReserving(request.arrival);
   const attempt: Attempt = {
@@ -163,6 +163,7 @@
     host,
     sentAt: how.now,
     isHedge: how.isHedge,
+    mayQueue: how.mayQueue,
     phase: reserves ? AttemptPhase.Reserving : AttemptPhase.Sent,
     wasToldToRun: !reserves,
     settleTries: 0,
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -70,6 +70,13 @@
     499,
     "the gateway cancelled the request",
   ),
+  no_room_now: row(
+    1009,
+    Refusal,
+    "no_room_now",
+    503,
+    "the upstream can't start the request at once at its usual speed",
+  ),
   key_in_progress: row(
     1010,
     Refusal,
@@ -147,6 +154,27 @@
     502,
     "the answer belongs to another request",
   ),
+  answered_failure: row(
+    1025,
+    Link,
+    "answered_failure",
+    502,
+    "the upstream answered with a failure of its own",
+  ),
+  answer_garbled: row(
+    1026,
+    Link,
+    "answer_garbled",
+    502,
+    "the upstream's answer is incomplete or not its own",
+  ),
+  wrong_instance: row(
+    1027,
+    Refusal,
+    "wrong_instance",
+    503,
+    "another incarnation of an upstream has the address",
+  ),
   no_upstream: row(
     2001,
     Refusal,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -34,6 +34,13 @@
   type PendingRequest,
 } from "./gateway_types.ts";
 import { tryParseKey } from "./key_book.ts";
+import {
+  countRuns,
+  createPlacement,
+  isTurnedAway,
+  mayAskOn,
+  type Placed,
+} from "./placement.ts";
 import { findObstacle, hasOtherHost } from "./retry_rules.ts";
 import { createSettling } from "./settling.ts";
 import { createLoadBook } from "./load_book.ts";
@@ -79,6 +86,13 @@
   const counters = createCounters();
   const loads = createLoadBook(host);
   const chooser = createChooser(host, { ...options.chooser, loads });
+  const placement = createPlacement({
+    failureDomain: options.chooser.failureDomain,
+    maxAsks: options.maxAsks ?? 0,
+    chooser,
+    loads,
+  });
+  const asksFirst = (options.maxAsks ?? 0) > 0;
   const budgets = createAccountBudgets(host, options);
   const pending = new Map<string, PendingRequest>();
   const wakes = createWakeQueue<string>();
@@ -123,6 +137,7 @@
     const request = createPending(arrival, host.now());
     pending.set(arrival.id, request);
     budgets.noteRequest(arrival.account);
+    options.retryAllowance?.noteRequest(arrival.service);
     wakes.add(request.deadline, arrival.id);
     return sendAttempt(request, false);
   }
@@ -131,35 +146,41 @@
     request: PendingRequest,
     isHedge: boolean,
   ): GatewayAction[] {
-    const to = chooseHost(request);
-    if (to === undefined) {
+    const placed = tryPlace(request);
+    if (placed === undefined) {
       return isHedge ? [] : [finish(request, "no_upstream")];
     }
+    const { candidate, mayQueue } = placed;
     const reserves = isReserving(request.arrival);
     const now = host.now();
-    const attempt = addAttempt(request, to, { now, isHedge });
-    loads.noteSent(to);
+    const attempt = addAttempt(request, candidate.host, {
+      now,
+      isHedge,
+      mayQueue,
+    });
+    loads.noteSent(candidate.host);
     if (reserves) scheduleReserveTimeout(request, attempt);
-    else scheduleHedge(request, to);
+    else scheduleHedge(request, candidate.host);
     return [{
       kind: reserves ? GatewayActionKind.Reserve : GatewayActionKind.Submit,
       id: request.arrival.id,
       attempt: attempt.number,
-      to,
+      to: candidate.host,
       timeoutMs: request.deadline - now,
+      ...(!mayQueue && { mayQueue }),
+      ...(candidate.instance !== undefined &&
+        { instance: candidate.instance }),
     }];
   }
 
-  function chooseHost(request: PendingRequest): HostId | undefined {
-    const { key, service } = request.arrival;
-    if (key !== undefined) return tryParseKey(key)?.home;
-    const tried = new Set(request.attempts.map((a) => a.host));
-    const live = options.getCandidates(service).filter((c) =>
-      loads.get(c.host).report?.draining !== true
-    );
-    const fresh = live.filter((c) => !tried.has(c.host));
-    const pool = fresh.length > 0 ? fresh : live;
-    return chooser.tryChoose(pool);
+  function tryPlace(request: PendingRequest): Placed | undefined {
+    const { key } = request.arrival;
+    if (key === undefined) {
+      return placement.tryPlace(request, getCandidatesOf(request));
+    }
+    const home = tryParseKey(key)?.home;
+    if (home === undefined) return undefined;
+    return { candidate: { host: home, failureDomain: "" }, mayQueue: true };
   }
 
   function scheduleReserveTimeout(
@@ -178,7 +199,7 @@
   function scheduleHedge(request: PendingRequest, to: HostId): void {
     const { arrival } = request;
     const isAllowed = !isProtected(arrival) && arrival.replayable &&
-      request.attempts.length === 1;
+      countRuns(request) === 1;
     if (!isAllowed) return;
     const usual = budgets.tryGetHedgeDelay(arrival.account, arrival.service) ??
       EARLY_HEDGE_FACTOR * loads.getServiceMs(to);
@@ -227,6 +248,7 @@
     }
     counters.add(`refused_${msg.verdict.diagnostic.reason}`);
     if (isUpstreamsFault(msg.verdict)) loads.noteResult(attempt.host, false);
+    attempt.isTurnedAway = asksFirst && isTurnedAway(msg.verdict);
     loads.noteEnded(attempt.host);
     endByVerdict(request, attempt, msg.verdict);
     return retryOrFinish(request);
@@ -302,13 +324,12 @@
 
   function retryOrFinish(request: PendingRequest): GatewayAction[] {
     if (request.attempts.some(isOpen)) return [];
+    if (mayAskOn(request) && host.now() < request.deadline) {
+      counters.add("asked_on");
+      return sendAttempt(request, false);
+    }
     const verdict = Debug.checkDefined(request.lastVerdict, "a verdict");
-    const obstacle = findObstacle(request, {
-      now: host.now(),
-      maxAttempts: options.maxAttempts,
-      hasOtherHost: hasOtherHost(request, getCandidatesOf(request)),
-      tryTakeRetry: budgets.tryTakeRetry,
-    });
+    const obstacle = findObstacleOf(request);
     if (obstacle === undefined) {
       request.retriesLeft -= 1;
       counters.add(`retry_${verdict.diagnostic.reason}`);
@@ -320,6 +341,27 @@
     return [finish(request, name, verdict.retryAfterMs)];
   }
 
+  function findObstacleOf(
+    request: PendingRequest,
+  ): DiagnosticName | "last" | undefined {
+    return findObstacle(request, {
+      now: host.now(),
+      maxAttempts: getMaxRuns(request),
+      hasOtherHost: hasOtherHost(request, getCandidatesOf(request)),
+      tryTakeRetry: () => tryTakeRetry(request),
+    });
+  }
+
+  function getMaxRuns({ arrival }: PendingRequest): number {
+    return Math.min(arrival.maxRuns ?? Infinity, options.maxAttempts);
+  }
+
+  function tryTakeRetry({ arrival }: PendingRequest): boolean {
+    const { retryAllowance } = options;
+    return retryAllowance?.tryTake(arrival.service) ??
+      budgets.tryTakeRetry(arrival.account);
+  }
+
   function onAnswered(
     msg: OfKind<GatewayMessage, GatewayMessageKind.Answered>,
   ): GatewayAction[] {
@@ -332,6 +374,11 @@
     const own = getTicket(msg.id, msg.attempt);
     if (!isOwnTicket(msg.ticket, own)) return rejectForeign(request, attempt);
     noteAnswer(request, attempt, msg.status);
+    if (mayReplaceAnswer(request, attempt, msg.status)) {
+      counters.add("retry_answered_failure");
+      request.retriesLeft -= 1;
+      return sendAttempt(request, false);
+    }
     attempt.phase = AttemptPhase.Delivering;
     request.isDelivering = true;
     const others = cancelOpen(request);
@@ -341,6 +388,22 @@
     ];
   }
 
+  /** An upstream's own failure of an idempotent request is worth another try. */
+  function mayReplaceAnswer(
+    request: PendingRequest,
+    attempt: Attempt,
+    status: number,
+  ): boolean {
+    const isWorthIt = options.retriesFailures === true &&
+      status >= FIRST_FAILURE_STATUS && !isProtected(request.arrival);
+    if (!isWorthIt || findObstacleOf(request) !== undefined) return false;
+    endUnanswered(request, attempt, {
+      name: "answered_failure",
+      mayHaveRun: true,
+    });
+    return true;
+  }
+
   function rejectForeign(
     request: PendingRequest,
     attempt: Attempt,
@@ -436,21 +499,23 @@
 
   function sendHedge(request: PendingRequest): GatewayAction[] {
     delete request.hedgeAt;
-    const isPossible = request.attempts.length < options.maxAttempts &&
+    const isPossible = countRuns(request) < getMaxRuns(request) &&
       request.attempts.some(isOpen) &&
       hasOtherHost(request, getCandidatesOf(request));
     if (!isPossible) return [];
     const { account } = request.arrival;
-    const silentAt = request.attempts[0]!.sentAt + options.silenceMs;
+    const silentAt = request.attempts.at(-1)!.sentAt + options.silenceMs;
     if (host.now() >= silentAt) {
       for (const attempt of request.attempts) {
         if (isOpen(attempt)) loads.noteResult(attempt.host, false);
       }
-      if (!budgets.tryTakeRetry(account)) return [];
+      if (!tryTakeRetry(request)) return [];
       counters.add("retry_link_silent");
       return sendAttempt(request, false);
     }
-    if (!budgets.tryTakeHedge(account)) {
+    const mayHedge = budgets.tryTakeHedge(account) &&
+      (options.retryAllowance === undefined || tryTakeRetry(request));
+    if (!mayHedge) {
       setHedgeAt(request, silentAt);
       return [];
     }
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -43,6 +43,19 @@
   /** Live candidates of a service, from membership. */
   getCandidates(service: ServiceName): readonly Candidate[];
   getLimits(account: AccountName): AccountLimits;
+  /** Guards that are asked for a start at once before a request queues; 0 queues at the first. */
+  readonly maxAsks?: number;
+  /** Replaces the accounts' retry budgets. */
+  readonly retryAllowance?: RetryAllowance;
+  /** True sends an idempotent request again after an upstream's own failure. */
+  readonly retriesFailures?: boolean;
+}
+
+/** Sends beyond the first of a request that this gateway may still make. */
+export interface RetryAllowance {
+  noteRequest(service: ServiceName): void;
+  /** Takes one send to a further upstream where the window allows it. */
+  tryTake(service: ServiceName): boolean;
 }
 
 /** Why a request would go where it goes. */
@@ -90,6 +103,8 @@
   readonly host: HostId;
   readonly sentAt: Millis;
   readonly isHedge: boolean;
+  /** False where its guard was asked for a start at once. */
+  readonly mayQueue: boolean;
   phase: AttemptPhase;
   /** When a reservation is given up, in ms. */
   reserveDeadline?: Millis;
@@ -103,6 +118,8 @@
   settleTries: number;
   /** True where only asking again can bring the answer. */
   isLinkLost?: boolean;
+  /** True where its guard turned it away before its upstream heard of it. */
+  isTurnedAway?: boolean;
 }
 
 /** A request in a gateway. */
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -3,6 +3,7 @@
  * records of its idempotency keys. Messages go in, actions come out.
  */
 
+import { Admission, type AdmissionDecision, decideAdmission } from "./admission.ts";
 import { createCounters } from "./counters.ts";
 import { Debug } from "./debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
@@ -113,12 +114,13 @@
       host: options.self,
       incarnation: options.incarnation,
       sequence: reportCount,
-      slots: options.slots,
+      slots: getUsableSlots(),
       inFlight: busySlots,
       queued: queue.size(),
       serviceMs,
       draining,
       ageMs: host.now() - startedAt,
+      ...(options.upstream && { slowdown: getSlowdown() }),
     };
   }
 
@@ -216,13 +218,11 @@
 
   function enqueue(entry: Entry): GuardAction[] {
     if (draining) return [refuse(entry, "draining")];
-    const refusesEarly = options.refusesEarly ?? true;
-    if (refusesEarly && getExpectedWait(entry.account) > entry.head.timeoutMs) {
-      return [
-        refuse(entry, "deadline_too_short", NotRun, getRetryAfter()),
-      ];
+    const decision = decide(entry);
+    if (decision.admission === Admission.Refuse) {
+      return [refuse(entry, decision.reason, NotRun, getRetryAfter())];
     }
-    if (busySlots < options.slots && queue.size() === 0) return [begin(entry)];
+    if (decision.admission === Admission.Start) return [begin(entry)];
     wakes.add(entry.deadline, entry.ticket);
     const leaving = queue.push(entry);
     if (leaving === undefined) return [];
@@ -230,9 +230,24 @@
     return [refuse(leaving, reason, NotRun, getRetryAfter())];
   }
 
+  function decide(entry: Entry): AdmissionDecision {
+    const refusesEarly = options.refusesEarly ?? true;
+    return decideAdmission({
+      usableSlots: getUsableSlots(),
+      busySlots,
+      ahead: queue.getAhead(entry.account),
+      queued: queue.size(),
+      serviceMs,
+      slowdown: getSlowdown(),
+    }, {
+      timeoutMs: refusesEarly ? entry.head.timeoutMs : Infinity,
+      mayQueue: entry.head.mayQueue ?? true,
+    });
+  }
+
   function fillSlots(): GuardAction[] {
     const actions: GuardAction[] = [];
-    while (busySlots < options.slots) {
+    while (busySlots < getUsableSlots()) {
       const entry = queue.pop();
       if (entry === undefined) break;
       actions.push(begin(entry));
@@ -456,11 +471,12 @@
     Debug.assert(busySlots >= 0, "no slot is freed twice");
   }
 
-  function getExpectedWait(account: AccountName): Millis {
-    const free = options.slots - busySlots;
-    const ahead = queue.getAhead(account) + 1;
-    const rounds = free > 0 ? 0 : ahead / options.slots;
-    return serviceMs * (rounds + 1);
+  function getUsableSlots(): number {
+    return options.upstream?.getUsableSlots() ?? options.slots;
+  }
+
+  function getSlowdown(): number {
+    return options.upstream?.getSlowdown() ?? 1;
   }
 
   /** Time to drain the queue, spread so that callers don't return at once. */
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -12,6 +12,14 @@
   ServiceName,
 } from "./types.ts";
 
+/** What an upstream says of itself, read beside it. */
+export interface UpstreamView {
+  /** Requests that it can run at once without slowing down. */
+  getUsableSlots(): number;
+  /** How many times longer than usual work takes now. */
+  getSlowdown(): number;
+}
+
 /** Settings of a guard. */
 export interface GuardOptions {
   readonly self: HostId;
@@ -24,6 +32,8 @@
   readonly keyCapacity: number;
   getWeight(account: AccountName): number;
   readonly isFirstComeFirstServed?: boolean;
+  /** What the upstream says of itself; absent where it says nothing. */
+  readonly upstream?: UpstreamView;
   /** False admits requests that can't finish in time, as a baseline. */
   readonly refusesEarly?: boolean;
 }
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,155 @@
+/**
+ * Where the next attempt of a request goes, and whether it may wait there.
+ *
+ * Reports are older than the load they describe, so a gateway asks: a few
+ * guards in turn for a start at once, its own failure domain first, then the
+ * best of them for a place in its queue. Asking costs a round trip between
+ * daemons; nothing reaches an upstream.
+ */
+
+import type { Chooser } from "./choice.ts";
+import { Diagnostics } from "./diagnostics.ts";
+import type { Attempt, PendingRequest } from "./gateway_types.ts";
+import type { LoadBook } from "./load_book.ts";
+import type { Candidate, FailureDomainName, Verdict } from "./types.ts";
+
+/** Attempts of one request that guards may turn away, asks included. */
+const MAX_TURNED_AWAY = 8;
+/** Bodies from this size on stay in their failure domain where they can, in bytes. */
+const LARGE_BODY_BYTES = 16_384;
+
+/** Refusals by which a guard says that its upstream never heard of the request. */
+const TURNED_AWAY = new Set([
+  Diagnostics.no_room_now,
+  Diagnostics.draining,
+  Diagnostics.queue_full,
+  Diagnostics.deadline_too_short,
+  Diagnostics.deadline_in_queue,
+  Diagnostics.over_fair_share,
+  Diagnostics.wrong_host,
+  Diagnostics.grant_expired,
+]);
+
+/** Refusals for another reason than load. */
+const MOVED = new Set([
+  Diagnostics.draining,
+  Diagnostics.wrong_host,
+  Diagnostics.grant_expired,
+]);
+
+/** A candidate, and whether the request may wait in its queue. */
+export interface Placed {
+  readonly candidate: Candidate;
+  readonly mayQueue: boolean;
+}
+
+/** Places requests. */
+export interface Placement {
+  tryPlace(
+    request: PendingRequest,
+    candidates: readonly Candidate[],
+  ): Placed | undefined;
+}
+
+/** Settings of a placement. */
+export interface PlacementOptions {
+  readonly failureDomain: FailureDomainName;
+  /** Guards that are asked for a start at once before a request queues. */
+  readonly maxAsks: number;
+  readonly chooser: Chooser;
+  readonly loads: LoadBook;
+}
+
+/** True where a guard turned a request away before its upstream heard of it. */
+export function isTurnedAway({ diagnostic }: Verdict): boolean {
+  return TURNED_AWAY.has(diagnostic);
+}
+
+/** Attempts of a request that an upstream may have heard of. */
+export function countRuns(request: PendingRequest): number {
+  return request.attempts.filter((a) => a.isTurnedAway !== true).length;
+}
+
+/** True where a request that was turned away may still ask another guard. */
+export function mayAskOn(request: PendingRequest): boolean {
+  const last = request.attempts.at(-1);
+  if (last?.isTurnedAway !== true) return false;
+  const turnedAway = request.attempts.filter((a) => a.isTurnedAway).length;
+  if (turnedAway >= MAX_TURNED_AWAY) return false;
+  return !last.mayQueue || hasMoved(request.lastVerdict);
+}
+
+/** True where the refusal says nothing of the room at other upstreams. */
+function hasMoved(verdict: Verdict | undefined): boolean {
+  return verdict !== undefined && MOVED.has(verdict.diagnostic);
+}
+
+/** Creates a placement. */
+export function createPlacement(options: PlacementOptions): Placement {
+  const { chooser, loads } = options;
+  return { tryPlace };
+
+  function tryPlace(
+    request: PendingRequest,
+    candidates: readonly Candidate[],
+  ): Placed | undefined {
+    const live = candidates.filter((c) =>
+      loads.get(c.host).report?.draining !== true
+    );
+    if (live.length === 0) return undefined;
+    const used = getHosts(request.attempts.filter((a) => !a.isTurnedAway));
+    const unused = live.filter((c) => !used.has(c.host));
+    const pool = unused.length > 0 ? unused : live;
+    return tryAsk(request, pool) ?? queueAtBest(request, pool);
+  }
+
+  /** The next guard to ask, the own failure domain's first. */
+  function tryAsk(
+    request: PendingRequest,
+    pool: readonly Candidate[],
+  ): Placed | undefined {
+    const asked = getHosts(request.attempts.filter((a) => a.isTurnedAway));
+    if (asked.size >= options.maxAsks) return undefined;
+    const open = pool.filter((c) => !asked.has(c.host));
+    const near = open.filter(isNear);
+    const next = near.length > 0 || staysNear(request, pool) ? near : open;
+    const candidate = tryChoose(next);
+    return candidate && { candidate, mayQueue: false };
+  }
+
+  function queueAtBest(
+    request: PendingRequest,
+    pool: readonly Candidate[],
+  ): Placed | undefined {
+    const near = pool.filter(isNear);
+    const candidate = tryChoose(staysNear(request, pool) ? near : pool);
+    return candidate && { candidate, mayQueue: true };
+  }
+
+  /** A large body crosses failure domains only where its own can't be in time. */
+  function staysNear(
+    request: PendingRequest,
+    pool: readonly Candidate[],
+  ): boolean {
+    const { bodyBytes, objectiveMs } = request.arrival;
+    if ((bodyBytes ?? 0) < LARGE_BODY_BYTES || objectiveMs === undefined) {
+      return false;
+    }
+    return pool.some((c) =>
+      isNear(c) && chooser.getExpectedMs(c) < objectiveMs
+    );
+  }
+
+  function tryChoose(pool: readonly Candidate[]): Candidate | undefined {
+    const host = chooser.tryChoose(pool);
+    return pool.find((c) => c.host === host);
+  }
+
+  function isNear(candidate: Candidate): boolean {
+    return candidate.failureDomain === options.failureDomain;
+  }
+}
+
+function getHosts(attempts: readonly Attempt[]): Set<string> {
+  return new Set(attempts.map((a) => a.host));
+}
--- a/src/core/retry_rules.ts
+++ b/src/core/retry_rules.ts
@@ -3,7 +3,8 @@
 import { isBodyUnsent, isInDoubt, isProtected } from "./attempts.ts";
 import type { DiagnosticName } from "./diagnostics.ts";
 import type { PendingRequest } from "./gateway_types.ts";
-import type { AccountName, Candidate, Millis } from "./types.ts";
+import { countRuns } from "./placement.ts";
+import type { Candidate, Millis } from "./types.ts";
 
 /** What the rules depend on beside the request. */
 export interface RetryContext {
@@ -11,7 +12,7 @@
   readonly maxAttempts: number;
   /** True where an upstream is left that was not tried. */
   readonly hasOtherHost: boolean;
-  tryTakeRetry(account: AccountName): boolean;
+  tryTakeRetry(): boolean;
 }
 
 /** What forbids another attempt; "last" stands for the last verdict's reason. */
@@ -24,10 +25,11 @@
   if (isProtected(arrival) && attempts.some(isInDoubt)) return "last";
   if (!arrival.replayable && !isBodyUnsent(request)) return "last";
   if (context.now >= request.deadline) return "deadline_passed";
-  const isSpent = attempts.length >= context.maxAttempts ||
+  if (attempts.at(-1)?.isTurnedAway) return "last";
+  const isSpent = countRuns(request) >= context.maxAttempts ||
     request.retriesLeft <= 0;
   if (isSpent || !context.hasOtherHost) return "last";
-  return context.tryTakeRetry(arrival.account)
+  return context.tryTakeRetry()
     ? undefined
     : "retry_budget_empty";
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -62,6 +62,14 @@
   readonly fingerprint: string;
   /** Time left for the request, in ms. */
   readonly timeoutMs: Millis;
+  /** Time left within which an answer has its full value, in ms. */
+  readonly objectiveMs?: Millis;
+  /** Rank among the requests of a service; 0 is the most urgent. */
+  readonly priority?: number;
+  /** False asks for a start at once or a refusal. */
+  readonly mayQueue?: boolean;
+  /** The incarnation of the upstream that is meant. */
+  readonly instance?: string;
 }
 
 /** An answer small enough to be kept beside its key. */
@@ -86,12 +94,16 @@
   readonly draining: boolean;
   /** Age of the process in ms, for the warm-up ramp. */
   readonly ageMs: Millis;
+  /** How many times longer than usual work takes there now. */
+  readonly slowdown?: number;
 }
 
 /** A host that may serve a service, as the local view has it. */
 export interface Candidate {
   readonly host: HostId;
   readonly failureDomain: FailureDomainName;
+  /** The incarnation of its upstream, where the list names one. */
+  readonly instance?: string;
 }
 
 /** The members of a message union that carry a kind. */
@@ -204,6 +216,14 @@
   readonly replayable: boolean;
   /** Retries that the whole call tree may still spend. */
   readonly retriesLeft: number;
+  /** Upstreams that may be handed the request; the gateway's limit if absent. */
+  readonly maxRuns?: number;
+  /** Time left within which an answer has its full value, in ms. */
+  readonly objectiveMs?: Millis;
+  /** Rank among the requests of a service; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Size of the request's body in bytes, where it is known. */
+  readonly bodyBytes?: number;
 }
 
 /** Messages to a gateway. */
@@ -272,6 +292,9 @@
     attempt: number;
     to: HostId;
     timeoutMs: Millis;
+    /** False asks the guard for a start at once or a refusal. */
+    mayQueue?: boolean;
+    instance?: string;
   }
   | {
     kind: GatewayActionKind.Run;
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -57,6 +57,10 @@
   key: z.string().optional(),
   fingerprint: z.string(),
   timeoutMs: z.number().min(0),
+  objectiveMs: z.number().optional(),
+  priority: z.number().optional(),
+  mayQueue: z.boolean().optional(),
+  instance: z.string().optional(),
 });
 
 const verdictSchema = z.object({
@@ -67,11 +71,15 @@
 
 /** Fields of a report in their order on the wire. */
 const REPORT_PATTERN =
-  /^([0-9a-f]{8}) (\d+) (\d+) (\d+) (\d+) (\d+) ([01]) (\d+)$/;
+  /^([0-9a-f]{8}) (\d+) (\d+) (\d+) (\d+) (\d+) ([01]) (\d+)(?: (\d+))?$/;
 /** Service times travel in tenths of a ms, ages in tenths of a second. */
 const TENTHS = 10;
+/** Slowdowns travel in hundredths. */
+const HUNDREDTHS = 100;
 const AGE_STEP_MS = 100;
 const SHORT_INCARNATION = 8;
+/** Group of REPORT_PATTERN that holds the slowdown. */
+const SLOWDOWN_GROUP = 9;
 
 /** Encodes a request's head. */
 export function encodeHead(head: RequestHead): string {
@@ -122,6 +130,9 @@
     Math.round(report.serviceMs * TENTHS),
     report.draining ? 1 : 0,
     Math.round(report.ageMs / AGE_STEP_MS),
+    ...(report.slowdown === undefined
+      ? []
+      : [Math.round(report.slowdown * HUNDREDTHS)]),
   ].join(" ");
 }
 
@@ -133,7 +144,7 @@
   const match = REPORT_PATTERN.exec(text);
   if (match === null) return new Err("not a load report");
   const [sequence, slots, inFlight, queued, service, draining, age] = match
-    .slice(2).map(Number) as [
+    .slice(2, SLOWDOWN_GROUP).map(Number) as [
       number,
       number,
       number,
@@ -142,6 +153,7 @@
       number,
       number,
     ];
+  const slowdown = match[SLOWDOWN_GROUP];
   if (slots === 0) return new Err("no slots");
   return new Ok({
     host,
@@ -153,6 +165,7 @@
     serviceMs: service / TENTHS,
     draining: draining === 1,
     ageMs: age * AGE_STEP_MS,
+    ...(slowdown !== undefined && { slowdown: Number(slowdown) / HUNDREDTHS }),
   });
 }
 
