--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -21,7 +21,7 @@
 /** Protected requests and bodies that can be sent once only reserve first. */
 export function isReserving(arrival: Arrival): boolean {
   return isProtected(arrival) || !arrival.replayable ||
-    arrival.key !== undefined;
+    arrival.key !== undefined || arrival.reservesFirst === true;
 }
 
 /** True where a second execution would be a fault. */
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -187,10 +187,10 @@
     request: PendingRequest,
     attempt: Attempt,
   ): void {
-    const at = Math.min(
-      host.now() + options.reserveTimeoutMs,
-      request.deadline,
-    );
+    const waits = asksFirst && attempt.mayQueue;
+    const at = waits
+      ? request.deadline
+      : Math.min(host.now() + options.reserveTimeoutMs, request.deadline);
     attempt.reserveDeadline = at;
     wakes.add(at, request.arrival.id);
   }
@@ -225,7 +225,11 @@
     attempt.grant = msg.grant;
     attempt.key = msg.key;
     attempt.wasToldToRun = true;
-    settling.schedule(msg.id, attempt, { delayMs: options.silenceMs });
+    if (isProtected(found.request.arrival)) {
+      settling.schedule(msg.id, attempt, { delayMs: options.silenceMs });
+    } else {
+      scheduleHedge(found.request, attempt.host);
+    }
     return [{
       kind: GatewayActionKind.Run,
       id: msg.id,
@@ -261,9 +265,11 @@
     if (found === undefined || !isOpen(found.attempt)) return [];
     const { request, attempt } = found;
     loads.noteResult(attempt.host, false);
+    attempt.isTurnedAway = asksFirst &&
+      attempt.phase === AttemptPhase.Reserving;
     const isDoubtful = msg.mayHaveArrived &&
       attempt.phase === AttemptPhase.Sent;
-    if (isDoubtful && attempt.key !== undefined) {
+    if (isDoubtful && attempt.key !== undefined && isProtected(request.arrival)) {
       counters.add("link_lost");
       attempt.isLinkLost = true;
       return [settling.ask(request, attempt)];
@@ -409,7 +415,7 @@
     attempt: Attempt,
   ): GatewayAction[] {
     counters.add("answer_mismatch");
-    if (attempt.key !== undefined) {
+    if (attempt.key !== undefined && isProtected(request.arrival)) {
       attempt.isLinkLost = true;
       return [settling.ask(request, attempt)];
     }
@@ -491,6 +497,7 @@
     attempt: Attempt,
   ): GatewayAction[] {
     loads.noteResult(attempt.host, false);
+    attempt.isTurnedAway = asksFirst;
     const name = getLossName(request, "reserve_timeout");
     const ending = createEnding(request, attempt, { isSilent: true });
     const rest = giveUp(request, attempt, { name, mayHaveRun: false });
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -18,6 +18,9 @@
 /** Bodies from this size on stay in their failure domain where they can, in bytes. */
 const LARGE_BODY_BYTES = 16_384;
 
+/** Age up to which a report of draining is believed, in ms; asking costs little. */
+const DRAINING_BELIEF_MS = 2_000;
+
 /** Refusals by which a guard says that its upstream never heard of the request. */
 const TURNED_AWAY = new Set([
   Diagnostics.no_room_now,
@@ -93,9 +96,7 @@
     request: PendingRequest,
     candidates: readonly Candidate[],
   ): Placed | undefined {
-    const live = candidates.filter((c) =>
-      loads.get(c.host).report?.draining !== true
-    );
+    const live = candidates.filter((c) => !isDraining(c));
     if (live.length === 0) return undefined;
     const used = getHosts(request.attempts.filter((a) => !a.isTurnedAway));
     const unused = live.filter((c) => !used.has(c.host));
@@ -140,6 +141,13 @@
     );
   }
 
+  /** A host that drained may be back; only a young report rules it out. */
+  function isDraining({ host }: Candidate): boolean {
+    const entry = loads.get(host);
+    if (entry.report?.draining !== true) return false;
+    return options.maxAsks === 0 || loads.getAge(entry) < DRAINING_BELIEF_MS;
+  }
+
   function tryChoose(pool: readonly Candidate[]): Candidate | undefined {
     const host = chooser.tryChoose(pool);
     return pool.find((c) => c.host === host);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -216,6 +216,8 @@
   readonly replayable: boolean;
   /** Retries that the whole call tree may still spend. */
   readonly retriesLeft: number;
+  /** True where even an idempotent request reserves before it runs. */
+  readonly reservesFirst?: boolean;
   /** Upstreams that may be handed the request; the gateway's limit if absent. */
   readonly maxRuns?: number;
   /** Time left within which an answer has its full value, in ms. */
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -3,7 +3,6 @@
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { finished } from "node:stream";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import { v7 } from "uuid";
@@ -29,7 +28,7 @@
 import type { GatewayRequest, GatewayTask } from "./gateway_task.ts";
 import type { HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
-import { hasBody } from "./peer_server.ts";
+import { isHeldWhole, readBody } from "./request_body.ts";
 
 /** Bodies up to this size are held, so that they can be sent again, in bytes. */
 const HELD_BODY_BYTES = 65_536;
@@ -221,7 +220,7 @@
       repeatability: route.repeatability,
       ...(key !== undefined && { key }),
       timeoutMs,
-      replayable: isHeldWhole(req.incoming),
+      replayable: isHeldWhole(req.incoming, HELD_BODY_BYTES),
       retriesLeft: readRetries(getHeader(headers, Header.RetriesLeft)),
     };
   }
@@ -301,25 +300,6 @@
   return length > account.parameters.maxBodyBytes;
 }
 
-function isHeldWhole(incoming: IncomingMessage): boolean {
-  if (!hasBody(incoming)) return true;
-  const length = incoming.headers["content-length"];
-  return length !== undefined && Number(length) <= HELD_BODY_BYTES;
-}
-
-function readBody(
-  incoming: IncomingMessage,
-): Promise<Buffer | undefined | "cut-off"> {
-  if (!hasBody(incoming)) return Promise.resolve(undefined);
-  const chunks: Buffer[] = [];
-  return new Promise((resolve) => {
-    incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
-    finished(incoming, { writable: false }, (error) => {
-      resolve(error ? "cut-off" : Buffer.concat(chunks));
-    });
-  });
-}
-
 function readTimeout(
   text: string | undefined,
   usual: number,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,6 +19,7 @@
 import { createPlatformClient } from "../platform/platform_client.ts";
 import type { HostSettings } from "../settings/host_settings.ts";
 import { createUpstreamClient } from "../upstream/upstream_client.ts";
+import { createOwnProtocol } from "../upstream/upstream_protocol.ts";
 import { createCallerApp } from "./caller_server.ts";
 import { createClock } from "./clock.ts";
 import { createControlTask } from "./control_task.ts";
@@ -102,7 +103,10 @@
   const guardTask = createGuardTask(clock, {
     host,
     logger,
-    upstream: createUpstreamClient(settings.upstream),
+    upstream: createUpstreamClient({
+      ...settings.upstream,
+      protocol: createOwnProtocol(settings.upstream),
+    }),
     guard: {
       self: settings.host,
       service: settings.service,
@@ -117,7 +121,7 @@
   const links = createLinkTable({
     self: settings.host,
     guard: guardTask,
-    membership,
+    tryGetAddress: (id) => membership.tryGetPlace(id)?.dataAddress,
     getRevisions: config.getDigest,
     onReport: (report) => gatewayTask.gateway.takeReport(report),
     onRevisions: hearRevisions,
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -56,6 +56,8 @@
   readonly host: CoreHost;
   readonly getLink: GetLink;
   readonly logger: Logger;
+  /** True leaves callers' headers as they are, for upstreams with a protocol of their own. */
+  readonly isTransparent?: boolean;
 }
 
 /** The gateway as a task. */
@@ -153,7 +155,7 @@
     const link = getLink(to);
     if (link === undefined) return fail(id, attempt, false);
     const ticket = gateway.getTicket(id, attempt);
-    const head = createHead(exchange.request, action.timeoutMs);
+    const head = createHead(exchange.request, action);
     const reply = await link.reserve(ticket, head);
     if (reply.kind !== ReplyKind.Granted) return take(id, attempt, reply);
     const { grant, key } = reply;
@@ -186,7 +188,7 @@
     const exchange = open(id, attempt);
     const link = getLink(to);
     if (link === undefined) return fail(id, attempt, false);
-    const head = createHead(exchange.request, action.timeoutMs);
+    const head = createHead(exchange.request, action);
     const forward = createForward(exchange, exchange.attempts.get(attempt)!);
     const ticket = gateway.getTicket(id, attempt);
     take(id, attempt, await link.submit(ticket, head, { forward }));
@@ -304,7 +306,7 @@
     return {
       method: request.method,
       path: request.path,
-      headers: {
+      headers: options.isTransparent ? request.headers : {
         ...request.headers,
         [Header.RequestId]: request.arrival.id,
         [Header.TimeoutMs]: String(leftMs),
@@ -317,8 +319,16 @@
   }
 }
 
-function createHead(request: GatewayRequest, timeoutMs: number): RequestHead {
-  const { account, service, repeatability, key } = request.arrival;
+type SendAction = OfKind<
+  GatewayAction,
+  GatewayActionKind.Reserve | GatewayActionKind.Submit
+>;
+
+function createHead(request: GatewayRequest, action: SendAction): RequestHead {
+  const { account, service, repeatability, key, priority } = request.arrival;
+  const { timeoutMs, mayQueue, instance } = action;
+  const spentMs = request.arrival.timeoutMs - timeoutMs;
+  const objectiveMs = request.arrival.objectiveMs;
   return {
     account,
     service,
@@ -326,6 +336,10 @@
     ...(key !== undefined && { key }),
     fingerprint: request.fingerprint,
     timeoutMs,
+    ...(objectiveMs !== undefined && { objectiveMs: objectiveMs - spentMs }),
+    ...(priority !== undefined && { priority }),
+    ...(mayQueue !== undefined && { mayQueue }),
+    ...(instance !== undefined && { instance }),
   };
 }
 
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -16,6 +16,7 @@
   type GuardMessage,
   GuardMessageKind,
   type KeptAnswer,
+  type Millis,
   type OfKind,
   Repeatability,
   type RequestHead,
@@ -60,6 +61,8 @@
 interface Flow {
   resolve: ((reply: GuardReply) => void) | undefined;
   head?: RequestHead;
+  /** When the time of the request is over, in ms. */
+  deadline?: Millis;
   forward?: ForwardRequest;
   signal?: EventEmitter;
 }
@@ -82,14 +85,14 @@
   });
   const handlers: ActionHandlers = {
     [GuardActionKind.Grant]: ({ ticket, grant, key }) => {
-      reply(ticket, { kind: ReplyKind.Granted, grant, key });
+      sendReply(ticket, { kind: ReplyKind.Granted, grant, key });
     },
     [GuardActionKind.Refuse]: ({ kind: _, ticket, ...refusal }) => {
-      reply(ticket, { kind: ReplyKind.Refused, ...refusal });
+      sendReply(ticket, { kind: ReplyKind.Refused, ...refusal });
       flows.delete(ticket);
     },
     [GuardActionKind.Replay]: ({ ticket, answer }) => {
-      reply(ticket, { kind: ReplyKind.Replay, ticket, answer });
+      sendReply(ticket, { kind: ReplyKind.Replay, ticket, answer });
       flows.delete(ticket);
     },
     [GuardActionKind.Start]: ({ ticket }) => void startUpstream(ticket),
@@ -142,13 +145,12 @@
   ): Promise<GuardReply> {
     const flow = openFlow(ticket, forward);
     if (flow === undefined) return Promise.resolve(createUsedReply());
-    flow.head = head;
     return ask(ticket, { kind: GuardMessageKind.Submit, ticket, head });
   }
 
   function release(ticket: Ticket): void {
     tell({ kind: GuardMessageKind.Release, ticket });
-    reply(ticket, createReply(Execution.NotRun, Diagnostics.cancelled));
+    sendReply(ticket, createReply(Execution.NotRun, Diagnostics.cancelled));
     flows.delete(ticket);
   }
 
@@ -163,14 +165,17 @@
   function ask(ticket: Ticket, msg: GuardMessage): Promise<GuardReply> {
     const flow = flows.get(ticket) ?? { resolve: undefined };
     flows.set(ticket, flow);
-    if ("head" in msg) flow.head = msg.head;
+    if ("head" in msg) {
+      flow.head = msg.head;
+      flow.deadline = clock.now() + msg.head.timeoutMs;
+    }
     return new Promise((resolve) => {
       flow.resolve = resolve;
       tell(msg);
     });
   }
 
-  function reply(ticket: Ticket, answer: GuardReply): void {
+  function sendReply(ticket: Ticket, answer: GuardReply): void {
     const flow = flows.get(ticket);
     flow?.resolve?.(answer);
     if (flow !== undefined) flow.resolve = undefined;
@@ -193,17 +198,22 @@
     const signal = new EventEmitter();
     flow.signal = signal;
     const forward = { ...flow.forward!, signal };
-    const result = await upstream.send(forward);
+    const instance = flow.head?.instance;
+    const result = await upstream.send(forward, {
+      timeoutMs: Math.max(1, Math.floor(flow.deadline! - clock.now())),
+      ...(instance !== undefined && { instance }),
+    });
     if ("failure" in result) return failUpstream(ticket, result.failure);
     const { answer } = result;
     const isKept = flow.head?.repeatability === Repeatability.AtMostOnce;
     const body = isKept ? record(ticket, answer) : answer.body;
+    const reply = { kind: ReplyKind.Answer as const, ticket };
+    if (answer.isWhole && !isKept) {
+      sendReply(ticket, { ...reply, answer });
+      return finishAnswer(ticket, answer.status);
+    }
     watchEnd(ticket, answer.body, { status: answer.status, isKept });
-    reply(ticket, {
-      kind: ReplyKind.Answer,
-      ticket,
-      answer: { ...answer, body },
-    });
+    sendReply(ticket, { ...reply, answer: { ...answer, body } });
   }
 
   function failUpstream(ticket: Ticket, failure: UpstreamFailure): void {
--- /dev/null
+++ b/src/daemon/ingress_server.ts
@@ -0,0 +1,281 @@
+/**
+ * Takes requests of the callers on this host, finds their route and writes what
+ * came of them. Requests that share a connection are answered in order.
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Counters } from "../core/counters.ts";
+import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
+import { drawService, type RouteTable } from "../core/route_table.ts";
+import type { PrefixRoute } from "../core/routing_types.ts";
+import {
+  type Arrival,
+  type CoreHost,
+  Execution,
+  type Millis,
+  type ServiceName,
+  type Verdict,
+} from "../core/types.ts";
+import type { StreamedAnswer } from "../link/types.ts";
+import { streamAnswer } from "../link/stream_answer.ts";
+import type { CallerDialect, CallerStatement } from "./caller_dialect.ts";
+import type { GatewayTask } from "./gateway_task.ts";
+import type { Logger } from "./logger.ts";
+import { hasBody, isHeldWhole, readBody } from "./request_body.ts";
+
+/** Bodies up to this size are held, so that they can be sent again, in bytes. */
+const HELD_BODY_BYTES = 524_288;
+/** Retries of one request; the shared allowance binds first. */
+const MAX_RETRIES = 3;
+/** Shortest and longest time after which a refused caller is asked back, in ms. */
+const MIN_RETRY_AFTER_MS = 20;
+/** Callers wait for at most this share of the time that they have left. */
+const RETRY_AFTER_SHARE = 1 / 3;
+
+/** Settings of the server. */
+export interface IngressOptions {
+  readonly host: CoreHost;
+  readonly task: GatewayTask;
+  readonly dialect: CallerDialect;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Service that runs on this host; callers here speak for it. */
+  readonly origin: ServiceName;
+  /** Routes in force, or undefined while none are known. */
+  getRoutes(): RouteTable | undefined;
+  isStopping(): boolean;
+  onAnswered(service: ServiceName, latencyMs: Millis): void;
+}
+
+interface CallerRequest {
+  /** Unique in this process; ends in the caller's own id. */
+  readonly id: string;
+  readonly statement: CallerStatement;
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly arrivedAt: Millis;
+}
+
+/** Creates the handler of the callers' listener. */
+export function createIngressHandler(
+  options: IngressOptions,
+): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
+  const { host, task, dialect, counters, logger } = options;
+  /** Requests without an answer, by connection. */
+  const open = new WeakMap<Socket, Set<string>>();
+  let count = 0;
+  return (incoming, outgoing) => {
+    count += 1;
+    const statement = dialect.read(incoming.headers);
+    const id = `${count.toString(36)}:${statement.id ?? ""}`;
+    const arrivedAt = host.now();
+    const req = { id, statement, incoming, outgoing, arrivedAt };
+    incoming.on("error", (error) => noteCutOff(req, error));
+    if (options.isStopping()) outgoing.setHeader("connection", "close");
+    void handle(req);
+  };
+
+  async function handle(req: CallerRequest): Promise<void> {
+    const { incoming } = req;
+    const routes = options.getRoutes();
+    if (routes === undefined) return refuse(req, "not_ready");
+    const url = incoming.url ?? "/";
+    const hostname = (incoming.headers.host ?? "").replace(/:\d+$/, "");
+    const route = routes.tryMatch(hostname, url.split("?")[0]!);
+    if (route === undefined) return refuse(req, "unknown_route");
+    const length = Number(incoming.headers["content-length"] ?? 0);
+    if (length > routes.config.limits.maxBodyBytes) {
+      return refuse(req, "body_too_large");
+    }
+    const replayable = isHeldWhole(incoming, HELD_BODY_BYTES);
+    const held = replayable ? await readBody(incoming) : undefined;
+    if (held === "cut-off") return refuse(req, "body_cut_off");
+    const arrival = createArrival(req, route, { replayable, length });
+    const { statement } = req;
+    logger.info("accepted", {
+      req: statement.id,
+      route: route.name,
+      service: arrival.service,
+      version: routes.config.version,
+      leftMs: Math.round(arrival.timeoutMs),
+      bytes: length,
+    });
+    await serve(req, arrival, replayable ? held ?? null : incoming);
+  }
+
+  function createArrival(
+    req: CallerRequest,
+    route: PrefixRoute,
+    body: { replayable: boolean; length: number },
+  ): Arrival {
+    const spentMs = host.now() - req.arrivedAt;
+    const stated = req.statement.timeoutMs ?? route.timeoutMs;
+    const timeoutMs = Math.min(stated, route.timeoutMs) - spentMs;
+    return {
+      id: req.id,
+      account: "",
+      service: drawService(route.parts, host),
+      repeatability: route.repeatability,
+      timeoutMs: Math.max(1, timeoutMs),
+      replayable: body.replayable,
+      retriesLeft: MAX_RETRIES,
+      reservesFirst: true,
+      maxRuns: route.maxRuns,
+      objectiveMs: route.objectiveMs - spentMs,
+      priority: route.priority,
+      bodyBytes: body.length,
+    };
+  }
+
+  async function serve(
+    req: CallerRequest,
+    arrival: Arrival,
+    body: Buffer | IncomingMessage | null,
+  ): Promise<void> {
+    const { id, incoming } = req;
+    if (incoming.socket.destroyed) return noteGone(req);
+    const ids = track(incoming.socket);
+    ids.add(id);
+    const outcome = await task.serve({
+      arrival,
+      fingerprint: "",
+      method: incoming.method ?? "GET",
+      path: incoming.url ?? "/",
+      headers: dialect.createForwardHeaders(incoming.headers, options.origin),
+      body,
+    });
+    if ("verdict" in outcome) {
+      ids.delete(id);
+      writeVerdict(req, outcome.verdict, arrival);
+    } else if ("answer" in outcome) {
+      writeAnswer(req, arrival, outcome.answer);
+    } else {
+      ids.delete(id);
+      task.complete(id);
+      writeVerdict(req, {
+        execution: Execution.Ran,
+        diagnostic: Diagnostics.answer_mismatch,
+      });
+    }
+  }
+
+  /** Requests of a connection; all are given up where it closes. */
+  function track(socket: Socket): Set<string> {
+    let ids = open.get(socket);
+    if (ids === undefined) {
+      const tracked = new Set<string>();
+      ids = tracked;
+      open.set(socket, tracked);
+      socket.once("close", () => {
+        for (const id of tracked) {
+          logger.info("caller_gone", { req: getCallerId(id) });
+          task.abandon(id);
+        }
+        tracked.clear();
+      });
+    }
+    return ids;
+  }
+
+  function writeAnswer(
+    req: CallerRequest,
+    arrival: Arrival,
+    answer: StreamedAnswer,
+  ): void {
+    const { outgoing, incoming, id } = req;
+    const tookMs = host.now() - req.arrivedAt;
+    options.onAnswered(arrival.service, tookMs);
+    logger.info("answered", {
+      req: req.statement.id,
+      service: arrival.service,
+      status: answer.status,
+      tookMs: Math.round(tookMs),
+    });
+    outgoing.writeHead(
+      answer.status,
+      dialect.createAnswerHeaders(answer.headers),
+    );
+    streamAnswer(answer.body, outgoing, (error) => {
+      if (error) {
+        counters.add("answer_cut_short");
+        logger.warn("answer_cut_short", {
+          req: req.statement.id,
+          message: error.message,
+        });
+      }
+      open.get(incoming.socket)?.delete(id);
+      task.complete(id);
+    });
+  }
+
+  function refuse(req: CallerRequest, name: DiagnosticName): void {
+    counters.add(`refused_${name}`);
+    writeVerdict(req, {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics[name],
+    });
+  }
+
+  function writeVerdict(
+    req: CallerRequest,
+    verdict: Verdict,
+    arrival?: Arrival,
+  ): void {
+    const { outgoing, incoming, statement } = req;
+    const tookMs = host.now() - req.arrivedAt;
+    const retryAfterMs = getRetryAfter(verdict, arrival, tookMs);
+    logger.info("refused", {
+      req: statement.id,
+      service: arrival?.service,
+      execution: verdict.execution,
+      reason: verdict.diagnostic.reason,
+      tookMs: Math.round(tookMs),
+      retryAfterMs,
+    });
+    if (outgoing.destroyed) return;
+    const { status, headers } = dialect.createVerdictHead(
+      { ...verdict, ...(retryAfterMs !== undefined && { retryAfterMs }) },
+      statement.id,
+    );
+    const isUnread = hasBody(incoming) && !incoming.complete;
+    outgoing.writeHead(status, {
+      ...headers,
+      "content-length": "0",
+      ...(isUnread && { connection: "close" }),
+    });
+    outgoing.end();
+    if (isUnread) incoming.resume();
+  }
+
+  /** When room is expected, within what the caller can wait. */
+  function getRetryAfter(
+    verdict: Verdict,
+    arrival: Arrival | undefined,
+    tookMs: Millis,
+  ): Millis | undefined {
+    if (verdict.execution !== Execution.NotRun) return undefined;
+    if (arrival === undefined) return verdict.retryAfterMs;
+    const leftMs = arrival.timeoutMs - tookMs;
+    const wanted = verdict.retryAfterMs ?? MIN_RETRY_AFTER_MS;
+    const longest = Math.max(0, leftMs * RETRY_AFTER_SHARE);
+    return Math.round(Math.min(Math.max(wanted, MIN_RETRY_AFTER_MS), longest));
+  }
+
+  function noteGone(req: CallerRequest): void {
+    counters.add("caller_gone_early");
+    logger.info("caller_gone", { req: req.statement.id });
+  }
+
+  function noteCutOff(req: CallerRequest, error: Error): void {
+    counters.add("request_cut_off");
+    logger.debug("request_cut_off", {
+      req: req.statement.id,
+      message: error.message,
+    });
+  }
+}
+
+function getCallerId(id: string): string {
+  return id.slice(id.indexOf(":") + 1);
+}
--- a/src/daemon/link_table.ts
+++ b/src/daemon/link_table.ts
@@ -1,6 +1,5 @@
 /** The links of a daemon: one to its own guard, one to each peer in use. */
 
-import type { Membership } from "../core/membership.ts";
 import type { HostId, LoadReport } from "../core/types.ts";
 import { createHttpLink } from "../link/http_link.ts";
 import type { GuardLink, GuardReply } from "../link/types.ts";
@@ -12,7 +11,8 @@
 export interface LinkTableOptions {
   readonly self: HostId;
   readonly guard: GuardTask;
-  readonly membership: Membership;
+  /** Where a host takes messages of its peers, or undefined. */
+  tryGetAddress(host: HostId): string | undefined;
   getRevisions(): string;
   onReport(report: LoadReport): void;
   onRevisions(from: HostId, revisions: string): void;
@@ -27,14 +27,13 @@
 
 /** Creates a table; links open when they are first asked for. */
 export function createLinkTable(options: LinkTableOptions): LinkTable {
-  const { membership } = options;
   const links = new Map<HostId, { address: string; link: GuardLink }>();
   const local = createLocalLink(options);
   return { get, close };
 
   function get(to: HostId): GuardLink | undefined {
     if (to === options.self) return local;
-    const address = membership.tryGetPlace(to)?.dataAddress;
+    const address = options.tryGetAddress(to);
     if (address === undefined) return undefined;
     const known = links.get(to);
     if (known?.address === address) return known.link;
--- /dev/null
+++ b/src/daemon/mesh_daemon.ts
@@ -0,0 +1,355 @@
+/**
+ * One daemon of a deployment whose routes and upstreams come from a watched
+ * store: wires the tasks to their sockets and stops them gracefully.
+ */
+
+import { createServer, type RequestListener, type Server } from "node:http";
+import { v7 } from "uuid";
+import { ChoicePolicy } from "../core/choice.ts";
+import { createCounters } from "../core/counters.ts";
+import { createRetryAllowance } from "../core/retry_allowance.ts";
+import { createRouteTable, type RouteTable } from "../core/route_table.ts";
+import type { ListedUpstream, RoutingConfig } from "../core/routing_types.ts";
+import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
+import type { MeshSettings } from "../settings/mesh_settings.ts";
+import { createUpstreamClient } from "../upstream/upstream_client.ts";
+import type { UpstreamProtocol } from "../upstream/upstream_protocol.ts";
+import type { CallerDialect } from "./caller_dialect.ts";
+import { createClock } from "./clock.ts";
+import { createCoreHost } from "./core_host.ts";
+import { createGatewayTask } from "./gateway_task.ts";
+import { createGuardTask } from "./guard_task.ts";
+import { parseAddress, startHttpServer } from "./http_server.ts";
+import { createIngressHandler } from "./ingress_server.ts";
+import { createLatencyMetrics } from "./latency_metrics.ts";
+import { createLifecycle } from "./lifecycle.ts";
+import { createLinkTable } from "./link_table.ts";
+import type { Logger } from "./logger.ts";
+import { formatMetrics } from "./metrics_text.ts";
+import { createPeerApp } from "./peer_server.ts";
+import {
+  createStoreTask,
+  type StoreChange,
+  StoreChangeKind,
+  type StoreReader,
+} from "./store_task.ts";
+import { createUpstreamWatch } from "./upstream_watch.ts";
+
+/** Upstreams that one request may be handed to, whatever its route says. */
+const MAX_RUNS = 4;
+/** Guards that are asked for a start at once before a request queues. */
+const MAX_ASKS = 4;
+/** Silence of a guard that is asked, in ms; some ten round trips and a pause of its process. */
+const RESERVE_TIMEOUT_MS = 120;
+/** Silence after which an answer is doubted, in ms. */
+const SILENCE_MS = 2_000;
+const GRANT_TTL_MS = 1_000;
+const QUEUE_CAPACITY = 256;
+const MAX_SLOTS = 4_096;
+const KEY_CAPACITY = 4_096;
+const CROSS_DOMAIN_MS = 3;
+/** How long an entry that lapsed with the store may stay away after it, in ms. */
+const LAPSE_GRACE_MS = 2_000;
+/** Connections to the local upstream; the guard bounds those in use by its slots. */
+const MAX_UPSTREAM_CONNECTIONS = 256;
+const ASSUMED_SLOTS = 8;
+/** Time for callers to notice that this daemon stops, in ms: two readiness checks. */
+const LEAVE_MS = 2_500;
+/** Time that is left for closing before a kill, in ms. */
+const STOP_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+const MS_PER_SECOND = 1_000;
+
+/** What a deployment brings: how its callers, upstreams and store are spoken to. */
+export interface Deployment {
+  readonly callers: CallerDialect;
+  readonly upstreams: UpstreamProtocol;
+  readonly store: StoreReader;
+  /** Path of the readiness check. */
+  readonly readinessPath: string;
+}
+
+/** Settings of the daemon and its surroundings. */
+export interface MeshDaemonOptions {
+  readonly settings: MeshSettings;
+  readonly deployment: Deployment;
+  readonly logger: Logger;
+}
+
+/** A running daemon. */
+export interface MeshDaemon {
+  /** Stops without cutting off any request, within the time granted. */
+  stop(): Promise<void>;
+}
+
+/** Starts a daemon; resolves once it listens. */
+export async function startMeshDaemon(
+  options: MeshDaemonOptions,
+): Promise<MeshDaemon> {
+  const { settings, deployment, logger } = options;
+  const { bounds } = settings;
+  const clock = createClock();
+  const host = createCoreHost(clock);
+  const incarnation = v7();
+  const counters = createCounters();
+  const latencies = createLatencyMetrics();
+  const lifecycle = createLifecycle();
+  const peerPort = parseAddress(settings.listen.peers).port;
+  let routes: RouteTable | undefined;
+  let isStopping = false;
+
+  const upstreams = createUpstreamList(host, {
+    lapseGraceMs: LAPSE_GRACE_MS,
+    getHost: (address) => parseAddress(address).host,
+    onChange: noteUpstream,
+  });
+  const watch = createUpstreamWatch(clock, {
+    address: settings.upstreamAddress,
+    protocol: deployment.upstreams,
+    counters,
+    getHealthPath: () => routes?.config.healthPaths.get(settings.service),
+    getListedSlots: () =>
+      upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
+  });
+  const guardTask = createGuardTask(clock, {
+    host,
+    logger,
+    upstream: createUpstreamClient({
+      address: settings.upstreamAddress,
+      connections: MAX_UPSTREAM_CONNECTIONS,
+      protocol: deployment.upstreams,
+      onLoad: watch.note,
+    }),
+    guard: {
+      self: settings.host,
+      service: settings.service,
+      incarnation,
+      slots: MAX_SLOTS,
+      queueCapacity: QUEUE_CAPACITY,
+      grantTtlMs: GRANT_TTL_MS,
+      keyCapacity: KEY_CAPACITY,
+      getWeight: () => 1,
+      upstream: watch,
+    },
+  });
+  const links = createLinkTable({
+    self: settings.host,
+    guard: guardTask,
+    tryGetAddress: (id) => `${id}:${peerPort}`,
+    getRevisions: () => String(routes?.config.version ?? 0),
+    onReport: (report) => gatewayTask.gateway.takeReport(report),
+    onRevisions: () => {},
+    onNonsense: (peer, message) => {
+      counters.add("malformed_peer_message");
+      logger.warn("peer_nonsense", { peer, message });
+    },
+  });
+  const gatewayTask = createGatewayTask(clock, {
+    host,
+    logger,
+    getLink: links.get,
+    isTransparent: true,
+    gateway: {
+      self: settings.host,
+      incarnation,
+      maxAttempts: MAX_RUNS,
+      maxAsks: MAX_ASKS,
+      reserveTimeoutMs: RESERVE_TIMEOUT_MS,
+      silenceMs: SILENCE_MS,
+      retriesFailures: true,
+      retryAllowance: createRetryAllowance(host, {
+        ratio: bounds.retryRatio,
+        windowMs: bounds.retryWindowMs,
+        slack: bounds.retrySlack,
+        getDaemonCount: upstreams.countHosts,
+      }),
+      chooser: {
+        policy: ChoicePolicy.ExpectedTime,
+        failureDomain: settings.failureDomain,
+        crossDomainMs: CROSS_DOMAIN_MS,
+      },
+      getCandidates: upstreams.getCandidates,
+      getLimits: () => ({
+        retryBudget: 0,
+        hedgeBudget: 0,
+        hedgePercentile: 99,
+      }),
+    },
+  });
+  const store = createStoreTask(host, {
+    reader: deployment.store,
+    counters,
+    logger,
+    waitMs: bounds.stableMs,
+    onSnapshot: takeSnapshot,
+    onChange: takeChange,
+    onLost: upstreams.noteListLost,
+    onRegained: upstreams.noteListRegained,
+  });
+  logger.info("starting", { incarnation, service: settings.service });
+  const ingress = await listen(
+    settings.listen.callers,
+    createIngressHandler({
+      host,
+      task: gatewayTask,
+      dialect: deployment.callers,
+      counters,
+      logger,
+      origin: settings.service,
+      getRoutes: () => routes,
+      isStopping: () => isStopping,
+      onAnswered: latencies.record,
+    }),
+  );
+  const peers = await startHttpServer({
+    address: settings.listen.peers,
+    app: createPeerApp({
+      guard: guardTask,
+      getRevisions: () => String(routes?.config.version ?? 0),
+      onHeard: () => {},
+      onNonsense: ({ reason }, message) => {
+        counters.add(reason);
+        logger.warn("peer_nonsense", { reason, message });
+      },
+    }),
+    onMalformed: ({ reason }) => counters.add(reason),
+  });
+  const readiness = await listen(settings.listen.readiness, answerReadiness);
+  const metrics = await listen(settings.listen.metrics, answerMetrics);
+  store.start();
+  watch.start();
+  return { stop };
+
+  function takeSnapshot(changes: readonly StoreChange[]): void {
+    const listed: ListedUpstream[] = [];
+    for (const change of changes) {
+      if (change.kind === StoreChangeKind.UpstreamListed) {
+        listed.push(change.upstream);
+      } else takeChange(change);
+    }
+    upstreams.replaceAll(listed);
+  }
+
+  function takeChange(change: StoreChange): void {
+    switch (change.kind) {
+      case StoreChangeKind.UpstreamListed:
+        return upstreams.put(change.upstream);
+      case StoreChangeKind.UpstreamRemoved:
+        return upstreams.remove(change.instance);
+      case StoreChangeKind.RoutingPublished:
+        return takeRouting(change.config);
+      case StoreChangeKind.Unreadable:
+        counters.add("store_entry_unreadable");
+        logger.warn("store_entry_ignored", {
+          key: change.key,
+          message: change.message,
+        });
+    }
+  }
+
+  /** A version that is in force is never replaced by an older one. */
+  function takeRouting(config: RoutingConfig): void {
+    const before = routes?.config.version;
+    if (before !== undefined && config.version <= before) {
+      counters.add("config_older");
+      return;
+    }
+    routes = createRouteTable(config);
+    applyLimits(config);
+    logger.info("config_in_force", {
+      version: config.version,
+      before,
+      routes: config.routes.length,
+    });
+  }
+
+  function applyLimits({ limits }: RoutingConfig): void {
+    ingress.keepAliveTimeout = limits.idleTimeoutMs;
+    ingress.headersTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
+  }
+
+  function noteUpstream(change: UpstreamChange, it: ListedUpstream): void {
+    counters.add(`upstream_${change}`);
+    logger.info(`upstream_${change}`, {
+      instance: it.instance,
+      service: it.service,
+      address: it.address,
+      failureDomain: it.failureDomain,
+      bornAt: it.bornAt,
+      inTouch: store.isInTouch(),
+    });
+    const isGone = change === UpstreamChange.Gone ||
+      change === UpstreamChange.Restarted;
+    if (isGone) gatewayTask.gateway.forgetHost(parseAddress(it.address).host);
+  }
+
+  function answerReadiness(...[req, res]: Parameters<RequestListener>): void {
+    const isKnown = req.url === deployment.readinessPath;
+    const isReady = routes !== undefined && upstreams.size() > 0 &&
+      !isStopping;
+    res.writeHead(!isKnown ? 404 : isReady ? 200 : 503, {
+      "content-length": "0",
+    });
+    res.end();
+  }
+
+  function answerMetrics(...[_req, res]: Parameters<RequestListener>): void {
+    res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+    res.end(formatMetrics([
+      { role: "gateway", counters: gatewayTask.gateway.counters },
+      { role: "guard", counters: guardTask.guard.counters },
+      { role: "daemon", counters },
+    ], latencies));
+  }
+
+  async function stop(): Promise<void> {
+    if (isStopping) return;
+    isStopping = true;
+    const startedAt = clock.now();
+    logger.info("stopping", { open: countOpen() });
+    void guardTask.drain();
+    const limit = startedAt + bounds.graceMs - STOP_MARGIN_MS;
+    const soonest = startedAt + LEAVE_MS;
+    while (clock.now() < limit) {
+      if (clock.now() >= soonest && countOpen() === 0) break;
+      await pause(STOP_POLL_MS);
+    }
+    for (const server of [ingress, peers, readiness, metrics]) {
+      lifecycle.add("server", () => closeServer(server));
+    }
+    lifecycle.add("store", store.close);
+    lifecycle.add("watch", watch.close);
+    const tookS = (clock.now() - startedAt) / MS_PER_SECOND;
+    logger.info("stopped", { open: countOpen(), tookS });
+    const closed = await lifecycle.close();
+    if (closed.isErr()) {
+      for (const error of closed.error) logger.error("close", { ...error });
+    }
+  }
+
+  function countOpen(): number {
+    return gatewayTask.gateway.getOpenCount() + guardTask.guard.getOpenCount();
+  }
+}
+
+function closeServer(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+async function listen(
+  address: string,
+  handler: RequestListener,
+): Promise<Server> {
+  const server = createServer({ requestTimeout: 0, noDelay: true }, handler);
+  const { host, port } = parseAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/daemon/operator_server.ts
+++ b/src/daemon/operator_server.ts
@@ -1,8 +1,8 @@
 /** The operators' endpoint: health, readiness, status and metrics. */
 
 import { Hono } from "hono";
-import type { Counters } from "../core/counters.ts";
 import type { HttpEnv } from "./http_server.ts";
+import { type CounterSet, formatCounters } from "./metrics_text.ts";
 import type { LatencyMetrics } from "./latency_metrics.ts";
 
 /** What a daemon says of itself. */
@@ -31,7 +31,7 @@
 
 /** Settings of the endpoint. */
 export interface OperatorServerOptions {
-  readonly counters: readonly { role: string; counters: Counters }[];
+  readonly counters: readonly CounterSet[];
   readonly latencies: LatencyMetrics;
   getStatus(): DaemonStatus;
   explain(account: string, request: { method: string; path: string }): unknown;
@@ -58,23 +58,14 @@
     return c.json(found as object);
   });
   app.get("/metrics", (c) => {
-    const text = formatCounters(options) + options.latencies.format();
+    const text = formatAll(options) + options.latencies.format();
     return c.text(text, 200, { "content-type": "text/plain; version=0.0.4" });
   });
   return app;
 }
 
-function formatCounters(options: OperatorServerOptions): string {
-  const lines = [
-    "# HELP vanillarock_events_total Events by role and reason.",
-    "# TYPE vanillarock_events_total counter",
-  ];
-  for (const { role, counters } of options.counters) {
-    counters.forEachCounter((name, value) => {
-      const labels = `role="${role}",reason="${name}"`;
-      lines.push(`vanillarock_events_total{${labels}} ${value}`);
-    });
-  }
+function formatAll(options: OperatorServerOptions): string {
+  const lines = formatCounters(options.counters);
   const { open, ready } = options.getStatus();
   lines.push(
     "# HELP vanillarock_open Requests in hand by role.",
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -22,6 +22,7 @@
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
 import type { HttpEnv } from "./http_server.ts";
+import { hasBody } from "./request_body.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
 
@@ -221,13 +222,6 @@
   };
 }
 
-/** True for a request that announces a body. */
-export function hasBody(incoming: IncomingMessage): boolean {
-  const { headers } = incoming;
-  return headers["transfer-encoding"] !== undefined ||
-    Number(headers["content-length"] ?? 0) > 0;
-}
-
 function dropAnswer(reply: GuardReply): void {
   if (reply.kind !== ReplyKind.Answer) return;
   reply.answer.body.on("error", () => {});
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -38,6 +38,8 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Readable;
+  /** True where the whole body has arrived already. */
+  readonly isWhole?: boolean;
 }
 
 /** What came of a message to a guard. */
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -26,6 +26,8 @@
   /** Digest of the sender's revisions in force. */
   Revisions = "vanillarock-revisions",
   From = "vanillarock-from",
+  /** The hostname that the caller asked for. */
+  Hostname = "vanillarock-hostname",
   /** Towards callers. */
   Execution = "vanillarock-execution",
   Reason = "vanillarock-reason",
--- a/src/settings/results.ts
+++ b/src/settings/results.ts
@@ -1,6 +1,10 @@
-/** ts-results for ES modules: the package itself is CommonJS. */
+/** ts-results: CommonJS under Node.js, an ES module in a bundle. */
 
-import results from "ts-results";
+import * as namespace from "ts-results";
+
+const results = ("default" in namespace
+  ? namespace.default
+  : namespace) as typeof namespace;
 
 /** A value that was decoded. */
 export const Ok = results.Ok;
