--- a/src/core/key_book.ts
+++ b/src/core/key_book.ts
@@ -80,13 +80,14 @@
 /** Reads a key's parts, or undefined where the text is no key. */
 export function tryParseKey(text: string): IdempotencyKey | undefined {
   const parts = text.split(SEPARATOR);
-  if (parts.length !== 4) return undefined;
-  const [home, incarnation, sequenceText, digest] = parts as [
-    string,
+  if (parts.length < 4) return undefined;
+  const [incarnation, sequenceText, digest] = parts.splice(-3) as [
     string,
     string,
     string,
   ];
+  // A host may be named by an address, which holds the separator itself.
+  const home = parts.join(SEPARATOR);
   if (!/^[1-9][0-9]{0,14}$/.test(sequenceText)) return undefined;
   if (home === "" || incarnation === "" || digest === "") return undefined;
   return { home, incarnation, sequence: Number(sequenceText), digest };
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -26,6 +26,8 @@
 
 /** Bodies up to this size are held, so that they can be sent again, in bytes. */
 const HELD_BODY_BYTES = 524_288;
+/** The deployment tells no client accounts apart. */
+const SINGLE_ACCOUNT = "all";
 /** Retries of one request; the shared allowance binds first. */
 const MAX_RETRIES = 3;
 /** Shortest and longest time after which a refused caller is asked back, in ms. */
@@ -114,7 +116,7 @@
     const timeoutMs = Math.min(stated, route.timeoutMs) - spentMs;
     return {
       id: req.id,
-      account: "",
+      account: SINGLE_ACCOUNT,
       service: drawService(route.parts, host),
       repeatability: route.repeatability,
       timeoutMs: Math.max(1, timeoutMs),
