Guard: hold starts in slow spells, read the upstream's speed on demand, queue by urgency

Ruled out: a speed that changes while work runs (archive-read's p50 stayed at its mean). Change: a reading of at most 15 ms before each decision, no start within a slow spell that is expected to end, a queue that serves what can still be in time first, and refusal on arrival where the wait exceeds the objective.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -21,16 +21,18 @@
   /** Requests that would be served before this one. */
   readonly ahead: number;
   readonly queued: number;
-  /** Mean time of one request at the usual speed, in ms. */
+  /** Mean time of one request, in ms. */
   readonly serviceMs: Millis;
-  /** How many times longer than usual work takes now. */
-  readonly slowdown: number;
+  /** Expected time until work may start at a fair speed, in ms; 0 for now. */
+  readonly holdMs: Millis;
 }
 
 /** What the decision needs of a request. */
 export interface AdmissionRequest {
   /** Time left, in ms. */
   readonly timeoutMs: Millis;
+  /** Time left within which an answer has its full value, in ms. */
+  readonly objectiveMs?: Millis;
   /** False asks for a start at once or a refusal. */
   readonly mayQueue: boolean;
 }
@@ -47,44 +49,49 @@
     readonly waitMs: Millis;
   };
 
-/**
- * Work this many times slower than usual is better started elsewhere. Requests
- * are typically given about three times their usual time.
- */
-export const SLOW_FACTOR = 1.5;
+/** Part of its objective that a request may wait even where its work alone is longer. */
+const MIN_PATIENCE_SHARE = 0.25;
 
 /**
  * Decides on a request. Pattern "noisy neighbours": an upstream that is slow at
- * this moment turns away who may still ask another. Pattern "overload": work
- * that can't end in time is turned away at once instead of in the queue.
+ * this moment turns away who may still ask another. Pattern "overload": a queue
+ * longer than the objective makes every answer late, so work that would start
+ * too late is turned away on arrival instead of at its deadline.
  */
 export function decideAdmission(
   state: AdmissionState,
   request: AdmissionRequest,
 ): AdmissionDecision {
   const waitMs = getExpectedWait(state);
-  const isFree = state.busySlots < state.usableSlots && state.queued === 0;
-  if (!request.mayQueue) {
-    const startsWell = isFree && state.slowdown < SLOW_FACTOR;
-    return startsWell
-      ? { admission: Admission.Start, waitMs: 0 }
-      : { admission: Admission.Refuse, reason: "no_room_now", waitMs };
+  const startsNow = waitMs === 0;
+  if (!request.mayQueue && !startsNow) {
+    return { admission: Admission.Refuse, reason: "no_room_now", waitMs };
   }
-  if (waitMs + state.serviceMs > request.timeoutMs) {
+  if (startsNow) return { admission: Admission.Start, waitMs };
+  const endsLate = waitMs + state.serviceMs > request.timeoutMs;
+  if (endsLate || waitMs > getPatience(state, request)) {
     return {
       admission: Admission.Refuse,
       reason: "deadline_too_short",
       waitMs,
     };
   }
-  return isFree
-    ? { admission: Admission.Start, waitMs: 0 }
-    : { admission: Admission.Queue, waitMs };
+  return { admission: Admission.Queue, waitMs };
+}
+
+/** Longest wait after which an answer still has its value, in ms. */
+function getPatience(
+  { serviceMs }: AdmissionState,
+  { objectiveMs }: AdmissionRequest,
+): Millis {
+  if (objectiveMs === undefined) return Infinity;
+  return Math.max(objectiveMs - serviceMs, objectiveMs * MIN_PATIENCE_SHARE);
 }
 
 /** Rounds of the slots that are served before a new request, in ms. */
 function getExpectedWait(state: AdmissionState): Millis {
-  const free = state.usableSlots - state.busySlots;
-  if (free > 0 && state.queued === 0) return 0;
-  return state.serviceMs * (state.ahead + 1) / state.usableSlots;
+  const { usableSlots, busySlots, serviceMs, holdMs } = state;
+  const isFree = busySlots < usableSlots && state.queued === 0;
+  if (isFree) return holdMs;
+  return holdMs + serviceMs * (state.ahead + 1) / usableSlots;
 }
--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -50,6 +50,9 @@
 const TIE_SHARE = 0.05;
 const LOAD_QUANTILE = 0.75;
 
+/** Typical rest of a slow spell, which a guard waits for, in ms. */
+const SLOW_SPELL_MS = 100;
+
 /** Upstreams this many times slower than the median count as such. */
 const CLEARLY_SLOWER = 2;
 
@@ -126,11 +129,21 @@
     const serviceMs = getLikelyServiceMs(entry, usual);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
-    const answerMs = waitMs + crowdingMs + serviceMs + getDomainMs(candidate);
+    const answerMs = waitMs + crowdingMs + serviceMs + getSlowMs(entry) +
+      getDomainMs(candidate);
     const failureShare = loads.getFailureShare(entry);
     return answerMs / (1 - Math.min(failureShare, MAX_FAILURE_SHARE));
   }
 
+  /** What a slow spell costs by the newest report, which ages with the spell. */
+  function getSlowMs(entry: LoadEntry): Millis {
+    const { report } = entry;
+    if (report?.slowdown === undefined) return 0;
+    const trust = 0.5 ** (loads.getAge(entry) / SLOW_SPELL_MS);
+    const costMs = (report.slowdown - 1) * report.serviceMs;
+    return trust * Math.min(Math.max(0, costMs), SLOW_SPELL_MS);
+  }
+
   function getUsual(pool: readonly Candidate[]): Usual {
     const times = pool.map((c) => getServiceMs(loads.get(c.host)))
       .sort((a, b) => a - b);
--- a/src/core/fair_queue.ts
+++ b/src/core/fair_queue.ts
@@ -22,6 +22,8 @@
   remove(item: T): boolean;
   /** Items that leave before a new one of this account would. */
   getAhead(account: AccountName): number;
+  /** Items that leave before this one would, where the queue orders items. */
+  getAheadOf?(item: T): number;
   size(): number;
 }
 
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -33,6 +33,7 @@
   type Ticket,
   type Verdict,
 } from "./types.ts";
+import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
 
 const SERVICE_TIME_SMOOTHING = 0.1;
@@ -40,6 +41,8 @@
 /** Answers from this HTTP status on say nothing of the time that work takes. */
 const FIRST_FAILURE_STATUS = 500;
 const MIN_RETRY_AFTER_MS = 20;
+/** Part of the mean service time below which hardly any request ends. */
+const LAST_START_SHARE = 0.5;
 /** Time that a finished ticket is remembered, against messages that come twice. */
 const TICKET_MEMORY_MS = 10_000;
 
@@ -53,11 +56,13 @@
 export function createGuard(host: CoreHost, options: GuardOptions): Guard {
   const counters = createCounters();
   const entries = new Map<Ticket, Entry>();
-  const queue = createFairQueue<Entry>({
-    capacity: options.queueCapacity,
-    getWeight: options.getWeight,
-    isFirstComeFirstServed: options.isFirstComeFirstServed ?? false,
-  });
+  const queue = options.upstream === undefined
+    ? createFairQueue<Entry>({
+      capacity: options.queueCapacity,
+      getWeight: options.getWeight,
+      isFirstComeFirstServed: options.isFirstComeFirstServed ?? false,
+    })
+    : createUrgencyQueue<Entry>(host, { capacity: options.queueCapacity });
   const keys = createKeyBook(host, {
     home: options.self,
     incarnation: options.incarnation,
@@ -139,6 +144,10 @@
       head,
       reserves,
       deadline: host.now() + head.timeoutMs,
+      lastStart: host.now() + head.timeoutMs -
+        (options.upstream === undefined ? 0 : serviceMs * LAST_START_SHARE),
+      rank: head.priority ?? 0,
+      startBy: host.now() + (head.objectiveMs ?? head.timeoutMs) - serviceMs,
       state: EntryState.Queued,
     };
     entries.set(ticket, entry);
@@ -223,7 +232,7 @@
       return [refuse(entry, decision.reason, NotRun, getRetryAfter())];
     }
     if (decision.admission === Admission.Start) return [begin(entry)];
-    wakes.add(entry.deadline, entry.ticket);
+    wakes.add(entry.lastStart, entry.ticket);
     const leaving = queue.push(entry);
     if (leaving === undefined) return [];
     const reason = leaving === entry ? "queue_full" : "over_fair_share";
@@ -232,22 +241,24 @@
 
   function decide(entry: Entry): AdmissionDecision {
     const refusesEarly = options.refusesEarly ?? true;
+    const { timeoutMs, objectiveMs, mayQueue } = entry.head;
     return decideAdmission({
       usableSlots: getUsableSlots(),
       busySlots,
-      ahead: queue.getAhead(entry.account),
+      ahead: queue.getAheadOf?.(entry) ?? queue.getAhead(entry.account),
       queued: queue.size(),
       serviceMs,
-      slowdown: getSlowdown(),
+      holdMs: getHoldMs(),
     }, {
-      timeoutMs: refusesEarly ? entry.head.timeoutMs : Infinity,
-      mayQueue: entry.head.mayQueue ?? true,
+      timeoutMs: refusesEarly ? timeoutMs : Infinity,
+      ...(objectiveMs !== undefined && { objectiveMs }),
+      mayQueue: mayQueue ?? true,
     });
   }
 
   function fillSlots(): GuardAction[] {
     const actions: GuardAction[] = [];
-    while (busySlots < getUsableSlots()) {
+    while (busySlots < getUsableSlots() && getHoldMs() === 0) {
       const entry = queue.pop();
       if (entry === undefined) break;
       actions.push(begin(entry));
@@ -410,7 +421,7 @@
   function expire(entry: Entry, now: Millis): GuardAction[] {
     switch (entry.state) {
       case EntryState.Queued:
-        if (now < entry.deadline) return [];
+        if (now < entry.lastStart) return [];
         queue.remove(entry);
         return [refuse(entry, "deadline_in_queue", NotRun, getRetryAfter())];
       case EntryState.Granted:
@@ -479,6 +490,10 @@
     return options.upstream?.getSlowdown() ?? 1;
   }
 
+  function getHoldMs(): Millis {
+    return options.upstream?.getHoldMs() ?? 0;
+  }
+
   /** Time to drain the queue, spread so that callers don't return at once. */
   function getRetryAfter(): Millis {
     const drainMs = serviceMs * (1 + queue.size() / options.slots);
--- a/src/core/guard_entry.ts
+++ b/src/core/guard_entry.ts
@@ -18,6 +18,12 @@
   readonly head: RequestHead;
   readonly reserves: boolean;
   readonly deadline: Millis;
+  /** After this a queued request can't end in time any more, in ms. */
+  readonly lastStart: Millis;
+  /** Rank in the queue; 0 is the most urgent. */
+  readonly rank: number;
+  /** Until when a start leads to an answer of full value, in ms. */
+  readonly startBy: Millis;
   state: EntryState;
   grant?: string;
   grantExpires?: Millis;
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -18,6 +18,8 @@
   getUsableSlots(): number;
   /** How many times longer than usual work takes now. */
   getSlowdown(): number;
+  /** Expected time until work is worth starting, in ms; 0 for now. */
+  getHoldMs(): Millis;
 }
 
 /** Settings of a guard. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -11,6 +11,7 @@
 import { Diagnostics } from "./diagnostics.ts";
 import type { Attempt, PendingRequest } from "./gateway_types.ts";
 import type { LoadBook } from "./load_book.ts";
+import { SLOW_FACTOR } from "./slow_spells.ts";
 import type { Candidate, FailureDomainName, Verdict } from "./types.ts";
 
 /** Attempts of one request that guards may turn away, asks included. */
@@ -21,6 +22,9 @@
 /** Age up to which a report of draining is believed, in ms; asking costs little. */
 const DRAINING_BELIEF_MS = 2_000;
 
+/** Age up to which a report stands for an answer, in ms; a third of a slow spell. */
+const REPORT_BELIEF_MS = 50;
+
 /** Refusals by which a guard says that its upstream never heard of the request. */
 const TURNED_AWAY = new Set([
   Diagnostics.no_room_now,
@@ -111,13 +115,25 @@
   ): Placed | undefined {
     const asked = getHosts(request.attempts.filter((a) => a.isTurnedAway));
     if (asked.size >= options.maxAsks) return undefined;
-    const open = pool.filter((c) => !asked.has(c.host));
+    const open = pool.filter((c) => !asked.has(c.host) && mayStartNow(c));
     const near = open.filter(isNear);
     const next = near.length > 0 || staysNear(request, pool) ? near : open;
     const candidate = tryChoose(next);
     return candidate && { candidate, mayQueue: false };
   }
 
+  /** False where a report of just now says that nothing starts at once there. */
+  function mayStartNow({ host }: Candidate): boolean {
+    const entry = loads.get(host);
+    const { report } = entry;
+    if (report === undefined || loads.getAge(entry) > REPORT_BELIEF_MS) {
+      return true;
+    }
+    const isSlow = (report.slowdown ?? 1) >= SLOW_FACTOR;
+    const isFull = report.inFlight + entry.sentSinceReport >= report.slots;
+    return !isSlow && !isFull && report.queued === 0;
+  }
+
   function queueAtBest(
     request: PendingRequest,
     pool: readonly Candidate[],
--- /dev/null
+++ b/src/core/urgency_queue.ts
@@ -0,0 +1,78 @@
+/**
+ * A queue for work that loses its value: the most urgent rank first, within it
+ * what has to start first to be in time. Work whose objective has passed waits
+ * behind all that can still be in time, so that under overload some answers
+ * are in time instead of none.
+ */
+
+import type { FairQueue, Queued } from "./fair_queue.ts";
+import type { CoreHost, Millis } from "./types.ts";
+
+/** Something that waits and loses its value at a point in time. */
+export interface Urgent extends Queued {
+  /** Rank; 0 is the most urgent. */
+  readonly rank: number;
+  /** Until when a start leads to an answer of full value, in ms. */
+  readonly startBy: Millis;
+}
+
+/** Creates an empty queue of bounded length. */
+export function createUrgencyQueue<T extends Urgent>(
+  host: CoreHost,
+  options: { readonly capacity: number },
+): FairQueue<T> {
+  /** Sorted by rank, then by startBy. */
+  const items: T[] = [];
+  return {
+    push,
+    pop,
+    remove,
+    getAhead: () => items.length,
+    getAheadOf,
+    size: () => items.length,
+  };
+
+  function push(item: T): T | undefined {
+    items.splice(findPlace(item), 0, item);
+    return items.length > options.capacity ? items.pop() : undefined;
+  }
+
+  /** The first that can still be in time, else the first of all. */
+  function pop(): T | undefined {
+    const now = host.now();
+    const index = items.findIndex((item) => item.startBy >= now);
+    return items.splice(Math.max(0, index), 1)[0];
+  }
+
+  function remove(item: T): boolean {
+    const index = items.indexOf(item);
+    if (index < 0) return false;
+    items.splice(index, 1);
+    return true;
+  }
+
+  /** Items that can be in time and stand before this one. */
+  function getAheadOf(item: T): number {
+    const now = host.now();
+    let count = 0;
+    for (let i = findPlace(item) - 1; i >= 0; i--) {
+      if (items[i]!.startBy >= now) count += 1;
+    }
+    return count;
+  }
+
+  function findPlace(item: T): number {
+    let low = 0;
+    let high = items.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (isBefore(items[middle]!, item)) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
+
+function isBefore(a: Urgent, b: Urgent): boolean {
+  return a.rank === b.rank ? a.startBy <= b.startBy : a.rank < b.rank;
+}
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -49,11 +49,18 @@
   readonly host: CoreHost;
   readonly upstream: UpstreamClient;
   readonly logger: Logger;
+  /** Gets a fresh reading of the upstream before a request is decided on. */
+  readonly beforeAdmission?: BeforeAdmission;
 }
 
+/** What the task may wait for before a request is decided on. */
+export type BeforeAdmission = () => Promise<void>;
+
 /** The guard as a task. */
 export interface GuardTask extends GuardLink {
   readonly guard: Guard;
+  /** Looks again at what may start. */
+  wake(): void;
   /** Refuses new work and resolves once nothing is open. */
   drain(): Promise<void>;
 }
@@ -61,6 +68,7 @@
 interface Flow {
   resolve: ((reply: GuardReply) => void) | undefined;
   head?: RequestHead;
+  askedAt?: Millis;
   /** When the time of the request is over, in ms. */
   deadline?: Millis;
   forward?: ForwardRequest;
@@ -111,6 +119,7 @@
       Promise.resolve(guard.issueKeys(account, count)),
     replace: () => {},
     probe: () => Promise.resolve(0),
+    wake: () => tell({ kind: GuardMessageKind.Tick }),
     drain,
     close,
   };
@@ -122,7 +131,11 @@
     waker.update();
   }
 
-  function reserve(ticket: Ticket, head: RequestHead): Promise<GuardReply> {
+  async function reserve(
+    ticket: Ticket,
+    head: RequestHead,
+  ): Promise<GuardReply> {
+    await options.beforeAdmission?.();
     return ask(ticket, { kind: GuardMessageKind.Reserve, ticket, head });
   }
 
@@ -167,6 +180,7 @@
     flows.set(ticket, flow);
     if ("head" in msg) {
       flow.head = msg.head;
+      flow.askedAt = clock.now();
       flow.deadline = clock.now() + msg.head.timeoutMs;
     }
     return new Promise((resolve) => {
@@ -199,12 +213,23 @@
     flow.signal = signal;
     const forward = { ...flow.forward!, signal };
     const instance = flow.head?.instance;
+    const startedAt = clock.now();
+    const { inFlight, queued, slowdown } = guard.getReport();
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(flow.deadline! - clock.now())),
       ...(instance !== undefined && { instance }),
     });
     if ("failure" in result) return failUpstream(ticket, result.failure);
     const { answer } = result;
+    logger.info("upstream_answered", {
+      ticket,
+      status: answer.status,
+      tookMs: Math.round(clock.now() - startedAt),
+      waitedMs: Math.round(startedAt - flow.askedAt!),
+      slowdown,
+      inFlight,
+      queued,
+    });
     const isKept = flow.head?.repeatability === Repeatability.AtMostOnce;
     const body = isKept ? record(ticket, answer) : answer.body;
     const reply = { kind: ReplyKind.Answer as const, ticket };
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -18,7 +18,7 @@
 import { createClock } from "./clock.ts";
 import { createCoreHost } from "./core_host.ts";
 import { createGatewayTask } from "./gateway_task.ts";
-import { createGuardTask } from "./guard_task.ts";
+import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { parseAddress, startHttpServer } from "./http_server.ts";
 import { createIngressHandler } from "./ingress_server.ts";
 import { createLatencyMetrics } from "./latency_metrics.ts";
@@ -110,8 +110,10 @@
     getHealthPath: () => routes?.config.healthPaths.get(settings.service),
     getListedSlots: () =>
       upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
+    hasWaiting: () => guardTask.guard.getReport().queued > 0,
+    onReading: () => guardTask.wake(),
   });
-  const guardTask = createGuardTask(clock, {
+  const guardTask: GuardTask = createGuardTask(clock, {
     host,
     logger,
     upstream: createUpstreamClient({
@@ -120,6 +122,7 @@
       protocol: deployment.upstreams,
       onLoad: watch.note,
     }),
+    beforeAdmission: watch.refresh,
     guard: {
       self: settings.host,
       service: settings.service,
@@ -217,7 +220,6 @@
   const readiness = await listen(settings.listen.readiness, answerReadiness);
   const metrics = await listen(settings.listen.metrics, answerMetrics);
   store.start();
-  watch.start();
   return { stop };
 
   function takeSnapshot(changes: readonly StoreChange[]): void {
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -6,6 +6,7 @@
 import { Client } from "undici";
 import type { Counters } from "../core/counters.ts";
 import type { UpstreamView } from "../core/guard_types.ts";
+import { createSlowSpells } from "../core/slow_spells.ts";
 import type { Millis } from "../core/types.ts";
 import type {
   UpstreamLoad,
@@ -13,8 +14,12 @@
 } from "../upstream/upstream_protocol.ts";
 import type { Clock } from "./clock.ts";
 
-/** Time between two readings, in ms; a small part of how long a speed lasts. */
-const INTERVAL_MS = 50;
+/** Age up to which a reading is used for a decision, in ms; speeds last some 150 ms. */
+const FRESH_MS = 15;
+/** Time between readings while requests wait for a better speed, in ms. */
+const HOLD_POLL_MS = 25;
+/** Longest time that a decision waits for a reading, in ms. */
+const READ_WAIT_MS = 40;
 /** Age at which a reading says nothing any more, in ms. */
 const MAX_AGE_MS = 500;
 const TIMEOUT_MS = 500;
@@ -31,11 +36,16 @@
   getHealthPath(): string | undefined;
   /** Slots where the upstream has not stated them yet. */
   getListedSlots(): number;
+  /** True while requests wait in the guard's queue. */
+  hasWaiting(): boolean;
+  /** Hears of each reading. */
+  onReading(): void;
 }
 
 /** The watch of one upstream. */
 export interface UpstreamWatch extends UpstreamView {
-  start(): void;
+  /** Resolves once a fresh reading is there, or none comes in time. */
+  refresh(): Promise<void>;
   /** Takes what an answer stated. */
   note(load: UpstreamLoad): void;
   close(): Promise<void>;
@@ -47,6 +57,7 @@
   options: UpstreamWatchOptions,
 ): UpstreamWatch {
   const { counters } = options;
+  const spells = createSlowSpells();
   const client = new Client(`http://${options.address}`, {
     connect: { timeout: TIMEOUT_MS },
     headersTimeout: TIMEOUT_MS,
@@ -54,19 +65,21 @@
   });
   let load: UpstreamLoad | undefined;
   let readAt: Millis = -Infinity;
+  let reading: Promise<void> | undefined;
   let timer: NodeJS.Timeout | undefined;
-  let isClosed = false;
-  return { start, note, getUsableSlots, getSlowdown, close };
+  return { refresh, note, getUsableSlots, getSlowdown, getHoldMs, close };
 
-  function start(): void {
-    timer = setTimeout(() => void read(), INTERVAL_MS);
-  }
-
-  async function read(): Promise<void> {
+  async function refresh(): Promise<void> {
+    if (clock.now() - readAt < FRESH_MS) return;
     const path = options.getHealthPath();
-    const isFresh = clock.now() - readAt < INTERVAL_MS / 2;
-    if (path !== undefined && !isFresh) await probe(path);
-    if (!isClosed) start();
+    if (path === undefined) return;
+    reading ??= probe(path).finally(() => reading = undefined);
+    let limit: NodeJS.Timeout | undefined;
+    const enough = new Promise<void>((resolve) => {
+      limit = setTimeout(resolve, READ_WAIT_MS);
+    });
+    await Promise.race([reading, enough]);
+    clearTimeout(limit);
   }
 
   async function probe(path: string): Promise<void> {
@@ -85,6 +98,21 @@
   function note(stated: UpstreamLoad): void {
     load = stated;
     readAt = clock.now();
+    spells.note(stated.slowdown, readAt);
+    options.onReading();
+    if (getHoldMs() > 0) pollWhileHeld();
+  }
+
+  /** Requests may wait for the end of a slow spell, which only a reading shows. */
+  function pollWhileHeld(): void {
+    if (timer !== undefined || !options.hasWaiting()) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      void refresh().then(() => {
+        options.onReading();
+        if (getHoldMs() > 0) pollWhileHeld();
+      });
+    }, HOLD_POLL_MS);
   }
 
   function getUsableSlots(): number {
@@ -93,12 +121,18 @@
   }
 
   function getSlowdown(): number {
-    const isKnown = load !== undefined && clock.now() - readAt < MAX_AGE_MS;
-    return isKnown ? load!.slowdown : 1;
+    return isKnown() ? load!.slowdown : 1;
+  }
+
+  function getHoldMs(): Millis {
+    return isKnown() ? spells.getHoldMs(clock.now()) : 0;
+  }
+
+  function isKnown(): boolean {
+    return load !== undefined && clock.now() - readAt < MAX_AGE_MS;
   }
 
   async function close(): Promise<void> {
-    isClosed = true;
     clearTimeout(timer);
     await client.destroy();
   }
--- /dev/null
+++ b/test/platform/mesh.ts
@@ -0,0 +1,242 @@
+/** A few daemons of the platform's deployment in processes of their own. */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Agent, request } from "undici";
+import { startStore, type StoreStandIn } from "./store_stand_in.ts";
+import { startUpstream, type UpstreamStandIn } from "./upstream_stand_in.ts";
+
+/** Ports of every daemon; hosts differ by their loopback address. */
+const CALLER_PORT = 18_304;
+const PEER_PORT = 18_300;
+const READY_PORT = 18_302;
+const UPSTREAM_PORT = 18_301;
+const READY_TRIES = 200;
+const READY_POLL_MS = 25;
+
+/** One host: its daemon and its upstream. */
+export interface MeshHost {
+  readonly ip: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly upstream: UpstreamStandIn;
+  process: ChildProcess;
+  /** Lines of the daemon's log. */
+  readonly lines: string[];
+}
+
+/** What a caller saw. */
+export interface Seen {
+  readonly status: number;
+  readonly headers: Record<string, string | string[] | undefined>;
+  readonly text: string;
+}
+
+/** What a caller sends. */
+export interface Call {
+  readonly path?: string;
+  readonly method?: "GET" | "POST";
+  readonly id: string;
+  readonly timeoutMs?: number;
+  readonly body?: string | Buffer;
+  readonly headers?: Record<string, string>;
+}
+
+/** A running deployment. */
+export interface Mesh {
+  readonly store: StoreStandIn;
+  readonly hosts: MeshHost[];
+  publish(version: number, change?: Partial<RouteOptions>): void;
+  list(host: MeshHost, change?: Record<string, unknown>): void;
+  call(host: MeshHost, what: Call): Promise<Seen>;
+  /** Status of the readiness check; 0 where nothing answers. */
+  isReady(host: MeshHost): Promise<number>;
+  startDaemon(host: MeshHost): void;
+  waitReady(host: MeshHost): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** What the routes of a test say. */
+export interface RouteOptions {
+  readonly service: string;
+  readonly timeoutS: number;
+  readonly sloS: number;
+  readonly attempts: number;
+}
+
+/** Starts daemons, one for each given service. `base` keeps tests apart. */
+export async function startMesh(
+  base: number,
+  services: readonly string[],
+): Promise<Mesh> {
+  const store = await startStore();
+  const folder = mkdtempSync(join(tmpdir(), "mesh-"));
+  const agent = new Agent({ connections: 32 });
+  const hosts: MeshHost[] = [];
+  const mesh: Mesh = {
+    store,
+    hosts,
+    publish,
+    list,
+    call,
+    isReady,
+    startDaemon,
+    waitReady,
+    close,
+  };
+  for (const [index, service] of services.entries()) {
+    const ip = `127.0.${base}.${index + 1}`;
+    const upstream = await startUpstream(`i-${base}-${index}`, {
+      ip,
+      port: UPSTREAM_PORT,
+    });
+    const zone = index % 2 === 0 ? "east" : "west";
+    const host = { ip, zone, service, upstream, lines: [] as string[] };
+    hosts.push(host as unknown as MeshHost);
+    list(hosts[index]!);
+  }
+  publish(1);
+  for (const host of hosts) startDaemon(host);
+  await Promise.all(hosts.map(waitReady));
+  return mesh;
+
+  function publish(version: number, change: Partial<RouteOptions> = {}): void {
+    const { service = services[0]!, timeoutS = 2, sloS = 1, attempts = 3 } =
+      change;
+    store.put("op/config", {
+      version: version.toString(16).padStart(8, "0"),
+      routes: {
+        columns: ["name", "host", "prefix", "kind", "timeoutS", "sloS",
+          "priority", "attempts", "service", "split"],
+        rows: [
+          ["reads", "shop", "/read/", "safe", timeoutS, sloS, 2, attempts,
+            service, null],
+          ["orders", "shop", "/order/", "unsafe", timeoutS, sloS, 1, attempts,
+            service, null],
+          ["photos", "shop", "/photo/", "upload", timeoutS, sloS, 1, attempts,
+            service, null],
+        ],
+      },
+      services: {
+        columns: ["name", "healthCheck"],
+        rows: [...new Set(services)].map((s) => [s, "/healthz"]),
+      },
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutS: 3,
+        idleTimeoutS: 15,
+      },
+    });
+  }
+
+  function list(host: MeshHost, change: Record<string, unknown> = {}): void {
+    store.put(`servers/${host.upstream.instance}`, {
+      address: host.upstream.address,
+      info: {
+        service: host.service,
+        version: "v1",
+        zone: host.zone,
+        slots: host.upstream.slots,
+      },
+      status: { state: "ready", seq: 1, coldLeftS: 0, ...change },
+    });
+  }
+
+  function startDaemon(host: MeshHost): void {
+    const file = join(folder, `${host.ip}.yaml`);
+    writeFileSync(file, JSON.stringify(createSettings(host, store.address)));
+    const child = spawn(process.execPath, ["target/vanillarock.cjs"], {
+      env: { ...process.env, VANILLAROCK_SETTINGS: file },
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    const take = (data: Buffer) =>
+      void host.lines.push(...data.toString().split("\n"));
+    child.stdout!.on("data", take);
+    child.stderr!.on("data", take);
+    host.process = child;
+  }
+
+  async function waitReady(host: MeshHost): Promise<void> {
+    for (let i = 0; i < READY_TRIES; i++) {
+      if (await isReady(host) === 200) return;
+      await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+    }
+    throw new Error(`${host.ip} is not ready:\n${host.lines.join("\n")}`);
+  }
+
+  async function isReady(host: MeshHost): Promise<number> {
+    try {
+      const res = await request(`http://${host.ip}:${READY_PORT}/-/ready`);
+      await res.body.dump();
+      return res.statusCode;
+    } catch {
+      return 0;
+    }
+  }
+
+  async function call(host: MeshHost, what: Call): Promise<Seen> {
+    const res = await request(
+      `http://${host.ip}:${CALLER_PORT}${what.path ?? "/read/1"}`,
+      {
+        dispatcher: agent,
+        method: what.method ?? "GET",
+        headers: {
+          host: "shop",
+          "x-vanillarock-attempt-id": what.id,
+          "x-vanillarock-timeout-ms": String(what.timeoutMs ?? 2_000),
+          ...what.headers,
+        },
+        body: what.body ?? null,
+      },
+    );
+    const text = await res.body.text();
+    return { status: res.statusCode, headers: res.headers, text };
+  }
+
+  async function close(): Promise<void> {
+    await Promise.all(hosts.map(async (host) => {
+      const child = host.process;
+      if (child.exitCode === null && child.signalCode === null) {
+        const ended = new Promise((resolve) => child.once("exit", resolve));
+        child.kill("SIGKILL");
+        await ended;
+      }
+      await host.upstream.close();
+    }));
+    await agent.destroy();
+    await store.close();
+    rmSync(folder, { recursive: true });
+  }
+}
+
+function createSettings(host: MeshHost, store: string): unknown {
+  return {
+    self: {
+      ip: host.ip,
+      zone: host.zone,
+      app: host.upstream.address,
+      service: host.service,
+    },
+    network: {
+      listen: {
+        inbound: `${host.ip}:${PEER_PORT}`,
+        outbound: `${host.ip}:${CALLER_PORT}`,
+        ready: `${host.ip}:${READY_PORT}`,
+      },
+    },
+    platform: { platform: { address: store } },
+    terms: {
+      bounds: {
+        stableS: 3,
+        drainS: 2,
+        graceS: 6,
+        retryBudgetRatio: 0.2,
+        budgetWindowS: 10,
+        budgetSlack: 60,
+      },
+    },
+  };
+}
--- /dev/null
+++ b/test/platform/upstream_stand_in.ts
@@ -0,0 +1,145 @@
+/** An upstream of the platform as tests need it, with the ways in which it fails. */
+
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** How an upstream answers a request. */
+export enum UpstreamMood {
+  Serving = "serving",
+  /** States that it did not run the request. */
+  Shedding = "shedding",
+  /** Runs the request and resets the connection. */
+  LosesAnswer = "loses-answer",
+  /** Breaks its answer off in the middle. */
+  CutsShort = "cuts-short",
+  /** Sends a second answer right behind the first. */
+  AnswersTwice = "answers-twice",
+  /** Answers without its signature. */
+  Unsigned = "unsigned",
+  /** Never answers. */
+  Hangs = "hangs",
+  /** Answers 500 of its own. */
+  Fails = "fails",
+}
+
+/** An upstream in this process. */
+export interface UpstreamStandIn {
+  readonly address: string;
+  /** Ids of the requests that ran, in order. */
+  readonly ran: string[];
+  /** Headers of the requests that arrived. */
+  readonly heard: IncomingMessage["headers"][];
+  /** Bytes of the bodies that arrived. */
+  readonly bodies: Buffer[];
+  /** Requests whose connection closed before the answer. */
+  readonly cancelled: string[];
+  instance: string;
+  mood: UpstreamMood;
+  workMs: number;
+  slowdownPercent: number;
+  slots: number;
+  close(): Promise<void>;
+}
+
+const BODY = "the upstream's answer";
+
+/** Starts an upstream on a port of a loopback address; 0 takes a free one. */
+export async function startUpstream(
+  instance: string,
+  where: { ip?: string; port?: number } = {},
+): Promise<UpstreamStandIn> {
+  const server = createServer((req, res) => void serve(req, res));
+  const ip = where.ip ?? "127.0.0.1";
+  await new Promise<void>((resolve) =>
+    server.listen(where.port ?? 0, ip, resolve)
+  );
+  const { port } = server.address() as AddressInfo;
+  let running = 0;
+  const it: UpstreamStandIn = {
+    address: `${ip}:${port}`,
+    ran: [],
+    heard: [],
+    bodies: [],
+    cancelled: [],
+    instance,
+    mood: UpstreamMood.Serving,
+    workMs: 1,
+    slowdownPercent: 100,
+    slots: 10,
+    close: async () => {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+  return it;
+
+  async function serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const load = `${running},0,${it.slots},${it.slowdownPercent}`;
+    res.setHeader("x-vanillarock-server-load", load);
+    if (req.url === "/healthz") {
+      res.setHeader("x-vanillarock-instance-id", it.instance);
+      res.writeHead(200).end();
+      return;
+    }
+    it.heard.push(req.headers);
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+    it.bodies.push(Buffer.concat(chunks));
+    const id = String(req.headers["x-vanillarock-attempt-id"]);
+    res.setHeader("x-vanillarock-attempt-id", id);
+    const expected = req.headers["x-vanillarock-expect-instance"];
+    if (expected !== undefined && expected !== it.instance) {
+      res.setHeader("x-vanillarock-not-executed", "1");
+      res.writeHead(421).end();
+      return;
+    }
+    if (it.mood === UpstreamMood.Shedding) {
+      res.setHeader("x-vanillarock-not-executed", "1");
+      res.writeHead(503).end();
+      return;
+    }
+    it.ran.push(id);
+    running += 1;
+    req.socket.once("close", () => {
+      if (!res.writableEnded) it.cancelled.push(id);
+    });
+    await new Promise((resolve) => setTimeout(resolve, it.workMs));
+    running -= 1;
+    moods[it.mood](res, id);
+  }
+}
+
+const moods: Record<UpstreamMood, (res: ServerResponse, id: string) => void> = {
+  [UpstreamMood.Serving]: (res) => sign(res).writeHead(200).end(BODY),
+  [UpstreamMood.Shedding]: () => {},
+  [UpstreamMood.LosesAnswer]: (res) => res.socket!.resetAndDestroy(),
+  [UpstreamMood.CutsShort]: (res) => {
+    sign(res).writeHead(200, { "content-length": "100" });
+    res.write(BODY);
+    setTimeout(() => res.socket?.destroy(), 5);
+  },
+  [UpstreamMood.AnswersTwice]: (res, id) => {
+    const socket = res.socket!;
+    sign(res).writeHead(200).end(BODY, () => {
+      socket.write(
+        `HTTP/1.1 200 OK\r\nx-vanillarock-attempt-id: ${id}\r\n` +
+          "x-vanillarock-response-signature: s\r\ncontent-length: 5\r\n\r\nextra",
+      );
+    });
+  },
+  [UpstreamMood.Unsigned]: (res) => res.writeHead(200).end(BODY),
+  [UpstreamMood.Hangs]: () => {},
+  [UpstreamMood.Fails]: (res) => sign(res).writeHead(500).end("failed"),
+};
+
+function sign(res: ServerResponse): ServerResponse {
+  return res.setHeader("x-vanillarock-response-signature", "s");
+}
