--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -29,6 +29,8 @@
 
 /** What the decision needs of a request. */
 export interface AdmissionRequest {
+  /** Expected time of the work itself, in ms. */
+  readonly workMs: Millis;
   /** Time left, in ms. */
   readonly timeoutMs: Millis;
   /** Time left within which an answer has its full value, in ms. */
@@ -52,6 +54,12 @@
 /** Part of its objective that a request may wait even where its work alone is longer. */
 const MIN_PATIENCE_SHARE = 0.25;
 
+/**
+ * Work shorter than this part of the mean is served late rather than turned
+ * away: it takes little room, and calls of a running request are of this kind.
+ */
+const SHORT_SHARE = 0.5;
+
 /**
  * Decides on a request. Pattern "noisy neighbours": an upstream that is slow at
  * this moment turns away who may still ask another. Pattern "overload": a queue
@@ -68,7 +76,7 @@
     return { admission: Admission.Refuse, reason: "no_room_now", waitMs };
   }
   if (startsNow) return { admission: Admission.Start, waitMs };
-  const endsLate = waitMs + state.serviceMs > request.timeoutMs;
+  const endsLate = waitMs + request.workMs > request.timeoutMs;
   if (endsLate || waitMs > getPatience(state, request)) {
     return {
       admission: Admission.Refuse,
@@ -82,10 +90,11 @@
 /** Longest wait after which an answer still has its value, in ms. */
 function getPatience(
   { serviceMs }: AdmissionState,
-  { objectiveMs }: AdmissionRequest,
+  { objectiveMs, workMs }: AdmissionRequest,
 ): Millis {
-  if (objectiveMs === undefined) return Infinity;
-  return Math.max(objectiveMs - serviceMs, objectiveMs * MIN_PATIENCE_SHARE);
+  const isShort = workMs < serviceMs * SHORT_SHARE;
+  if (objectiveMs === undefined || isShort) return Infinity;
+  return Math.max(objectiveMs - workMs, objectiveMs * MIN_PATIENCE_SHARE);
 }
 
 /** Rounds of the slots that are served before a new request, in ms. */
--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -21,7 +21,7 @@
 /** Protected requests and bodies that can be sent once only reserve first. */
 export function isReserving(arrival: Arrival): boolean {
   return isProtected(arrival) || !arrival.replayable ||
-    arrival.key !== undefined || arrival.reservesFirst === true;
+    arrival.key !== undefined;
 }
 
 /** True where a second execution would be a fault. */
@@ -182,6 +182,16 @@
   );
 }
 
+/** A submitted attempt that its guard has not taken in time, if any. */
+export function findUnaccepted(
+  request: PendingRequest,
+  now: Millis,
+): Attempt | undefined {
+  return request.attempts.find((a) =>
+    a.phase === AttemptPhase.Sent && now >= (a.acceptDeadline ?? Infinity)
+  );
+}
+
 /** An attempt whose guard is to be asked what became of it, if any. */
 export function findDoubted(
   request: PendingRequest,
--- a/src/core/fair_queue.ts
+++ b/src/core/fair_queue.ts
@@ -18,7 +18,8 @@
    * the newest of the account furthest over its share, or the one offered.
    */
   push(item: T): T | undefined;
-  pop(): T | undefined;
+  /** Takes the next item; a queue that orders items passes over those that may not start. */
+  pop(mayStart?: (item: T) => boolean): T | undefined;
   remove(item: T): boolean;
   /** Items that leave before a new one of this account would. */
   getAhead(account: AccountName): number;
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -14,6 +14,7 @@
   endUnanswered,
   findDoubted,
   findSilentReservation,
+  findUnaccepted,
   getLossName,
   isOpen,
   isOwnTicket,
@@ -101,6 +102,7 @@
   const handlers: Handlers = {
     [GatewayMessageKind.Arrived]: (msg) => arrive(msg.arrival),
     [GatewayMessageKind.Granted]: onGranted,
+    [GatewayMessageKind.Accepted]: onAccepted,
     [GatewayMessageKind.Refused]: onRefused,
     [GatewayMessageKind.Answered]: onAnswered,
     [GatewayMessageKind.Completed]: ({ id }) => {
@@ -160,7 +162,10 @@
     });
     loads.noteSent(candidate.host);
     if (reserves) scheduleReserveTimeout(request, attempt);
-    else scheduleHedge(request, candidate.host);
+    else {
+      if (asksFirst) scheduleAcceptTimeout(request, attempt);
+      scheduleHedge(request, candidate.host);
+    }
     return [{
       kind: reserves ? GatewayActionKind.Reserve : GatewayActionKind.Submit,
       id: request.arrival.id,
@@ -195,6 +200,23 @@
     wakes.add(at, request.arrival.id);
   }
 
+  function scheduleAcceptTimeout(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): void {
+    const at = host.now() + options.reserveTimeoutMs;
+    if (at >= request.deadline) return;
+    attempt.acceptDeadline = at;
+    wakes.add(at, request.arrival.id);
+  }
+
+  function onAccepted(
+    msg: OfKind<GatewayMessage, GatewayMessageKind.Accepted>,
+  ): GatewayAction[] {
+    delete tryFind(msg.id, msg.attempt)?.attempt.acceptDeadline;
+    return [];
+  }
+
   /** A hedge goes out after the account's percentile, or after silence. */
   function scheduleHedge(request: PendingRequest, to: HostId): void {
     const { arrival } = request;
@@ -225,11 +247,7 @@
     attempt.grant = msg.grant;
     attempt.key = msg.key;
     attempt.wasToldToRun = true;
-    if (isProtected(found.request.arrival)) {
-      settling.schedule(msg.id, attempt, { delayMs: options.silenceMs });
-    } else {
-      scheduleHedge(found.request, attempt.host);
-    }
+    settling.schedule(msg.id, attempt, { delayMs: options.silenceMs });
     return [{
       kind: GatewayActionKind.Run,
       id: msg.id,
@@ -478,6 +496,8 @@
     if (now >= request.deadline) return passDeadline(request);
     const silent = findSilentReservation(request, now);
     if (silent !== undefined) return giveUpReservation(request, silent);
+    const unaccepted = findUnaccepted(request, now);
+    if (unaccepted !== undefined) return giveUpUnaccepted(request, unaccepted);
     const doubted = findDoubted(request, now);
     if (doubted !== undefined) return [settling.ask(request, doubted)];
     if (request.hedgeAt === undefined || now < request.hedgeAt) return [];
@@ -504,6 +524,20 @@
     return [ending, ...rest];
   }
 
+  function giveUpUnaccepted(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction[] {
+    delete attempt.acceptDeadline;
+    loads.noteResult(attempt.host, false);
+    const ending = createEnding(request, attempt, { isSilent: true });
+    const rest = giveUp(request, attempt, {
+      name: "link_silent",
+      mayHaveRun: true,
+    });
+    return [ending, ...rest];
+  }
+
   function sendHedge(request: PendingRequest): GatewayAction[] {
     delete request.hedgeAt;
     const isPossible = countRuns(request) < getMaxRuns(request) &&
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -108,6 +108,8 @@
   phase: AttemptPhase;
   /** When a reservation is given up, in ms. */
   reserveDeadline?: Millis;
+  /** When a submitted attempt without a word of its guard is given up, in ms. */
+  acceptDeadline?: Millis;
   /** The grant that the attempt was told to run with. */
   grant?: string;
   /** Key under which a granted attempt runs. */
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -33,10 +33,10 @@
   type Ticket,
   type Verdict,
 } from "./types.ts";
+import { createServiceTimes } from "./service_times.ts";
 import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
 
-const SERVICE_TIME_SMOOTHING = 0.1;
 const FIRST_SERVICE_TIME_MS = 10;
 /** Answers from this HTTP status on say nothing of the time that work takes. */
 const FIRST_FAILURE_STATUS = 500;
@@ -71,7 +71,7 @@
   const wakes = createWakeQueue<Ticket>();
   const startedAt = host.now();
   let busySlots = 0;
-  let serviceMs = FIRST_SERVICE_TIME_MS;
+  const times = createServiceTimes(FIRST_SERVICE_TIME_MS);
   let draining = false;
   let grantCount = 0;
   let reportCount = 0;
@@ -122,7 +122,7 @@
       slots: getUsableSlots(),
       inFlight: busySlots,
       queued: queue.size(),
-      serviceMs,
+      serviceMs: times.getMean(),
       draining,
       ageMs: host.now() - startedAt,
       ...(options.upstream && { slowdown: getSlowdown() }),
@@ -138,6 +138,7 @@
       counters.add("duplicate_message");
       return [];
     }
+    const workMs = times.get(head.route);
     const entry: Entry = {
       ticket,
       account: head.account,
@@ -145,9 +146,9 @@
       reserves,
       deadline: host.now() + head.timeoutMs,
       lastStart: host.now() + head.timeoutMs -
-        (options.upstream === undefined ? 0 : serviceMs * LAST_START_SHARE),
+        (options.upstream === undefined ? 0 : workMs * LAST_START_SHARE),
       rank: head.priority ?? 0,
-      startBy: host.now() + (head.objectiveMs ?? head.timeoutMs) - serviceMs,
+      startBy: host.now() + (head.objectiveMs ?? head.timeoutMs) - workMs,
       state: EntryState.Queued,
     };
     entries.set(ticket, entry);
@@ -247,9 +248,10 @@
       busySlots,
       ahead: queue.getAheadOf?.(entry) ?? queue.getAhead(entry.account),
       queued: queue.size(),
-      serviceMs,
-      holdMs: getHoldMs(),
+      serviceMs: times.getMean(),
+      holdMs: getHoldMs(entry),
     }, {
+      workMs: times.get(entry.head.route),
       timeoutMs: refusesEarly ? timeoutMs : Infinity,
       ...(objectiveMs !== undefined && { objectiveMs }),
       mayQueue: mayQueue ?? true,
@@ -258,8 +260,8 @@
 
   function fillSlots(): GuardAction[] {
     const actions: GuardAction[] = [];
-    while (busySlots < getUsableSlots() && getHoldMs() === 0) {
-      const entry = queue.pop();
+    while (busySlots < getUsableSlots()) {
+      const entry = queue.pop((item) => getHoldMs(item) === 0);
       if (entry === undefined) break;
       actions.push(begin(entry));
     }
@@ -375,8 +377,7 @@
   }
 
   function learnServiceTime(entry: Entry): void {
-    const sample = host.now() - entry.startedAt!;
-    serviceMs += SERVICE_TIME_SMOOTHING * (sample - serviceMs);
+    times.note(entry.head.route, host.now() - entry.startedAt!);
   }
 
   function upstreamFailed(
@@ -490,13 +491,16 @@
     return options.upstream?.getSlowdown() ?? 1;
   }
 
-  function getHoldMs(): Millis {
-    return options.upstream?.getHoldMs() ?? 0;
+  /** Time that a start is put off, in ms; short work is better started slowly. */
+  function getHoldMs({ head }: Entry): Millis {
+    const holdMs = options.upstream?.getHoldMs() ?? 0;
+    const costMs = (getSlowdown() - 1) * times.get(head.route);
+    return costMs > holdMs ? holdMs : 0;
   }
 
   /** Time to drain the queue, spread so that callers don't return at once. */
   function getRetryAfter(): Millis {
-    const drainMs = serviceMs * (1 + queue.size() / options.slots);
+    const drainMs = times.getMean() * (1 + queue.size() / options.slots);
     const base = Math.max(MIN_RETRY_AFTER_MS, drainMs);
     return Math.ceil(base * (1 + host.random()));
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -66,6 +66,8 @@
   readonly objectiveMs?: Millis;
   /** Rank among the requests of a service; 0 is the most urgent. */
   readonly priority?: number;
+  /** Name of the route, whose requests take similar time. */
+  readonly route?: string;
   /** False asks for a start at once or a refusal. */
   readonly mayQueue?: boolean;
   /** The incarnation of the upstream that is meant. */
@@ -194,6 +196,8 @@
 export enum GatewayMessageKind {
   Arrived = "arrived",
   Granted = "granted",
+  /** A guard took a submitted request and has not refused it. */
+  Accepted = "accepted",
   Refused = "refused",
   Answered = "answered",
   Completed = "completed",
@@ -216,14 +220,14 @@
   readonly replayable: boolean;
   /** Retries that the whole call tree may still spend. */
   readonly retriesLeft: number;
-  /** True where even an idempotent request reserves before it runs. */
-  readonly reservesFirst?: boolean;
   /** Upstreams that may be handed the request; the gateway's limit if absent. */
   readonly maxRuns?: number;
   /** Time left within which an answer has its full value, in ms. */
   readonly objectiveMs?: Millis;
   /** Rank among the requests of a service; 0 is the most urgent. */
   readonly priority?: number;
+  /** Name of the route, whose requests take similar time. */
+  readonly route?: string;
   /** Size of the request's body in bytes, where it is known. */
   readonly bodyBytes?: number;
 }
@@ -255,6 +259,7 @@
     /** HTTP status; 500 and above counts as a failure of the upstream. */
     status: number;
   }
+  | { kind: GatewayMessageKind.Accepted; id: string; attempt: number }
   | { kind: GatewayMessageKind.Completed; id: string }
   | {
     /** A guard's word on a key; no verdict where the guard can't be reached. */
--- a/src/core/urgency_queue.ts
+++ b/src/core/urgency_queue.ts
@@ -38,10 +38,17 @@
   }
 
   /** The first that can still be in time, else the first of all. */
-  function pop(): T | undefined {
+  function pop(
+    mayStart: (item: T) => boolean = () => true,
+  ): T | undefined {
     const now = host.now();
-    const index = items.findIndex((item) => item.startBy >= now);
-    return items.splice(Math.max(0, index), 1)[0];
+    let next = -1;
+    for (const [index, item] of items.entries()) {
+      if (!mayStart(item)) continue;
+      if (item.startBy >= now) return items.splice(index, 1)[0];
+      if (next < 0) next = index;
+    }
+    return next < 0 ? undefined : items.splice(next, 1)[0];
   }
 
   function remove(item: T): boolean {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -32,7 +32,7 @@
 import { createLinkTable } from "./link_table.ts";
 import { createLogger, type Logger } from "./logger.ts";
 import { createOperatorApp, type DaemonStatus } from "./operator_server.ts";
-import { createPeerApp } from "./peer_server.ts";
+import { createPeerApp } from "./peer_app.ts";
 import { createPlatformTask } from "./platform_task.ts";
 import { createProbeTask } from "./probe_task.ts";
 
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -191,7 +191,9 @@
     const head = createHead(exchange.request, action);
     const forward = createForward(exchange, exchange.attempts.get(attempt)!);
     const ticket = gateway.getTicket(id, attempt);
-    take(id, attempt, await link.submit(ticket, head, { forward }));
+    const onAccepted = () =>
+      tell({ kind: GatewayMessageKind.Accepted, id, attempt });
+    take(id, attempt, await link.submit(ticket, head, { forward, onAccepted }));
   }
 
   async function settle(
@@ -325,7 +327,8 @@
 >;
 
 function createHead(request: GatewayRequest, action: SendAction): RequestHead {
-  const { account, service, repeatability, key, priority } = request.arrival;
+  const { account, service, repeatability, key, priority, route } =
+    request.arrival;
   const { timeoutMs, mayQueue, instance } = action;
   const spentMs = request.arrival.timeoutMs - timeoutMs;
   const objectiveMs = request.arrival.objectiveMs;
@@ -338,6 +341,7 @@
     timeoutMs,
     ...(objectiveMs !== undefined && { objectiveMs: objectiveMs - spentMs }),
     ...(priority !== undefined && { priority }),
+    ...(route !== undefined && { route }),
     ...(mayQueue !== undefined && { mayQueue }),
     ...(instance !== undefined && { instance }),
   };
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -151,14 +151,20 @@
     return ask(ticket, { kind: GuardMessageKind.Run, ticket, grant });
   }
 
-  function submit(
+  async function submit(
     ticket: Ticket,
     head: RequestHead,
-    { forward }: { forward: ForwardRequest },
+    { forward, onAccepted }: {
+      forward: ForwardRequest;
+      onAccepted?: () => void;
+    },
   ): Promise<GuardReply> {
+    await options.beforeAdmission?.();
     const flow = openFlow(ticket, forward);
-    if (flow === undefined) return Promise.resolve(createUsedReply());
-    return ask(ticket, { kind: GuardMessageKind.Submit, ticket, head });
+    if (flow === undefined) return createUsedReply();
+    const reply = ask(ticket, { kind: GuardMessageKind.Submit, ticket, head });
+    if (flow.resolve !== undefined) onAccepted?.();
+    return await reply;
   }
 
   function release(ticket: Ticket): void {
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -10,6 +10,7 @@
 import { getRequestListener } from "@hono/node-server";
 import type { Hono } from "hono";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { splitAddress } from "../link/address.ts";
 
 /** Largest head of a request, in bytes. */
 const MAX_HEADER_BYTES = 32_768;
@@ -45,7 +46,7 @@
   server.on("clientError", (error, socket) => {
     answerMalformed(error as NodeJS.ErrnoException, socket, options);
   });
-  const { host, port } = parseAddress(options.address);
+  const { host, port } = splitAddress(options.address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
@@ -68,13 +69,6 @@
   });
 }
 
-/** Splits an address into host and port. */
-export function parseAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(":");
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
 function answerMalformed(
   error: NodeJS.ErrnoException,
   socket: Duplex,
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -122,10 +122,10 @@
       timeoutMs: Math.max(1, timeoutMs),
       replayable: body.replayable,
       retriesLeft: MAX_RETRIES,
-      reservesFirst: true,
       maxRuns: route.maxRuns,
       objectiveMs: route.objectiveMs - spentMs,
       priority: route.priority,
+      route: route.name,
       bodyBytes: body.length,
     };
   }
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -19,14 +19,14 @@
 import { createCoreHost } from "./core_host.ts";
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
-import { parseAddress, startHttpServer } from "./http_server.ts";
+import { splitAddress } from "../link/address.ts";
 import { createIngressHandler } from "./ingress_server.ts";
 import { createLatencyMetrics } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
-import { createPeerApp } from "./peer_server.ts";
+import { createPeerHandler } from "./peer_server.ts";
 import {
   createStoreTask,
   type StoreChange,
@@ -47,6 +47,8 @@
 const QUEUE_CAPACITY = 256;
 const MAX_SLOTS = 4_096;
 const KEY_CAPACITY = 4_096;
+/** Idle time of a peer's connection, in ms; longer than peers keep theirs. */
+const PEER_KEEP_ALIVE_MS = 75_000;
 const CROSS_DOMAIN_MS = 3;
 /** How long an entry that lapsed with the store may stay away after it, in ms. */
 const LAPSE_GRACE_MS = 2_000;
@@ -55,8 +57,8 @@
 const ASSUMED_SLOTS = 8;
 /** Time for callers to notice that this daemon stops, in ms: two readiness checks. */
 const LEAVE_MS = 2_500;
-/** Time that is left for closing before a kill, in ms. */
-const STOP_MARGIN_MS = 400;
+/** Share of the time granted in which open requests may end; the rest is for closing. */
+const STOP_SHARE = 5 / 6;
 const STOP_POLL_MS = 50;
 const MS_PER_SECOND = 1_000;
 
@@ -94,13 +96,13 @@
   const counters = createCounters();
   const latencies = createLatencyMetrics();
   const lifecycle = createLifecycle();
-  const peerPort = parseAddress(settings.listen.peers).port;
+  const peerPort = splitAddress(settings.listen.peers).port;
   let routes: RouteTable | undefined;
   let isStopping = false;
 
   const upstreams = createUpstreamList(host, {
     lapseGraceMs: LAPSE_GRACE_MS,
-    getHost: (address) => parseAddress(address).host,
+    getHost: (address) => splitAddress(address).host,
     onChange: noteUpstream,
   });
   const watch = createUpstreamWatch(clock, {
@@ -204,9 +206,9 @@
       onAnswered: latencies.record,
     }),
   );
-  const peers = await startHttpServer({
-    address: settings.listen.peers,
-    app: createPeerApp({
+  const peers = await listen(
+    settings.listen.peers,
+    createPeerHandler({
       guard: guardTask,
       getRevisions: () => String(routes?.config.version ?? 0),
       onHeard: () => {},
@@ -215,8 +217,8 @@
         logger.warn("peer_nonsense", { reason, message });
       },
     }),
-    onMalformed: ({ reason }) => counters.add(reason),
-  });
+  );
+  peers.keepAliveTimeout = PEER_KEEP_ALIVE_MS;
   const readiness = await listen(settings.listen.readiness, answerReadiness);
   const metrics = await listen(settings.listen.metrics, answerMetrics);
   store.start();
@@ -282,7 +284,7 @@
     });
     const isGone = change === UpstreamChange.Gone ||
       change === UpstreamChange.Restarted;
-    if (isGone) gatewayTask.gateway.forgetHost(parseAddress(it.address).host);
+    if (isGone) gatewayTask.gateway.forgetHost(splitAddress(it.address).host);
   }
 
   function answerReadiness(...[req, res]: Parameters<RequestListener>): void {
@@ -310,7 +312,7 @@
     const startedAt = clock.now();
     logger.info("stopping", { open: countOpen() });
     void guardTask.drain();
-    const limit = startedAt + bounds.graceMs - STOP_MARGIN_MS;
+    const limit = startedAt + bounds.graceMs * STOP_SHARE;
     const soonest = startedAt + LEAVE_MS;
     while (clock.now() < limit) {
       if (clock.now() >= soonest && countOpen() === 0) break;
@@ -344,7 +346,7 @@
   handler: RequestListener,
 ): Promise<Server> {
   const server = createServer({ requestTimeout: 0, noDelay: true }, handler);
-  const { host, port } = parseAddress(address);
+  const { host, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -2,8 +2,6 @@
 
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import { Hono } from "hono";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import { Execution, type HostId, type Verdict } from "../core/types.ts";
 import { getForwardHeaders, getHeader } from "../link/http_headers.ts";
@@ -21,7 +19,6 @@
   Step,
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
-import type { HttpEnv } from "./http_server.ts";
 import { hasBody } from "./request_body.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
@@ -42,8 +39,10 @@
 
 type StepHandler = (msg: PeerMessage) => void | Promise<void>;
 
-/** Creates the peers' application. */
-export function createPeerApp(options: PeerServerOptions): Hono<HttpEnv> {
+/** Creates the handler of messages of other daemons. */
+export function createPeerHandler(
+  options: PeerServerOptions,
+): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
   const { guard } = options;
   const steps: Record<Step, StepHandler> = {
     [Step.Reserve]: reserve,
@@ -54,9 +53,7 @@
     [Step.Keys]: issueKeys,
     [Step.Ping]: ({ outgoing }) => end(outgoing, 204),
   };
-  const app = new Hono<HttpEnv>();
-  app.all("*", async (c) => {
-    const { incoming, outgoing } = c.env;
+  return (incoming, outgoing) => {
     hear(incoming);
     const step = getHeader(incoming.headers, Header.Step) as Step;
     const ticket = getHeader(incoming.headers, Header.Ticket) ?? "";
@@ -64,10 +61,8 @@
       ? steps[step]
       : undefined;
     if (handler === undefined) refuseNonsense(outgoing, `step ${step}`);
-    else await handler({ incoming, outgoing, ticket });
-    return RESPONSE_ALREADY_SENT;
-  });
-  return app;
+    else void handler({ incoming, outgoing, ticket });
+  };
 
   function hear(incoming: IncomingMessage): void {
     const from = getHeader(incoming.headers, Header.From);
@@ -87,7 +82,8 @@
     const head = readHead(msg);
     if (head === undefined) return;
     const forward = createForward(msg);
-    send(msg, await guard.submit(msg.ticket, head, { forward }));
+    const onAccepted = () => msg.outgoing.writeProcessing();
+    send(msg, await guard.submit(msg.ticket, head, { forward, onAccepted }));
   }
 
   async function run(msg: PeerMessage): Promise<void> {
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -14,7 +14,6 @@
   Verdict,
 } from "../core/types.ts";
 import { Execution } from "../core/types.ts";
-import { isBeforeSend } from "../upstream/upstream_client.ts";
 import { getHeader } from "./http_headers.ts";
 import {
   type ForwardRequest,
@@ -134,12 +133,12 @@
   function submit(
     ticket: Ticket,
     head: RequestHead,
-    { forward }: { forward: ForwardRequest },
+    how: { forward: ForwardRequest; onAccepted?: () => void },
   ): Promise<GuardReply> {
-    return send(forward, Step.Submit, {
+    return send(how.forward, Step.Submit, {
       [Header.Ticket]: ticket,
       [Header.Head]: encodeHead(head),
-    });
+    }, how.onAccepted);
   }
 
   async function issueKeys(
@@ -203,6 +202,7 @@
     forward: ForwardRequest,
     step: Step,
     headers: Record<string, string>,
+    onInfo?: () => void,
   ): Promise<GuardReply> {
     try {
       const res = await pool.request({
@@ -211,6 +211,7 @@
         headers: { ...forward.headers, ...createHeaders(step), ...headers },
         body: forward.body,
         signal: forward.signal,
+        ...(onInfo !== undefined && { onInfo }),
       });
       return await readReply(res);
     } catch (error) {
@@ -290,3 +291,17 @@
     message: String(error),
   };
 }
+
+const BEFORE_SEND_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** True for an error that proves that no byte of the request was sent. */
+function isBeforeSend(error: unknown): boolean {
+  const code = (error as { code?: unknown } | null)?.code;
+  return typeof code === "string" && BEFORE_SEND_CODES.has(code);
+}
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -58,10 +58,11 @@
     grant: string,
     options: { forward: ForwardRequest },
   ): Promise<GuardReply>;
+  /** `onAccepted` hears once where the guard has not refused at once. */
   submit(
     ticket: Ticket,
     head: RequestHead,
-    options: { forward: ForwardRequest },
+    options: { forward: ForwardRequest; onAccepted?: () => void },
   ): Promise<GuardReply>;
   /** Ends an attempt that was not told to run. */
   release(ticket: Ticket): void;
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -61,6 +61,7 @@
   timeoutMs: z.number().min(0),
   objectiveMs: z.number().optional(),
   priority: z.number().optional(),
+  route: z.string().optional(),
   mayQueue: z.boolean().optional(),
   instance: z.string().optional(),
 });
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -1,11 +1,13 @@
 /** Requests to the local upstream, and what their failures prove. */
 
 import { Buffer } from "node:buffer";
+import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
+import type { Socket } from "node:net";
 import { Readable } from "node:stream";
-import { Pool } from "undici";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import { Execution } from "../core/types.ts";
 import type { ForwardRequest, StreamedAnswer } from "../link/types.ts";
+import { splitAddress } from "../link/address.ts";
 import { getHeader } from "../link/http_headers.ts";
 import {
   AnswerStanding,
@@ -15,6 +17,8 @@
 } from "./upstream_protocol.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle time after which a connection is closed, in ms; below what upstreams state. */
+const IDLE_TIMEOUT_MS = 4_000;
 /** Answers up to this size are held until they are whole, in bytes. */
 const MAX_HELD_ANSWER_BYTES = 1_048_576;
 
@@ -51,37 +55,72 @@
   options: UpstreamClientOptions,
 ): UpstreamClient {
   const { protocol } = options;
-  const pool = new Pool(`http://${options.address}`, {
-    connections: options.connections,
-    pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-  return { send, close: () => pool.destroy() };
+  const { host, port } = splitAddress(options.address);
+  const agent = createStrictAgent(options.connections);
+  return { send, close: () => Promise.resolve(agent.destroy()) };
 
   async function send(
     request: ForwardRequest,
     call: UpstreamCall,
   ): Promise<UpstreamResult> {
     try {
-      const res = await pool.request({
-        method: request.method as "GET",
-        path: request.path,
-        headers: protocol.createHeaders(request, call),
-        body: request.body,
-        signal: request.signal,
-      });
+      const res = await exchange(request, call);
       return await take(request, {
-        status: res.statusCode,
+        status: res.statusCode!,
         headers: res.headers,
-        body: res.body,
+        body: res,
       });
     } catch (error) {
       return { failure: classify(error) };
     }
   }
 
+  /**
+   * Sends over node:http: unlike undici it tells an answer without a length
+   * that ended from one whose connection was reset.
+   */
+  function exchange(
+    request: ForwardRequest,
+    call: UpstreamCall,
+  ): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const { method, path, body, signal } = request;
+      const headers = protocol.createHeaders(request, call);
+      const req = httpRequest({ agent, host, port, method, path, headers });
+      let isSent = false;
+      const connecting = setTimeout(() => {
+        req.destroy(new ConnectError("no connection in time"));
+      }, CONNECT_TIMEOUT_MS);
+      req.once("socket", (socket) => {
+        if (socket.connecting) socket.once("connect", noteSent);
+        else noteSent();
+      });
+      let answer: IncomingMessage | undefined;
+      req.once("response", (res) => {
+        answer = res;
+        resolve(res);
+      });
+      req.on("error", (error) => {
+        clearTimeout(connecting);
+        // Without a length Node.js would take a reset for the answer's end.
+        answer?.destroy(error);
+        reject(isSent ? error : new ConnectError(String(error)));
+      });
+      signal.once("abort", () => req.destroy(new AbortError()));
+      if (body instanceof Readable) {
+        body.once("error", (error) => req.destroy(error));
+        body.pipe(req);
+      } else {
+        req.end(body ?? undefined);
+      }
+
+      function noteSent(): void {
+        isSent = true;
+        clearTimeout(connecting);
+      }
+    });
+  }
+
   async function take(
     request: ForwardRequest,
     answer: StreamedAnswer,
@@ -96,6 +135,36 @@
   }
 }
 
+/** The connection was not there yet, so that nothing was sent. */
+class ConnectError extends Error {}
+
+/** The request was cancelled here. */
+class AbortError extends Error {}
+
+/** Keeps connections for reuse, but none on which bytes come that belong to no request. */
+function createStrictAgent(maxSockets: number): Agent {
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets,
+    timeout: IDLE_TIMEOUT_MS,
+  });
+  const keep = agent.keepSocketAlive.bind(agent);
+  const reuse = agent.reuseSocket.bind(agent);
+  agent.keepSocketAlive = (socket) => {
+    socket.on("data", destroyOnData).resume();
+    return keep(socket);
+  };
+  agent.reuseSocket = (socket, req) => {
+    socket.off("data", destroyOnData);
+    reuse(socket, req);
+  };
+  return agent;
+}
+
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
 /** Reads a body of moderate size to its end, so that a cut one is noticed. */
 async function hold(answer: StreamedAnswer): Promise<UpstreamResult> {
   const length = Number(getHeader(answer.headers, "content-length") ?? 0);
@@ -155,33 +224,18 @@
 
 function classify(error: unknown): UpstreamFailure {
   const message = String(error);
-  if (isBeforeSend(error)) {
+  if (error instanceof ConnectError) {
     return {
       execution: Execution.NotRun,
       diagnostic: Diagnostics.upstream_unreachable,
       message,
     };
   }
-  const isAbort = error instanceof Error && error.name === "AbortError";
   return {
     execution: Execution.MayHaveRun,
-    diagnostic: isAbort
+    diagnostic: error instanceof AbortError
       ? Diagnostics.upstream_timeout
       : Diagnostics.upstream_lost,
     message,
   };
 }
-
-const BEFORE_SEND_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-/** True for an error that proves that no byte of the request was sent. */
-export function isBeforeSend(error: unknown): boolean {
-  const code = (error as { code?: unknown } | null)?.code;
-  return typeof code === "string" && BEFORE_SEND_CODES.has(code);
-}
--- /dev/null
+++ b/test/mesh_test.ts
@@ -0,0 +1,123 @@
+/** Daemons of the platform's deployment as processes, against stand-ins. */
+
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { type Mesh, startMesh } from "./platform/mesh.ts";
+import { UpstreamMood } from "./platform/upstream_stand_in.ts";
+
+let mesh: Mesh;
+
+beforeAll(async () => {
+  mesh = await startMesh(71, ["shop", "shop", "shop"]);
+});
+afterAll(() => mesh.close());
+
+test("a request reaches an upstream with what the platform asks for", async () => {
+  const seen = await mesh.call(mesh.hosts[0]!, {
+    id: "plain",
+    path: "/read/7?q=1",
+    headers: { "x-vanillarock-caller-service": "forged", "x-other": "kept" },
+  });
+  expect(seen.status).toBe(200);
+  expect(seen.text).toBe("the upstream's answer");
+  expect(seen.headers["x-vanillarock-attempt-id"]).toBe("plain");
+  const heard = mesh.hosts.flatMap((h) => h.upstream.heard)
+    .find((h) => h["x-vanillarock-attempt-id"] === "plain")!;
+  expect(heard["x-vanillarock-caller-service"]).toBe("shop");
+  expect(heard["x-other"]).toBe("kept");
+  expect(heard.host).toBe("shop");
+  expect(Number(heard["x-vanillarock-timeout-ms"])).toBeGreaterThan(1_000);
+  const internal = Object.keys(heard).filter((n) => n.startsWith("vanillarock"));
+  expect(internal).toEqual([]);
+});
+
+test("an order runs once, whichever daemon takes it", async () => {
+  for (const [index, host] of mesh.hosts.entries()) {
+    const id = `order-${index}`;
+    const body = Buffer.alloc(70_000, index);
+    const seen = await mesh.call(host, {
+      id,
+      path: "/order/1",
+      method: "POST",
+      body,
+    });
+    expect(seen.status).toBe(200);
+    const runs = mesh.hosts.flatMap((h) => h.upstream.ran)
+      .filter((r) => r === id);
+    expect(runs).toHaveLength(1);
+    const arrived = mesh.hosts.flatMap((h) => h.upstream.bodies);
+    expect(arrived.some((b) => b.equals(body))).toBe(true);
+  }
+});
+
+test("an unknown path is answered 404, and what all shed is refused as not run", async () => {
+  const unknown = await mesh.call(mesh.hosts[0]!, { id: "u", path: "/none/1" });
+  expect(unknown.status).toBe(404);
+  setMood(UpstreamMood.Shedding);
+  const shed = await mesh.call(mesh.hosts[0]!, {
+    id: "shed",
+    path: "/order/1",
+    method: "POST",
+    body: "x",
+  });
+  setMood(UpstreamMood.Serving);
+  expect(shed.status).toBe(503);
+  expect(Number(shed.headers["retry-after"])).toBeGreaterThan(0);
+  expect(mesh.hosts.flatMap((h) => h.upstream.ran)).not.toContain("shed");
+});
+
+test("an order whose answer is lost is never said not to have run", async () => {
+  setMood(UpstreamMood.LosesAnswer);
+  const lost = await mesh.call(mesh.hosts[1]!, {
+    id: "lost",
+    path: "/order/1",
+    method: "POST",
+    body: "x",
+  });
+  setMood(UpstreamMood.Serving);
+  expect([502, 504]).toContain(lost.status);
+  const runs = mesh.hosts.flatMap((h) => h.upstream.ran)
+    .filter((r) => r === "lost");
+  expect(runs).toHaveLength(1);
+});
+
+test("no success is passed on that is unsigned, cut short or another's", async () => {
+  const moods = [
+    UpstreamMood.Unsigned,
+    UpstreamMood.CutsShort,
+    UpstreamMood.ResetsUnframed,
+  ];
+  for (const mood of moods) {
+    setMood(mood);
+    const id = `spoilt-${mood}`;
+    const seen = await mesh.call(mesh.hosts[0]!, { id });
+    expect(seen.status).toBe(502);
+  }
+  setMood(UpstreamMood.Unframed);
+  const unframed = await mesh.call(mesh.hosts[0]!, { id: "unframed" });
+  expect([unframed.status, unframed.text]).toEqual([
+    200,
+    "the upstream's answer",
+  ]);
+  setMood(UpstreamMood.AnswersTwice);
+  for (let i = 0; i < 20; i++) {
+    const seen = await mesh.call(mesh.hosts[0]!, { id: `twice-${i}` });
+    if (seen.status !== 200) continue;
+    expect(seen.headers["x-vanillarock-attempt-id"]).toBe(`twice-${i}`);
+    expect(seen.text).toBe("the upstream's answer");
+  }
+  setMood(UpstreamMood.Serving);
+});
+
+test("a failed read is tried at another upstream", async () => {
+  mesh.hosts[0]!.upstream.mood = UpstreamMood.Fails;
+  const seen = await Promise.all(
+    Array.from({ length: 6 }, (_, i) =>
+      mesh.call(mesh.hosts[0]!, { id: `failing-${i}` })),
+  );
+  mesh.hosts[0]!.upstream.mood = UpstreamMood.Serving;
+  expect(seen.filter((s) => s.status === 200).length).toBeGreaterThan(4);
+});
+
+function setMood(mood: UpstreamMood): void {
+  for (const { upstream } of mesh.hosts) upstream.mood = mood;
+}
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -21,6 +21,10 @@
   AnswersTwice = "answers-twice",
   /** Answers without its signature. */
   Unsigned = "unsigned",
+  /** Answers without a length, then resets the connection in the middle. */
+  ResetsUnframed = "resets-unframed",
+  /** Answers without a length, which ends with the connection. */
+  Unframed = "unframed",
   /** Never answers. */
   Hangs = "hangs",
   /** Answers 500 of its own. */
@@ -135,6 +139,14 @@
       );
     });
   },
+  [UpstreamMood.ResetsUnframed]: (res, id) => {
+    writeUnframed(res, id);
+    setTimeout(() => res.socket?.resetAndDestroy(), 5);
+  },
+  [UpstreamMood.Unframed]: (res, id) => {
+    writeUnframed(res, id);
+    res.socket!.end();
+  },
   [UpstreamMood.Unsigned]: (res) => res.writeHead(200).end(BODY),
   [UpstreamMood.Hangs]: () => {},
   [UpstreamMood.Fails]: (res) => sign(res).writeHead(500).end("failed"),
@@ -143,3 +155,10 @@
 function sign(res: ServerResponse): ServerResponse {
   return res.setHeader("x-vanillarock-response-signature", "s");
 }
+
+function writeUnframed(res: ServerResponse, id: string): void {
+  res.socket!.write(
+    `HTTP/1.1 200 OK\r\nx-vanillarock-attempt-id: ${id}\r\n` +
+      `x-vanillarock-response-signature: s\r\nconnection: close\r\n\r\n${BODY}`,
+  );
+}
