Store regained fast, late requests refused while stopping, unframed answers as such

While the store is lost, watches wait 50 ms; the test of the store's silence fails with the longer wait. From half of the time granted on, requests are refused as not run.

--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -19,6 +19,7 @@
 } from "../core/types.ts";
 import type { StreamedAnswer } from "../link/types.ts";
 import { streamAnswer } from "../link/stream_answer.ts";
+import { Header } from "../link/wire.ts";
 import type { CallerDialect, CallerStatement } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
 import type { Logger } from "./logger.ts";
@@ -47,6 +48,8 @@
   /** Routes in force, or undefined while none are known. */
   getRoutes(): RouteTable | undefined;
   isStopping(): boolean;
+  /** Why no further request is taken, or undefined. */
+  getObstacle(): DiagnosticName | undefined;
   onAnswered(service: ServiceName, latencyMs: Millis): void;
 }
 
@@ -80,6 +83,8 @@
 
   async function handle(req: CallerRequest): Promise<void> {
     const { incoming } = req;
+    const obstacle = options.getObstacle();
+    if (obstacle !== undefined) return refuse(req, obstacle);
     const routes = options.getRoutes();
     if (routes === undefined) return refuse(req, "not_ready");
     const url = incoming.url ?? "/";
@@ -194,10 +199,9 @@
       status: answer.status,
       tookMs: Math.round(tookMs),
     });
-    outgoing.writeHead(
-      answer.status,
-      dialect.createAnswerHeaders(answer.headers),
-    );
+    const { [Header.Unframed]: unframed, ...headers } = answer.headers;
+    if (unframed !== undefined) endByClosing(outgoing);
+    outgoing.writeHead(answer.status, dialect.createAnswerHeaders(headers));
     streamAnswer(answer.body, outgoing, (error) => {
       if (error) {
         counters.add("answer_cut_short");
@@ -278,6 +282,12 @@
   }
 }
 
+/** Frames an answer as its upstream did, so that it claims no more. */
+function endByClosing(outgoing: ServerResponse): void {
+  outgoing.removeHeader("transfer-encoding");
+  outgoing.shouldKeepAlive = false;
+}
+
 function getCallerId(id: string): string {
   return id.slice(id.indexOf(":") + 1);
 }
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -7,10 +7,12 @@
 import { v7 } from "uuid";
 import { ChoicePolicy } from "../core/choice.ts";
 import { createCounters } from "../core/counters.ts";
+import type { DiagnosticName } from "../core/diagnostics.ts";
 import { createRetryAllowance } from "../core/retry_allowance.ts";
 import { createRouteTable, type RouteTable } from "../core/route_table.ts";
 import type { ListedUpstream, RoutingConfig } from "../core/routing_types.ts";
 import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
+import type { Millis } from "../core/types.ts";
 import type { MeshSettings } from "../settings/mesh_settings.ts";
 import { createUpstreamClient } from "../upstream/upstream_client.ts";
 import type { UpstreamProtocol } from "../upstream/upstream_protocol.ts";
@@ -57,6 +59,8 @@
 const ASSUMED_SLOTS = 8;
 /** Time for callers to notice that this daemon stops, in ms: two readiness checks. */
 const LEAVE_MS = 2_500;
+/** Share of the time granted in which new requests are still taken. */
+const ACCEPT_SHARE = 1 / 2;
 /** Share of the time granted in which open requests may end; the rest is for closing. */
 const STOP_SHARE = 5 / 6;
 const STOP_POLL_MS = 50;
@@ -98,7 +102,7 @@
   const lifecycle = createLifecycle();
   const peerPort = splitAddress(settings.listen.peers).port;
   let routes: RouteTable | undefined;
-  let isStopping = false;
+  let stoppingAt: Millis | undefined;
 
   const upstreams = createUpstreamList(host, {
     lapseGraceMs: LAPSE_GRACE_MS,
@@ -202,7 +206,8 @@
       logger,
       origin: settings.service,
       getRoutes: () => routes,
-      isStopping: () => isStopping,
+      isStopping: () => stoppingAt !== undefined,
+      getObstacle,
       onAnswered: latencies.record,
     }),
   );
@@ -290,7 +295,7 @@
   function answerReadiness(...[req, res]: Parameters<RequestListener>): void {
     const isKnown = req.url === deployment.readinessPath;
     const isReady = routes !== undefined && upstreams.size() > 0 &&
-      !isStopping;
+      stoppingAt === undefined;
     res.writeHead(!isKnown ? 404 : isReady ? 200 : 503, {
       "content-length": "0",
     });
@@ -306,10 +311,17 @@
     ], latencies));
   }
 
+  /** A request that is taken too late could not end before the kill. */
+  function getObstacle(): DiagnosticName | undefined {
+    if (stoppingAt === undefined) return undefined;
+    const takenUntil = stoppingAt + bounds.graceMs * ACCEPT_SHARE;
+    return clock.now() < takenUntil ? undefined : "stopping";
+  }
+
   async function stop(): Promise<void> {
-    if (isStopping) return;
-    isStopping = true;
+    if (stoppingAt !== undefined) return;
     const startedAt = clock.now();
+    stoppingAt = startedAt;
     logger.info("stopping", { open: countOpen() });
     void guardTask.drain();
     const limit = startedAt + bounds.graceMs * STOP_SHARE;
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -75,9 +75,11 @@
 
 /** Pause between two watches, so that changes in a row cost one call, in ms. */
 const BATCH_MS = 250;
+/** Wait of a watch while the store is lost, in ms: a swallowed call must not be waited for long. */
+const LOST_WAIT_MS = 50;
 /** First pause after a failed call, in ms; it doubles up to the longest. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 1_000;
+const MAX_BACKOFF_MS = 400;
 
 /** Creates the task. */
 export function createStoreTask(
@@ -96,7 +98,10 @@
     const isSnapshot = revision === undefined;
     const result = isSnapshot
       ? await reader.readAll()
-      : await reader.watch(revision!, options.waitMs);
+      : await reader.watch(
+        revision!,
+        failures === 0 ? options.waitMs : LOST_WAIT_MS,
+      );
     if (isClosed) return;
     counters.add(isSnapshot ? "store_snapshot" : "store_watch");
     result.match(
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -28,6 +28,8 @@
   From = "vanillarock-from",
   /** The hostname that the caller asked for. */
   Hostname = "vanillarock-hostname",
+  /** Marks an answer whose end only its connection's end showed. */
+  Unframed = "vanillarock-unframed",
   /** Towards callers. */
   Execution = "vanillarock-execution",
   Reason = "vanillarock-reason",
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -1,7 +1,12 @@
 /** Requests to the local upstream, and what their failures prove. */
 
 import { Buffer } from "node:buffer";
-import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
+import {
+  Agent,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request as httpRequest,
+} from "node:http";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
@@ -9,6 +14,7 @@
 import type { ForwardRequest, StreamedAnswer } from "../link/types.ts";
 import { splitAddress } from "../link/address.ts";
 import { getHeader } from "../link/http_headers.ts";
+import { Header } from "../link/wire.ts";
 import {
   AnswerStanding,
   type UpstreamCall,
@@ -176,10 +182,17 @@
   body.push(whole);
   body.push(null);
   const headers = { ...answer.headers };
-  if (length === 0) headers["content-length"] = String(whole.length);
+  // The end of its connection shows no more than that the upstream stopped.
+  if (isUnframed(answer.headers)) headers[Header.Unframed] = "1";
+  else headers["content-length"] = String(whole.length);
   return { answer: { status: answer.status, headers, body, isWhole: true } };
 }
 
+function isUnframed(headers: IncomingHttpHeaders): boolean {
+  return headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
 const FAILURES: Record<
   Exclude<AnswerStanding, AnswerStanding.Own>,
   Omit<UpstreamFailure, "message">
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -1,7 +1,8 @@
 /** Daemons of the platform's deployment as processes, against stand-ins. */
 
 import { afterAll, beforeAll, expect, test } from "vitest";
-import { type Mesh, startMesh } from "./platform/mesh.ts";
+import { type Mesh, type MeshHost, startMesh } from "./platform/mesh.ts";
+import { StoreMood } from "./platform/store_stand_in.ts";
 import { UpstreamMood } from "./platform/upstream_stand_in.ts";
 
 let mesh: Mesh;
@@ -98,6 +99,9 @@
     200,
     "the upstream's answer",
   ]);
+  expect(unframed.headers["content-length"]).toBeUndefined();
+  expect(unframed.headers["transfer-encoding"]).toBeUndefined();
+  expect(unframed.headers.connection).toBe("close");
   setMood(UpstreamMood.AnswersTwice);
   for (let i = 0; i < 20; i++) {
     const seen = await mesh.call(mesh.hosts[0]!, { id: `twice-${i}` });
@@ -118,6 +122,81 @@
   expect(seen.filter((s) => s.status === 200).length).toBeGreaterThan(4);
 });
 
+test("a change made after the store's silence is in force within two seconds", async () => {
+  mesh.store.setMood(StoreMood.Silent);
+  await pause(4_500);
+  mesh.store.setMood(StoreMood.Serving);
+  mesh.publish(2);
+  await pause(1_900);
+  for (const { lines } of mesh.hosts) {
+    expect(lines.some((l) => /config_in_force.* version=2 /.test(l))).toBe(true);
+  }
+}, 20_000);
+
+test("a daemon that is stopped ends its requests and says that it leaves", async () => {
+  const [host] = mesh.hosts as [MeshHost];
+  setWork(1_500);
+  const open = mesh.call(host, { id: "open" });
+  await pause(100);
+  const ended = new Promise((resolve) => host.process.once("exit", resolve));
+  host.process.kill("SIGTERM");
+  await pause(100);
+  expect(await mesh.isReady(host)).toBe(503);
+  setWork(1);
+  const late = await mesh.call(host, { id: "late" });
+  expect([late.status, late.headers.connection]).toEqual([200, "close"]);
+  expect((await open).status).toBe(200);
+  await pause(3_000 - 1_500);
+  expect(await ended).toBe(0);
+  mesh.startDaemon(host);
+  await mesh.waitReady(host);
+}, 20_000);
+
+test("entries that can't be read name no upstream, and the others hold", async () => {
+  mesh.store.putText("servers/i-broken", "{not json");
+  mesh.store.put("servers/i-typed", { address: 7, info: {}, status: {} });
+  mesh.store.putText("op/config", "{}");
+  await pause(500);
+  const seen = await mesh.call(mesh.hosts[1]!, { id: "after-bad" });
+  expect(seen.status).toBe(200);
+  const ignored = mesh.hosts[1]!.lines.filter((l) =>
+    l.includes("store_entry_ignored")
+  );
+  expect(ignored).toHaveLength(3);
+  mesh.publish(3);
+});
+
+test("an upstream that the store says is leaving gets no more work", async () => {
+  const [, host] = mesh.hosts as [MeshHost, MeshHost];
+  mesh.list(host, { state: "draining" });
+  await pause(800);
+  const before = host.upstream.ran.length;
+  for (let i = 0; i < 10; i++) await mesh.call(host, { id: `drain-${i}` });
+  expect(host.upstream.ran.length).toBe(before);
+  mesh.list(host);
+  await pause(500);
+});
+
+test("a read whose caller leaves is cancelled at its upstream", async () => {
+  setWork(2_000);
+  const call = mesh.call(mesh.hosts[0]!, { id: "leaves", timeoutMs: 1_900 });
+  await pause(100);
+  const abandoned = call.catch((error: Error) => error.name);
+  mesh.dropCallers();
+  await abandoned;
+  await pause(400);
+  setWork(1);
+  expect(mesh.hosts.flatMap((h) => h.upstream.cancelled)).toContain("leaves");
+});
+
+function setWork(ms: number): void {
+  for (const { upstream } of mesh.hosts) upstream.workMs = ms;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 function setMood(mood: UpstreamMood): void {
   for (const { upstream } of mesh.hosts) upstream.mood = mood;
 }
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -51,6 +51,8 @@
   publish(version: number, change?: Partial<RouteOptions>): void;
   list(host: MeshHost, change?: Record<string, unknown>): void;
   call(host: MeshHost, what: Call): Promise<Seen>;
+  /** Closes all callers' connections, open requests included. */
+  dropCallers(): void;
   /** Status of the readiness check; 0 where nothing answers. */
   isReady(host: MeshHost): Promise<number>;
   startDaemon(host: MeshHost): void;
@@ -73,7 +75,7 @@
 ): Promise<Mesh> {
   const store = await startStore();
   const folder = mkdtempSync(join(tmpdir(), "mesh-"));
-  const agent = new Agent({ connections: 32 });
+  let agent = new Agent({ connections: 32 });
   const hosts: MeshHost[] = [];
   const mesh: Mesh = {
     store,
@@ -81,6 +83,7 @@
     publish,
     list,
     call,
+    dropCallers,
     isReady,
     startDaemon,
     waitReady,
@@ -196,6 +199,12 @@
     return { status: res.statusCode, headers: res.headers, text };
   }
 
+  function dropCallers(): void {
+    const old = agent;
+    agent = new Agent({ connections: 32 });
+    void old.destroy();
+  }
+
   async function close(): Promise<void> {
     await Promise.all(hosts.map(async (host) => {
       const child = host.process;
