--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -288,7 +288,9 @@
       attempt.phase === AttemptPhase.Reserving;
     const isDoubtful = msg.mayHaveArrived &&
       attempt.phase === AttemptPhase.Sent;
-    if (isDoubtful && attempt.key !== undefined && isProtected(request.arrival)) {
+    if (
+      isDoubtful && attempt.key !== undefined && isProtected(request.arrival)
+    ) {
       counters.add("link_lost");
       attempt.isLinkLost = true;
       return [settling.ask(request, attempt)];
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -3,7 +3,11 @@
  * records of its idempotency keys. Messages go in, actions come out.
  */
 
-import { Admission, type AdmissionDecision, decideAdmission } from "./admission.ts";
+import {
+  Admission,
+  type AdmissionDecision,
+  decideAdmission,
+} from "./admission.ts";
 import { createCounters } from "./counters.ts";
 import { Debug } from "./debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
@@ -14,6 +18,7 @@
   findWaiting,
   isWaiting,
 } from "./guard_entry.ts";
+import { createGuardEstimates } from "./guard_estimates.ts";
 import type { Guard, GuardOptions } from "./guard_types.ts";
 import { judgeKey, type KeyVerdict } from "./key_verdict.ts";
 import { createKeyBook, KeyStanding, KeyState } from "./key_book.ts";
@@ -33,16 +38,11 @@
   type Ticket,
   type Verdict,
 } from "./types.ts";
-import { createServiceTimes } from "./service_times.ts";
 import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
 
-const FIRST_SERVICE_TIME_MS = 10;
 /** Answers from this HTTP status on say nothing of the time that work takes. */
 const FIRST_FAILURE_STATUS = 500;
-const MIN_RETRY_AFTER_MS = 20;
-/** Part of its objective that work is taken to need before any was seen. */
-const ASSUMED_WORK_SHARE = 1 / 3;
 /** Part of the mean service time below which hardly any request ends. */
 const LAST_START_SHARE = 0.5;
 /** Time that a finished ticket is remembered, against messages that come twice. */
@@ -65,6 +65,8 @@
       isFirstComeFirstServed: options.isFirstComeFirstServed ?? false,
     })
     : createUrgencyQueue<Entry>(host, { capacity: options.queueCapacity });
+  const estimates = createGuardEstimates(host, options, { queue });
+  const { getUsableSlots, getSlowdown, getHoldMs, getRetryAfter } = estimates;
   const keys = createKeyBook(host, {
     home: options.self,
     incarnation: options.incarnation,
@@ -73,9 +75,6 @@
   const wakes = createWakeQueue<Ticket>();
   const startedAt = host.now();
   let busySlots = 0;
-  const times = createServiceTimes(
-    options.upstream === undefined ? FIRST_SERVICE_TIME_MS : undefined,
-  );
   let draining = false;
   let grantCount = 0;
   let reportCount = 0;
@@ -126,7 +125,7 @@
       slots: getUsableSlots(),
       inFlight: busySlots,
       queued: queue.size(),
-      serviceMs: times.tryGetMean() ?? FIRST_SERVICE_TIME_MS,
+      serviceMs: estimates.getMeanMs(),
       draining,
       ageMs: host.now() - startedAt,
       ...(options.upstream && { slowdown: getSlowdown() }),
@@ -142,7 +141,7 @@
       counters.add("duplicate_message");
       return [];
     }
-    const workMs = getWorkMs(head);
+    const workMs = estimates.getWorkMs(head);
     const entry: Entry = {
       ticket,
       account: head.account,
@@ -232,7 +231,7 @@
 
   function enqueue(entry: Entry): GuardAction[] {
     if (draining) return [refuse(entry, "draining")];
-    const decision = decide(entry);
+    const decision = estimates.decide(entry, busySlots);
     if (decision.admission === Admission.Refuse) {
       return [refuse(entry, decision.reason, NotRun, getRetryAfter())];
     }
@@ -245,27 +244,6 @@
     return [refuse(leaving, reason, NotRun, getRetryAfter())];
   }
 
-  function decide(entry: Entry): AdmissionDecision {
-    const refusesEarly = options.refusesEarly ?? true;
-    const { timeoutMs, objectiveMs, mayQueue } = entry.head;
-    const holdMs = getHoldMs(entry);
-    // What is waited for is over when the work starts.
-    const factor = holdMs > 0 ? 1 : Math.max(1, getSlowdown());
-    return decideAdmission({
-      usableSlots: getUsableSlots(),
-      busySlots,
-      ahead: queue.getAheadOf?.(entry) ?? queue.getAhead(entry.account),
-      queued: queue.size(),
-      serviceMs: (times.tryGetMean() ?? getAssumedMs(entry.head)) * factor,
-      holdMs,
-    }, {
-      workMs: getWorkMs(entry.head) * factor,
-      timeoutMs: refusesEarly ? timeoutMs : Infinity,
-      ...(objectiveMs !== undefined && { objectiveMs }),
-      mayQueue: mayQueue ?? true,
-    });
-  }
-
   function fillSlots(): GuardAction[] {
     const actions: GuardAction[] = [];
     while (busySlots < getUsableSlots()) {
@@ -374,7 +352,7 @@
   ): GuardAction[] {
     const entry = entries.get(msg.ticket);
     if (entry?.state !== EntryState.Running) return [];
-    if (msg.status < FIRST_FAILURE_STATUS) learnServiceTime(entry);
+    if (msg.status < FIRST_FAILURE_STATUS) estimates.noteEnd(entry);
     if (entry.record !== undefined) {
       entry.record.state = KeyState.Answered;
       if (msg.kept !== undefined) entry.record.answer = msg.kept;
@@ -385,11 +363,6 @@
     return [];
   }
 
-  function learnServiceTime(entry: Entry): void {
-    const tookMs = host.now() - entry.startedAt!;
-    times.note(entry.head.route, tookMs / entry.startSlowdown!);
-  }
-
   function upstreamFailed(
     msg: OfKind<GuardMessage, GuardMessageKind.UpstreamFailed>,
   ): GuardAction[] {
@@ -445,12 +418,6 @@
     }
   }
 
-  /** Time within which most requests like this one end, in ms. */
-  function getWorkMs(head: RequestHead): Millis {
-    return times.tryGetUpper(head.route) ?? times.tryGetMean() ??
-      getAssumedMs(head);
-  }
-
   /** True for work that is late and that a whole round of work in time overtakes. */
   function isOvertaken(entry: Entry, now: Millis): boolean {
     if (options.upstream === undefined || now < entry.startBy) return false;
@@ -505,36 +472,6 @@
     Debug.assert(busySlots >= 0, "no slot is freed twice");
   }
 
-  function getUsableSlots(): number {
-    return options.upstream?.getUsableSlots() ?? options.slots;
-  }
-
-  function getSlowdown(): number {
-    return options.upstream?.getSlowdown() ?? 1;
-  }
-
-  /** Time that a start is put off, in ms; short work is better started slowly. */
-  function getHoldMs({ head }: Entry): Millis {
-    const holdMs = options.upstream?.getHoldMs() ?? 0;
-    const costMs = (getSlowdown() - 1) *
-      (times.tryGet(head.route) ?? getAssumedMs(head));
-    return costMs > holdMs ? holdMs : 0;
-  }
-
-  /** Time to drain the queue, spread so that callers don't return at once. */
-  function getRetryAfter(): Millis {
-    const meanMs = times.tryGetMean() ?? FIRST_SERVICE_TIME_MS;
-    const drainMs = meanMs * (1 + queue.size() / options.slots);
-    const base = Math.max(MIN_RETRY_AFTER_MS, drainMs);
-    return Math.ceil(base * (1 + host.random()));
-  }
-}
-
-/** What a request may take before any was seen, in ms. */
-function getAssumedMs({ objectiveMs }: RequestHead): Millis {
-  return objectiveMs === undefined
-    ? FIRST_SERVICE_TIME_MS
-    : objectiveMs * ASSUMED_WORK_SHARE;
 }
 
 const { NotRun, MayHaveRun } = Execution;
--- a/src/core/retry_rules.ts
+++ b/src/core/retry_rules.ts
@@ -29,9 +29,7 @@
   const isSpent = countRuns(request) >= context.maxAttempts ||
     request.retriesLeft <= 0;
   if (isSpent || !context.hasOtherHost) return "last";
-  return context.tryTakeRetry()
-    ? undefined
-    : "retry_budget_empty";
+  return context.tryTakeRetry() ? undefined : "retry_budget_empty";
 }
 
 /** True where some candidate has not been tried. */
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -4,10 +4,7 @@
  * lapsed while the list was away get a short time to come back.
  */
 
-import {
-  type ListedUpstream,
-  ListedUpstreamState,
-} from "./routing_types.ts";
+import { type ListedUpstream, ListedUpstreamState } from "./routing_types.ts";
 import type { Candidate, CoreHost, HostId, Millis } from "./types.ts";
 
 /** What became of an upstream. */
--- a/src/daemon/logger.ts
+++ b/src/daemon/logger.ts
@@ -99,7 +99,9 @@
   function stateOmitted(): void {
     const omitted = options.budget.takeOmitted();
     const dropped = options.takeDropped();
-    if (omitted + dropped > 0) logger.warn("lines_omitted", { omitted, dropped });
+    if (omitted + dropped > 0) {
+      logger.warn("lines_omitted", { omitted, dropped });
+    }
   }
 }
 
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -96,12 +96,10 @@
 
   async function step(): Promise<void> {
     const isSnapshot = revision === undefined;
-    const result = isSnapshot
-      ? await reader.readAll()
-      : await reader.watch(
-        revision!,
-        failures === 0 ? options.waitMs : LOST_WAIT_MS,
-      );
+    const result = isSnapshot ? await reader.readAll() : await reader.watch(
+      revision!,
+      failures === 0 ? options.waitMs : LOST_WAIT_MS,
+    );
     if (isClosed) return;
     counters.add(isSnapshot ? "store_snapshot" : "store_watch");
     result.match(
--- a/src/settings/results.ts
+++ b/src/settings/results.ts
@@ -2,9 +2,8 @@
 
 import * as namespace from "ts-results";
 
-const results = ("default" in namespace
-  ? namespace.default
-  : namespace) as typeof namespace;
+const results =
+  ("default" in namespace ? namespace.default : namespace) as typeof namespace;
 
 /** A value that was decoded. */
 export const Ok = results.Ok;
