--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -64,6 +64,8 @@
 /** Share of the time granted in which open requests may end; the rest is for closing. */
 const STOP_SHARE = 5 / 6;
 const STOP_POLL_MS = 50;
+/** Longest time that closing may take, in ms. */
+const CLOSE_MS = 300;
 const MS_PER_SECOND = 1_000;
 
 /** What a deployment brings: how its callers, upstreams and store are spoken to. */
@@ -337,8 +339,10 @@
     lifecycle.add("watch", watch.close);
     const tookS = (clock.now() - startedAt) / MS_PER_SECOND;
     logger.info("stopped", { open: countOpen(), tookS });
-    const closed = await lifecycle.close();
-    if (closed.isErr()) {
+    // The process ends in time for the kill even where a connection hangs.
+    const closed = await Promise.race([lifecycle.close(), pause(CLOSE_MS)]);
+    if (closed === undefined) logger.warn("close_timeout", { ms: CLOSE_MS });
+    else if (closed.isErr()) {
       for (const error of closed.error) logger.error("close", { ...error });
     }
   }
@@ -366,6 +370,6 @@
   return server;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
+function pause(ms: number): Promise<undefined> {
+  return new Promise((resolve) => setTimeout(() => resolve(undefined), ms));
 }
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -1,5 +1,6 @@
 /** Daemons of the platform's deployment as processes, against stand-ins. */
 
+import { spawn } from "node:child_process";
 import { afterAll, beforeAll, expect, test } from "vitest";
 import { type Mesh, type MeshHost, startMesh } from "./platform/mesh.ts";
 import { StoreMood } from "./platform/store_stand_in.ts";
@@ -221,6 +222,18 @@
   expect(served).toBeGreaterThan(500);
 }, 30_000);
 
+test("settings that can't be used end the process with a code of their own", async () => {
+  const child = spawn(process.execPath, ["target/vanillarock.cjs"], {
+    env: { ...process.env, VANILLAROCK_SETTINGS: "/nowhere/local.yaml" },
+    stdio: ["ignore", "ignore", "pipe"],
+  });
+  let text = "";
+  child.stderr!.on("data", (data) => text += data);
+  const code = await new Promise((resolve) => child.once("exit", resolve));
+  expect(code).toBe(78);
+  expect(text).toContain("VANILLAROCK_SETTINGS");
+});
+
 function setWork(ms: number): void {
   for (const { upstream } of mesh.hosts) upstream.workMs = ms;
 }
--- /dev/null
+++ b/test/platform_decode_test.ts
@@ -0,0 +1,206 @@
+/** The adapter's formats: settings, store entries, callers' and upstreams' headers. */
+
+import { expect, test } from "vitest";
+import { platformCallers } from "../platform/callers.ts";
+import { decodeSettings } from "../platform/settings.ts";
+import { decodeRouting, decodeUpstream } from "../platform/store_entries.ts";
+import { platformUpstreams } from "../platform/upstreams.ts";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { ListedUpstreamState } from "../src/core/routing_types.ts";
+import { Execution, Repeatability } from "../src/core/types.ts";
+import { EventEmitter } from "node:events";
+import { AnswerStanding } from "../src/upstream/upstream_protocol.ts";
+
+const SETTINGS = `
+self: { ip: 10.1.0.8, zone: kadikoy, app: "10.1.0.8:8301", service: shop, node: n1 }
+network:
+  listen: { inbound: "10.1.0.8:8300", outbound: "10.1.0.8:8304", ready: "10.1.0.8:8302" }
+  seeds: []
+platform: { heartbeatS: 1.5, platform: { address: "10.200.1.7:8309", form: read } }
+terms:
+  bounds: { stableS: 3, drainS: 2.5, graceS: 6, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 64, new: 1 }
+`;
+
+test("settings are decoded, and fields that are not known are ignored", () => {
+  const settings = decodeSettings(SETTINGS, "local.yaml").unwrap();
+  expect(settings).toMatchObject({
+    host: "10.1.0.8",
+    failureDomain: "kadikoy",
+    upstreamAddress: "10.1.0.8:8301",
+    storeAddress: "10.200.1.7:8309",
+    bounds: { drainMs: 2_500, retrySlack: 64 },
+  });
+});
+
+test("each mistake in the settings names its field", () => {
+  const text = SETTINGS.replace("10.1.0.8:8301", "nowhere")
+    .replace("graceS: 6", "graceS: soon");
+  const decoded = decodeSettings(text, "local.yaml");
+  const paths = decoded.err ? decoded.val.map((p) => p.path) : [];
+  expect(paths).toEqual(["self.app", "terms.bounds.graceS"]);
+});
+
+const ENTRY = {
+  address: "10.1.0.8:80",
+  born: 1_700_000_000_000,
+  info: { service: "shop", version: "v1", zone: "kadikoy", slots: 12 },
+  status: { state: "ready", seq: 4, coldLeftS: 0 },
+};
+
+test("an entry with missing, mistyped or unknown parts names no upstream", () => {
+  const good = decodeUpstream("i-1", JSON.stringify(ENTRY)).unwrap();
+  expect(good).toMatchObject({
+    instance: "i-1",
+    slots: 12,
+    state: ListedUpstreamState.Ready,
+    bornAt: ENTRY.born,
+  });
+  const bad = [
+    "",
+    "{",
+    "7",
+    "null",
+    JSON.stringify({ ...ENTRY, address: 7 }),
+    JSON.stringify({ ...ENTRY, address: "host:80" }),
+    JSON.stringify({ ...ENTRY, info: undefined }),
+    JSON.stringify({ ...ENTRY, born: "yesterday" }),
+    JSON.stringify({ ...ENTRY, info: { ...ENTRY.info, slots: 0 } }),
+    JSON.stringify({ ...ENTRY, status: { ...ENTRY.status, state: "odd" } }),
+    JSON.stringify({ ...ENTRY, status: { state: "ready", coldLeftS: 0 } }),
+  ];
+  for (const text of bad) expect(decodeUpstream("i-1", text).err).toBe(true);
+});
+
+const CONFIG = {
+  version: "0000000c",
+  routes: {
+    columns: [
+      "name",
+      "host",
+      "prefix",
+      "kind",
+      "timeoutS",
+      "sloS",
+      "priority",
+      "attempts",
+      "service",
+      "split",
+    ],
+    rows: [
+      ["a", "shop", "/a/", "safe", 0.8, 0.3, 2, 2, "one", null],
+      ["b", "shop", "/b/", "upload", 1, 0.4, 1, 2, null, [
+        { service: "one", weight: 90 },
+        { service: "two", weight: 10 },
+      ]],
+    ],
+  },
+  services: {
+    columns: ["name", "healthCheck"],
+    rows: [["one", "/healthz"], ["two", "/ok"]],
+  },
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000,
+    headerTimeoutS: 3,
+    idleTimeoutS: 15,
+  },
+};
+
+test("a configuration is decoded whole or not at all", () => {
+  const config = decodeRouting(JSON.stringify(CONFIG)).unwrap();
+  expect(config.version).toBe(12);
+  expect(config.routes[0]).toMatchObject({
+    timeoutMs: 800,
+    objectiveMs: 300,
+    maxRuns: 2,
+    repeatability: Repeatability.Idempotent,
+    parts: [{ service: "one", weight: 1 }],
+  });
+  expect(config.routes[1]).toMatchObject({
+    repeatability: Repeatability.AtMostOnce,
+    parts: [{ weight: 90 }, { weight: 10 }],
+  });
+  const [first, ...rest] = CONFIG.routes.rows as unknown[][];
+  const broken = (row: unknown[]) =>
+    JSON.stringify({
+      ...CONFIG,
+      routes: { ...CONFIG.routes, rows: [row, ...rest] },
+    });
+  const bad = [
+    JSON.stringify(CONFIG).slice(0, -9),
+    JSON.stringify({ ...CONFIG, version: "12" }),
+    broken(first!.with(8, "nobody")),
+    broken(first!.with(8, null)),
+    broken(first!.with(7, null)),
+    broken(first!.with(3, "odd")),
+    broken(first!.with(1, null)),
+  ];
+  for (const text of bad) expect(decodeRouting(text).err).toBe(true);
+});
+
+test("only what is proved not to have run is said so", () => {
+  const status = (
+    execution: Execution,
+    name: keyof typeof Diagnostics,
+  ) =>
+    platformCallers.createVerdictHead({
+      execution,
+      diagnostic: Diagnostics[name],
+      retryAfterMs: 150,
+    }, "id-1");
+  const { NotRun, MayHaveRun, Ran } = Execution;
+  expect(status(NotRun, "deadline_too_short")).toMatchObject({
+    status: 503,
+    headers: { "retry-after": "0.15", "x-vanillarock-attempt-id": "id-1" },
+  });
+  expect(status(NotRun, "deadline_passed").status).toBe(503);
+  expect(status(MayHaveRun, "deadline_passed").status).toBe(504);
+  expect(status(MayHaveRun, "upstream_lost").status).toBe(502);
+  expect(status(Ran, "answer_mismatch").status).toBe(502);
+  expect(status(MayHaveRun, "upstream_lost").headers["retry-after"])
+    .toBeUndefined();
+  expect(status(NotRun, "unknown_route").status).toBe(404);
+});
+
+test("an answer counts as the upstream's own only with its signature and id", () => {
+  const forward = {
+    method: "GET",
+    path: "/",
+    headers: { "x-vanillarock-attempt-id": "id-1" },
+    body: null,
+    signal: new EventEmitter(),
+  };
+  const judge = (status: number, headers: Record<string, string>) =>
+    platformUpstreams.judge(forward, { status, headers });
+  const own = {
+    "x-vanillarock-attempt-id": "id-1",
+    "x-vanillarock-response-signature": "s",
+  };
+  expect(judge(200, own)).toBe(AnswerStanding.Own);
+  expect(judge(500, own)).toBe(AnswerStanding.Own);
+  expect(judge(200, { ...own, "x-vanillarock-attempt-id": "id-2" }))
+    .toBe(AnswerStanding.Foreign);
+  expect(judge(200, { "x-vanillarock-attempt-id": "id-1" }))
+    .toBe(AnswerStanding.Garbled);
+  expect(judge(200, { ...own, "content-encoding": "gzip" }))
+    .toBe(AnswerStanding.Garbled);
+  expect(judge(421, {})).toBe(AnswerStanding.WrongInstance);
+  expect(judge(503, { "x-vanillarock-not-executed": "1" }))
+    .toBe(AnswerStanding.NotExecuted);
+  expect(judge(503, {})).toBe(AnswerStanding.Garbled);
+});
+
+test("an upstream's load is read with and without its fourth figure", () => {
+  const read = (text: string) =>
+    platformUpstreams.readLoad({ "x-vanillarock-server-load": text });
+  expect(read("3,1,8")).toEqual({
+    running: 3,
+    waiting: 1,
+    slots: 8,
+    slowdown: 1,
+  });
+  expect(read("3,1,8,500")).toMatchObject({ slowdown: 5 });
+  for (const text of ["", "3,1", "3,1,0", "a,b,c", "3,1,8,"]) {
+    expect(read(text)).toBeUndefined();
+  }
+});
