--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,12 +10,14 @@
 import { RunCommand } from "./run_command.ts";
 import { PlatformCommand, UpstreamCommand } from "./stand_in_commands.ts";
 import { StatusCommand } from "./status_command.ts";
+import { StoryCommand } from "./story_command.ts";
 
 const COMMANDS = [
   RunCommand,
   CheckCommand,
   ExplainCommand,
   StatusCommand,
+  StoryCommand,
   LoadCommand,
   PlatformCommand,
   UpstreamCommand,
--- /dev/null
+++ b/test/story_test.ts
@@ -0,0 +1,46 @@
+/** From a request's id to its cause, by log lines alone. */
+
+import { expect, test } from "vitest";
+import { formatRecord } from "../src/daemon/logger.ts";
+import { tellStory, tryParseLine } from "../src/logs/story.ts";
+
+const LINES = [
+  "time=2026-01-01T00:00:00.010Z level=info event=placed host=a req=r1 attempt=1 to=b mayQueue=false",
+  "time=2026-01-01T00:00:00.012Z level=info event=guard_refused host=b req=r1 reason=no_room_now execution=not-run inFlight=9 slots=9",
+  "time=2026-01-01T00:00:00.001Z level=info event=accepted host=a req=r1 route=reads",
+  "time=2026-01-01T00:00:00.020Z level=info event=refused host=a req=r1 execution=not-run reason=deadline_too_short",
+  "time=2026-01-01T00:00:00.005Z level=info event=accepted host=a req=r2 route=reads",
+  "not a line",
+];
+
+test("a refused request names who turned it away and why", () => {
+  const { lines, cause, unreadable } = tellStory(LINES, "r1");
+  expect(lines.map((l) => l.event)).toEqual([
+    "accepted",
+    "placed",
+    "guard_refused",
+    "refused",
+  ]);
+  expect(cause).toBe(
+    "not-run: the expected wait exceeds the time left " +
+      "(last heard from b: no_room_now)",
+  );
+  expect(unreadable).toEqual([6]);
+});
+
+test("a request without a final line says so, an unknown one has no story", () => {
+  expect(tellStory(LINES, "r2").cause).toContain("no final line: host a");
+  expect(tellStory(LINES, "r3")).toMatchObject({ lines: [] });
+  expect(tellStory(LINES, "r3").cause).toBeUndefined();
+});
+
+test("what the logger writes is read back", () => {
+  const text = formatRecord({
+    time: new Date(0),
+    level: 30,
+    msg: "store_lost",
+    host: "a",
+    message: 'Error: "no" = way',
+  });
+  expect(tryParseLine(text)?.fields.get("message")).toBe('Error: "no" = way');
+});
