--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -22,6 +22,7 @@
   isReserving,
   isUpstreamsFault,
 } from "./attempts.ts";
+import { createAnswerNotes } from "./answer_notes.ts";
 import { createAttemptTimers } from "./attempt_timers.ts";
 import { createChooser } from "./choice.ts";
 import { createCounters } from "./counters.ts";
@@ -41,7 +42,7 @@
   isTurnedAway,
   mayAskOn,
 } from "./placement.ts";
-import { createRetryGate, FIRST_FAILURE_STATUS } from "./retry_gate.ts";
+import { createRetryGate } from "./retry_gate.ts";
 import { hasOtherHost } from "./retry_rules.ts";
 import { createSettling } from "./settling.ts";
 import { createLoadBook } from "./load_book.ts";
@@ -91,6 +92,7 @@
   const pending = new Map<string, PendingRequest>();
   const wakes = createWakeQueue<string>();
   const settling = createSettling(host, { counters, wakes });
+  const answers = createAnswerNotes(host, { counters, loads, budgets });
   const retries = createRetryGate(host, options, { budgets });
   const timers = createAttemptTimers(host, { options, wakes, budgets, loads });
 
@@ -325,7 +327,7 @@
     const { request, attempt } = found;
     const own = getTicket(msg.id, msg.attempt);
     if (!isOwnTicket(msg.ticket, own)) return rejectForeign(request, attempt);
-    noteAnswer(request, attempt, msg.status);
+    answers.note(request, attempt, msg.status);
     if (retries.mayReplaceAnswer(request, msg.status)) {
       endUnanswered(request, attempt, {
         name: "answered_failure",
@@ -361,26 +363,6 @@
     return retryOrFinish(request);
   }
 
-  function noteAnswer(
-    request: PendingRequest,
-    attempt: Attempt,
-    status: number,
-  ): void {
-    const { account, service } = request.arrival;
-    counters.add("answered");
-    if (attempt.isHedge) counters.add("hedge_won");
-    if (status >= FIRST_FAILURE_STATUS) {
-      counters.add("answered_failure");
-      loads.noteEnded(attempt.host);
-      loads.noteResult(attempt.host, false);
-      return;
-    }
-    const latencyMs = host.now() - attempt.sentAt;
-    loads.noteEnded(attempt.host, latencyMs);
-    loads.noteResult(attempt.host, true);
-    budgets.noteSuccess(account, service, latencyMs);
-  }
-
   function onCallerGone(
     msg: OfKind<GatewayMessage, GatewayMessageKind.CallerGone>,
   ): GatewayAction[] {
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -170,7 +170,9 @@
   function replace(): void {
     const old = pool;
     pool = createPool();
-    old.close().catch(() => {});
+    old.close().catch((error: Error) =>
+      options.onNonsense(`closing old connections: ${error.message}`)
+    );
   }
 
   async function ask(
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -3,6 +3,7 @@
  * verdicts and reports are JSON of fixed shape, checked where they arrive.
  */
 
+import { decodeJson } from "../settings/json.ts";
 import { Err, Ok, type Result } from "../settings/results.ts";
 import { z } from "zod";
 import { tryGetDiagnostic } from "../core/diagnostics.ts";
@@ -93,7 +94,7 @@
 
 /** Decodes a request's head, or says what is wrong with it. */
 export function decodeHead(text: string): Result<RequestHead, string> {
-  return decode(text, headSchema) as Result<RequestHead, string>;
+  return decodeJson(text, headSchema) as Result<RequestHead, string>;
 }
 
 /** Encodes a verdict; its diagnostic travels as the reason. */
@@ -108,7 +109,7 @@
 
 /** Decodes a verdict, or says what is wrong with it. */
 export function decodeVerdict(text: string): Result<Verdict, string> {
-  const decoded = decode(text, verdictSchema);
+  const decoded = decodeJson(text, verdictSchema);
   if (decoded.err) return decoded;
   const { execution, reason, retryAfterMs } = decoded.val;
   const diagnostic = tryGetDiagnostic(reason);
@@ -173,19 +174,3 @@
     ...(slowdown !== undefined && { slowdown: Number(slowdown) / HUNDREDTHS }),
   });
 }
-
-function decode<S extends z.ZodType>(
-  text: string,
-  schema: S,
-): Result<z.output<S>, string> {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(text);
-  } catch {
-    return new Err("not JSON");
-  }
-  const checked = schema.safeParse(parsed);
-  if (checked.success) return new Ok(checked.data);
-  const issue = checked.error.issues[0]!;
-  return new Err(`${issue.path.join(".")}: ${issue.message}`);
-}
--- /dev/null
+++ b/src/settings/json.ts
@@ -0,0 +1,27 @@
+/** JSON text and a schema in, a value or the first mistake out. */
+
+import type { z } from "zod";
+import { Err, Ok, type Result } from "./results.ts";
+
+/** Decodes a text, or says what is wrong with it. */
+export function decodeJson<S extends z.ZodType>(
+  text: string,
+  schema: S,
+): Result<z.output<S>, string> {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(text);
+  } catch (error) {
+    return new Err(String(error));
+  }
+  const checked = schema.safeParse(parsed);
+  return checked.success
+    ? new Ok(checked.data)
+    : new Err(describeIssue(checked.error));
+}
+
+/** The first mistake: its path and what is wrong. */
+export function describeIssue(error: z.ZodError): string {
+  const issue = error.issues[0]!;
+  return `${issue.path.join(".")}: ${issue.message}`;
+}
