--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -150,8 +150,6 @@
     if (placed === undefined) {
       return isHedge ? [] : [finish(request, "no_upstream")];
     }
-    // A hedge that has to wait would only lengthen the queue.
-    if (isHedge && asksFirst && placed.mayQueue) return [];
     const { candidate, mayQueue } = placed;
     const reserves = isReserving(request.arrival);
     const now = host.now();
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -49,10 +49,6 @@
 const QUEUE_CAPACITY = 256;
 const MAX_SLOTS = 4_096;
 const KEY_CAPACITY = 4_096;
-/** Hedges per request; the retry allowance, which they spend too, allows more. */
-const HEDGE_BUDGET = 0.05;
-/** Percentile of recent answers after which an answer counts as missing. */
-const HEDGE_PERCENTILE = 97;
 /** Idle time of a peer's connection, in ms; longer than peers keep theirs. */
 const PEER_KEEP_ALIVE_MS = 75_000;
 const CROSS_DOMAIN_MS = 3;
@@ -186,8 +182,8 @@
       getCandidates: upstreams.getCandidates,
       getLimits: () => ({
         retryBudget: 0,
-        hedgeBudget: HEDGE_BUDGET,
-        hedgePercentile: HEDGE_PERCENTILE,
+        hedgeBudget: 0,
+        hedgePercentile: 99,
       }),
     },
   });
