--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -11,6 +11,7 @@
 const FIRST_SERVICE_TIME_MS = 10;
 /** Part of its objective that work is taken to need before any was seen. */
 const ASSUMED_WORK_SHARE = 1 / 3;
+/** A caller that comes back sooner finds nothing changed, in ms. */
 const MIN_RETRY_AFTER_MS = 20;
 
 /** Estimates of one guard. */
--- a/src/core/service_times.ts
+++ b/src/core/service_times.ts
@@ -2,6 +2,7 @@
 
 import type { Millis } from "./types.ts";
 
+/** Weight of the newest request; some ten requests decide. */
 const SMOOTHING = 0.1;
 /** Deviations above the mean within which most requests end, as in TCP's estimate of a round trip. */
 const UPPER_DEVIATIONS = 2;
--- a/src/core/slow_spells.ts
+++ b/src/core/slow_spells.ts
@@ -12,6 +12,7 @@
 export const SLOW_FACTOR = 1.5;
 /** Length of a spell before any was seen, in ms. */
 const FIRST_SPELL_MS = 150;
+/** Weight of the newest spell; some five spells decide. */
 const SPELL_SMOOTHING = 0.2;
 /** A spell this many times longer than usual is taken as lasting. */
 const LASTING_FACTOR = 4;
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -45,19 +45,25 @@
 const RESERVE_TIMEOUT_MS = 120;
 /** Silence after which an answer is doubted, in ms. */
 const SILENCE_MS = 2_000;
+/** How long a grant waits for its run, in ms; hundreds of round trips. */
 const GRANT_TTL_MS = 1_000;
+/** Bounds memory only: admission turns work away long before. */
 const QUEUE_CAPACITY = 256;
+/** Above any upstream's own slots, which the guard reads from it. */
 const MAX_SLOTS = 4_096;
+/** Records of protected requests; some ten times those open at a busy guard. */
 const KEY_CAPACITY = 4_096;
 /** Largest head of a request that is parsed, in bytes; operators' limits are lower. */
 const MAX_HEADER_BYTES = 131_072;
 /** Idle time of a peer's connection, in ms; longer than peers keep theirs. */
 const PEER_KEEP_ALIVE_MS = 75_000;
+/** Assumed round trip to another failure domain, in ms; it only breaks ties. */
 const CROSS_DOMAIN_MS = 3;
 /** How long an entry that lapsed with the store may stay away after it, in ms. */
 const LAPSE_GRACE_MS = 2_000;
 /** Connections to the local upstream; the guard bounds those in use by its slots. */
 const MAX_UPSTREAM_CONNECTIONS = 256;
+/** Slots of an upstream that has stated none yet. */
 const ASSUMED_SLOTS = 8;
 /** Time for callers to notice that this daemon stops, in ms: two readiness checks. */
 const LEAVE_MS = 2_500;
@@ -65,6 +71,7 @@
 const ACCEPT_SHARE = 1 / 2;
 /** Share of the time granted in which open requests may end; the rest is for closing. */
 const STOP_SHARE = 5 / 6;
+/** Time between looks at what is still open, in ms. */
 const STOP_POLL_MS = 50;
 /** Longest time that closing may take, in ms. */
 const CLOSE_MS = 300;
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -79,6 +79,7 @@
 const LOST_WAIT_MS = 50;
 /** First pause after a failed call, in ms; it doubles up to the longest. */
 const MIN_BACKOFF_MS = 100;
+/** Short beside the bound on changes, which counts from the store's return, in ms. */
 const MAX_BACKOFF_MS = 400;
 
 /** Creates the task. */
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -22,6 +22,7 @@
 const READ_WAIT_MS = 40;
 /** Age at which a reading says nothing any more, in ms. */
 const MAX_AGE_MS = 500;
+/** Longest time for one reading, in ms; as old as one may be. */
 const TIMEOUT_MS = 500;
 /** Share of its slots that an upstream can use before it slows down. */
 const USABLE_SLOT_SHARE = 0.8;
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -22,6 +22,7 @@
   type UpstreamProtocol,
 } from "./upstream_protocol.ts";
 
+/** Longest time to connect to the local upstream, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle time after which a connection is closed, in ms; below what upstreams state. */
 const IDLE_TIMEOUT_MS = 4_000;
