An answer kept by its guard is delivered with its headers after a lost link

Cause: where the link of a protected request broke after the run, the guard's kept answer came without the upstream's headers, and the caller got 502 in place of a ready answer. test/ingress_test.ts: 502 before, the answer after.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -80,6 +80,8 @@
   readonly contentType: string;
   /** Base64, at most KEPT_ANSWER_BYTES when decoded. */
   readonly body: string;
+  /** Headers of the upstream, where callers get them as they were. */
+  readonly headers?: Readonly<Record<string, string | string[]>>;
 }
 
 /** Load of an upstream as its guard sees it; rides on every guard message. */
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -31,7 +31,7 @@
   ReplyKind,
   type StreamedAnswer,
 } from "../link/types.ts";
-import { getHeader } from "../link/http_headers.ts";
+import { getForwardHeaders, getHeader } from "../link/http_headers.ts";
 import type {
   UpstreamClient,
   UpstreamFailure,
@@ -336,6 +336,7 @@
         status: answer.status,
         contentType: getHeader(answer.headers, "content-type") ?? "",
         body: Buffer.concat(chunks).toString("base64"),
+        ...(answer.isWhole && { headers: getForwardHeaders(answer.headers) }),
       };
     }
   }
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -3,8 +3,14 @@
  * came of them. Requests that share a connection are answered in order.
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from "node:http";
 import type { Socket } from "node:net";
+import { Readable } from "node:stream";
 import type { Counters } from "../core/counters.ts";
 import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import { drawService, type RouteTable } from "../core/route_table.ts";
@@ -158,11 +164,11 @@
     } else if ("answer" in outcome) {
       writeAnswer(req, arrival, outcome.answer);
     } else {
-      ids.delete(id);
-      task.complete(id);
-      writeVerdict(req, {
-        execution: Execution.Ran,
-        diagnostic: Diagnostics.answer_mismatch,
+      const { status, headers = {}, body } = outcome.replay;
+      writeAnswer(req, arrival, {
+        status,
+        headers: { ...headers } as IncomingHttpHeaders,
+        body: Readable.from([Buffer.from(body, "base64")]),
       });
     }
   }
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -53,6 +53,8 @@
   status: z.int(),
   contentType: z.string(),
   body: z.string(),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())]))
+    .optional(),
 });
 
 /** A verdict that can't be read proves nothing. */
@@ -245,7 +247,8 @@
     }
     const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
-      const answer = replaySchema.parse(await res.body.json());
+      const { headers, ...rest } = replaySchema.parse(await res.body.json());
+      const answer = headers === undefined ? rest : { ...rest, headers };
       return { kind: ReplyKind.Replay, ticket, answer };
     }
     const grant = getHeader(res.headers, Header.Grant);
