--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -20,8 +20,6 @@
 /** Bodies from this size on stay in their failure domain where they can, in bytes. */
 const LARGE_BODY_BYTES = 16_384;
 
-/** Part of its objective within which a request is well in time. */
-const NEAR_SHARE = 2 / 3;
 /** Age up to which a report of draining is believed, in ms; asking costs little. */
 const DRAINING_BELIEF_MS = 2_000;
 
@@ -156,19 +154,18 @@
     return candidate && { candidate, mayQueue: true };
   }
 
-  /**
-   * What is well in time in its own failure domain stays there, also where it
-   * has to wait a little; a large body leaves it only where it would be late.
-   */
+  /** A large body crosses failure domains only where its own can't be in time. */
   function staysNear(
     request: PendingRequest,
     pool: readonly Candidate[],
   ): boolean {
     const { bodyBytes, objectiveMs } = request.arrival;
-    if (objectiveMs === undefined) return false;
-    const isLarge = (bodyBytes ?? 0) >= LARGE_BODY_BYTES;
-    const limitMs = isLarge ? objectiveMs : objectiveMs * NEAR_SHARE;
-    return pool.some((c) => isNear(c) && chooser.getExpectedMs(c) < limitMs);
+    if ((bodyBytes ?? 0) < LARGE_BODY_BYTES || objectiveMs === undefined) {
+      return false;
+    }
+    return pool.some((c) =>
+      isNear(c) && chooser.getExpectedMs(c) < objectiveMs
+    );
   }
 
   /** A host that drained may be back; only a young report rules it out. */
