Gateway: a silent guard ends no request that can't be tried again

Now the answer is waited for unless another try is allowed. test/overload_test.ts fails before (cancel and finish after 120 ms).

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -398,10 +398,7 @@
       return giveUpSilent(request, silent, { name, mayHaveRun: false });
     }
     const unaccepted = findUnaccepted(request, now);
-    if (unaccepted !== undefined) {
-      const how = { name: "link_silent" as const, mayHaveRun: true };
-      return giveUpSilent(request, unaccepted, how);
-    }
+    if (unaccepted !== undefined) return replaceSilent(request, unaccepted);
     const doubted = findDoubted(request, now);
     if (doubted !== undefined) return [settling.ask(request, doubted)];
     if (request.hedgeAt === undefined || now < request.hedgeAt) return [];
@@ -416,6 +413,22 @@
     return [...actions, finish(request, "deadline_passed", retryAfterMs)];
   }
 
+  /** Silence alone ends no request: without another try its answer is waited for. */
+  function replaceSilent(
+    request: PendingRequest,
+    attempt: Attempt,
+  ): GatewayAction[] {
+    delete attempt.acceptDeadline;
+    loads.noteResult(attempt.host, false);
+    if (retries.findObstacle(request) !== undefined) return [];
+    counters.add("retry_link_silent");
+    request.retriesLeft -= 1;
+    const ending = createEnding(request, attempt, { isSilent: true });
+    loads.noteEnded(attempt.host);
+    endUnanswered(request, attempt, { name: "link_silent", mayHaveRun: true });
+    return [ending, ...sendAttempt(request, false)];
+  }
+
   function giveUpSilent(
     request: PendingRequest,
     attempt: Attempt,
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -172,6 +172,48 @@
 });
 
 test("a daemon that refuses connections costs no retry", () => {
+  const { gateway } = createSubmitted({ mayRetry: false });
+  const kind = GatewayMessageKind.LinkFailed;
+  const refused = { kind, id: "1", attempt: 1, mayHaveArrived: false } as const;
+  expect(gateway.handle(refused)).toMatchObject([
+    { kind: GatewayActionKind.Submit, to: "b" },
+  ]);
+  const lost = { kind, id: "1", attempt: 2, mayHaveArrived: true } as const;
+  expect(gateway.handle(lost)).toMatchObject([
+    {
+      kind: GatewayActionKind.Finish,
+      verdict: { execution: Execution.MayHaveRun },
+    },
+  ]);
+});
+
+test("a guard that is silent ends no request that can't be tried again", () => {
+  const { gateway, host } = createSubmitted({ mayRetry: false });
+  host.advance(200);
+  expect(gateway.handle({ kind: GatewayMessageKind.Tick })).toEqual([]);
+  const answered = {
+    kind: GatewayMessageKind.Answered,
+    id: "1",
+    attempt: 1,
+    ticket: gateway.getTicket("1", 1),
+    status: 200,
+  } as const;
+  expect(gateway.handle(answered)).toMatchObject([
+    { kind: GatewayActionKind.Deliver },
+  ]);
+});
+
+test("a silent guard's request goes to another where the allowance has room", () => {
+  const { gateway, host } = createSubmitted({ mayRetry: true });
+  host.advance(200);
+  expect(gateway.handle({ kind: GatewayMessageKind.Tick })).toMatchObject([
+    { kind: GatewayActionKind.Cancel, to: "a" },
+    { kind: GatewayActionKind.Submit, to: "b" },
+  ]);
+});
+
+/** A gateway whose request was submitted to host a; b is in another domain. */
+function createSubmitted({ mayRetry }: { mayRetry: boolean }) {
   const host = createTestHost();
   const gateway = createGateway(host, {
     self: "c",
@@ -185,7 +227,7 @@
       failureDomain: "east",
       crossDomainMs: 3,
     },
-    retryAllowance: { noteRequest: () => {}, tryTake: () => false },
+    retryAllowance: { noteRequest: () => {}, tryTake: () => mayRetry },
     getCandidates: () => [
       { host: "a", failureDomain: "east" },
       { host: "b", failureDomain: "west" },
@@ -204,19 +246,8 @@
       retriesLeft: 3,
     },
   });
-  const kind = GatewayMessageKind.LinkFailed;
-  const refused = { kind, id: "1", attempt: 1, mayHaveArrived: false } as const;
-  expect(gateway.handle(refused)).toMatchObject([
-    { kind: GatewayActionKind.Submit, to: "b" },
-  ]);
-  const lost = { kind, id: "1", attempt: 2, mayHaveArrived: true } as const;
-  expect(gateway.handle(lost)).toMatchObject([
-    {
-      kind: GatewayActionKind.Finish,
-      verdict: { execution: Execution.MayHaveRun },
-    },
-  ]);
-});
+  return { gateway, host };
+}
 
 test("the daemons' parts of a retry budget never sum to more than the whole", () => {
   const host = createTestHost();
