--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -398,7 +398,7 @@
       return giveUpSilent(request, silent, { name, mayHaveRun: false });
     }
     const unaccepted = findUnaccepted(request, now);
-    if (unaccepted !== undefined) return replaceSilent(request, unaccepted);
+    if (unaccepted !== undefined) return sendBesideSilent(request, unaccepted);
     const doubted = findDoubted(request, now);
     if (doubted !== undefined) return [settling.ask(request, doubted)];
     if (request.hedgeAt === undefined || now < request.hedgeAt) return [];
@@ -413,8 +413,8 @@
     return [...actions, finish(request, "deadline_passed", retryAfterMs)];
   }
 
-  /** Silence alone ends no request: without another try its answer is waited for. */
-  function replaceSilent(
+  /** Silence alone ends no attempt: it stays open beside another try. */
+  function sendBesideSilent(
     request: PendingRequest,
     attempt: Attempt,
   ): GatewayAction[] {
@@ -423,10 +423,7 @@
     if (retries.findObstacle(request) !== undefined) return [];
     counters.add("retry_link_silent");
     request.retriesLeft -= 1;
-    const ending = createEnding(request, attempt, { isSilent: true });
-    loads.noteEnded(attempt.host);
-    endUnanswered(request, attempt, { name: "link_silent", mayHaveRun: true });
-    return [ending, ...sendAttempt(request, false)];
+    return sendAttempt(request, false);
   }
 
   function giveUpSilent(
