Upstream client: kept connections rest 150 ms at most

Ruled out: sending an order again (not proved not to have run). Change: kept connections are closed after 150 ms of rest, and after half of the rest at which a reused one was lost without an answer.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -105,6 +105,7 @@
     logger,
     upstream: createUpstreamClient({
       ...settings.upstream,
+      clock,
       protocol: createOwnProtocol(settings.upstream),
     }),
     guard: {
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -137,6 +137,7 @@
     logger,
     upstream: createUpstreamClient({
       address: settings.upstreamAddress,
+      clock,
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       onLoad: watch.note,
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -2,19 +2,19 @@
 
 import { Buffer } from "node:buffer";
 import {
-  Agent,
   type IncomingHttpHeaders,
   type IncomingMessage,
   request as httpRequest,
 } from "node:http";
-import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import { Execution } from "../core/types.ts";
+import type { Clock } from "../daemon/clock.ts";
 import type { ForwardRequest, StreamedAnswer } from "../link/types.ts";
 import { splitAddress } from "../link/address.ts";
 import { getHeader } from "../link/http_headers.ts";
 import { Header } from "../link/wire.ts";
+import { createUpstreamConnections } from "./upstream_connections.ts";
 import {
   AnswerStanding,
   type UpstreamCall,
@@ -24,8 +24,6 @@
 
 /** Longest time to connect to the local upstream, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Idle time after which a connection is closed, in ms; below what upstreams state. */
-const IDLE_TIMEOUT_MS = 4_000;
 /** Answers up to this size are held until they are whole, in bytes. */
 const MAX_HELD_ANSWER_BYTES = 1_048_576;
 
@@ -46,6 +44,7 @@
   /** IP address and port. */
   readonly address: string;
   readonly connections: number;
+  readonly clock: Clock;
   readonly protocol: UpstreamProtocol;
   /** Hears the load that answers state. */
   onLoad?(load: UpstreamLoad): void;
@@ -63,8 +62,11 @@
 ): UpstreamClient {
   const { protocol } = options;
   const { host, port } = splitAddress(options.address);
-  const agent = createStrictAgent(options.connections);
-  return { send, close: () => Promise.resolve(agent.destroy()) };
+  const connections = createUpstreamConnections(
+    options.clock,
+    options.connections,
+  );
+  return { send, close: () => Promise.resolve(connections.pool.destroy()) };
 
   async function send(
     request: ForwardRequest,
@@ -93,7 +95,14 @@
     return new Promise((resolve, reject) => {
       const { method, path, body, signal } = request;
       const headers = protocol.createHeaders(request, call);
-      const req = httpRequest({ agent, host, port, method, path, headers });
+      const req = httpRequest({
+        agent: connections.pool,
+        host,
+        port,
+        method,
+        path,
+        headers,
+      });
       let isSent = false;
       const connecting = setTimeout(() => {
         req.destroy(new ConnectError("no connection in time"));
@@ -109,6 +118,9 @@
       });
       req.on("error", (error) => {
         clearTimeout(connecting);
+        if (answer === undefined && req.reusedSocket) {
+          connections.noteForgotten(req.socket!);
+        }
         // Without a length Node.js would take a reset for the answer's end.
         answer?.destroy(error);
         reject(isSent ? error : new ConnectError(String(error)));
@@ -148,30 +160,6 @@
 /** The request was cancelled here. */
 class AbortError extends Error {}
 
-/** Keeps connections for reuse, but none on which bytes come that belong to no request. */
-function createStrictAgent(maxSockets: number): Agent {
-  const agent = new Agent({
-    keepAlive: true,
-    maxSockets,
-    timeout: IDLE_TIMEOUT_MS,
-  });
-  const keep = agent.keepSocketAlive.bind(agent);
-  const reuse = agent.reuseSocket.bind(agent);
-  agent.keepSocketAlive = (socket) => {
-    socket.on("data", destroyOnData).resume();
-    return keep(socket);
-  };
-  agent.reuseSocket = (socket, req) => {
-    socket.off("data", destroyOnData);
-    reuse(socket, req);
-  };
-  return agent;
-}
-
-function destroyOnData(this: Socket): void {
-  this.destroy();
-}
-
 /** Reads a body of moderate size to its end, so that a cut one is noticed. */
 async function hold(answer: StreamedAnswer): Promise<UpstreamResult> {
   const length = Number(getHeader(answer.headers, "content-length") ?? 0);
--- /dev/null
+++ b/src/upstream/upstream_connections.ts
@@ -0,0 +1,59 @@
+/** Connections to one upstream that are kept for reuse, for a short rest only. */
+
+import { Agent } from "node:http";
+import type { Socket } from "node:net";
+import type { Millis } from "../core/types.ts";
+import type { Clock } from "../daemon/clock.ts";
+
+/** Longest rest of a kept connection, in ms; upstreams are known to forget theirs after 300. */
+const MAX_REST_MS = 150;
+/** Lower bound of the rest where upstreams forget sooner, in ms; keeps connections within a burst. */
+const MIN_REST_MS = 5;
+
+/** Connections to one upstream. */
+export interface UpstreamConnections {
+  readonly pool: Agent;
+  /** Hears of a reused connection that was lost before its answer. */
+  noteForgotten(socket: Socket): void;
+}
+
+/**
+ * Creates a pool. It keeps no connection on which bytes come that belong to no
+ * request, and none for longer than the upstream seems to remember them.
+ */
+export function createUpstreamConnections(
+  clock: Clock,
+  maxSockets: number,
+): UpstreamConnections {
+  const keptAt = new WeakMap<Socket, Millis>();
+  const restedMs = new WeakMap<Socket, Millis>();
+  let maxRestMs = MAX_REST_MS;
+  const pool = new Agent({ keepAlive: true, maxSockets });
+  const keep = pool.keepSocketAlive.bind(pool);
+  const reuse = pool.reuseSocket.bind(pool);
+  pool.keepSocketAlive = (stream) => {
+    const socket = stream as Socket;
+    const isKept = keep(socket);
+    keptAt.set(socket, clock.now());
+    socket.on("data", destroySocket).on("timeout", destroySocket).resume();
+    socket.setTimeout(maxRestMs);
+    return isKept;
+  };
+  pool.reuseSocket = (stream, req) => {
+    const socket = stream as Socket;
+    socket.setTimeout(0);
+    socket.off("data", destroySocket).off("timeout", destroySocket);
+    restedMs.set(socket, clock.now() - keptAt.get(socket)!);
+    reuse(socket, req);
+  };
+  return { pool, noteForgotten };
+
+  function noteForgotten(socket: Socket): void {
+    const rested = restedMs.get(socket) ?? maxRestMs;
+    maxRestMs = Math.max(MIN_REST_MS, Math.min(maxRestMs, rested / 2));
+  }
+}
+
+function destroySocket(this: Socket): void {
+  this.destroy();
+}
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -192,6 +192,19 @@
   await pause(500);
 });
 
+test("an order after a rest does not go over a connection that was forgotten", async () => {
+  for (const { upstream } of mesh.hosts) upstream.forgetsAfterMs = 300;
+  const statuses: number[] = [];
+  for (let i = 0; i < 6; i++) {
+    const id = `rested-${i}`;
+    const call = { id, path: "/order/1", method: "POST", body: "x" } as const;
+    statuses.push((await mesh.call(mesh.hosts[0]!, call)).status);
+    await pause(350);
+  }
+  for (const { upstream } of mesh.hosts) upstream.forgetsAfterMs = Infinity;
+  expect(statuses).toEqual(Array(6).fill(200));
+});
+
 test("a read whose caller leaves is cancelled at its upstream", async () => {
   setWork(2_000);
   const call = mesh.call(mesh.hosts[0]!, { id: "leaves", timeoutMs: 1_900 });
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -6,7 +6,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 /** How an upstream answers a request. */
 export enum UpstreamMood {
@@ -47,6 +47,8 @@
   workMs: number;
   slowdownPercent: number;
   slots: number;
+  /** Connections that rested longer are forgotten without notice, in ms. */
+  forgetsAfterMs: number;
   close(): Promise<void>;
 }
 
@@ -67,6 +69,7 @@
   );
   const { port } = server.address() as AddressInfo;
   let running = 0;
+  const answeredAt = new WeakMap<Socket, number>();
   const it: UpstreamStandIn = {
     address: `${ip}:${port}`,
     ran: [],
@@ -78,6 +81,7 @@
     workMs: 1,
     slowdownPercent: 100,
     slots: 10,
+    forgetsAfterMs: Infinity,
     close: async () => {
       server.closeAllConnections();
       await new Promise((resolve) => server.close(resolve));
@@ -89,6 +93,10 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    const { socket } = req;
+    const restedMs = Date.now() - (answeredAt.get(socket) ?? Infinity);
+    if (restedMs > it.forgetsAfterMs) return void socket.resetAndDestroy();
+    res.once("finish", () => answeredAt.set(socket, Date.now()));
     const load = `${running},0,${it.slots},${it.slowdownPercent}`;
     res.setHeader("x-vanillarock-server-load", load);
     if (req.url === "/healthz") {
