Metrics: latencies by route, upstream and phase, and gauges

Cause: the metrics address showed one latency a service, so a slow request could not be put down to placing, a guard's queue or an upstream. Change: summaries by phase (answer, placing, attempt, queue, upstream) with at most 64 series each, and gauges of the load and the store. Proof: test/mesh_test.ts reads them from a daemon (failed before).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -27,7 +27,7 @@
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGuardTask } from "./guard_task.ts";
 import { startHttpServer, stopHttpServer } from "./http_server.ts";
-import { createLatencyMetrics } from "./latency_metrics.ts";
+import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
 import { createLogger, type Logger } from "./logger.ts";
@@ -199,7 +199,8 @@
       counters,
       logger,
       getLink: links.get,
-      onAnswered: latencies.record,
+      onAnswered: (service, latencyMs) =>
+        latencies.record(Phase.Answer, { service }, latencyMs),
       getObstacle,
       now: clock.now,
     });
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -17,6 +17,7 @@
   GatewayMessageKind,
   type HostId,
   type KeptAnswer,
+  type Millis,
   type OfKind,
   type RequestHead,
   type Ticket,
@@ -51,12 +52,25 @@
   | { readonly replay: KeptAnswer; readonly key?: string }
   | { readonly verdict: Verdict; readonly key?: string };
 
+/** How long an answered request took, up to its answer's head. */
+export interface Delivery {
+  readonly route: string | undefined;
+  /** The host that answered. */
+  readonly host: HostId;
+  /** From arrival to the start of the answered attempt, in ms. */
+  readonly placingMs: Millis;
+  /** From the attempt's start to its answer's head, in ms. */
+  readonly attemptMs: Millis;
+}
+
 /** Settings of the task. */
 export interface GatewayTaskOptions {
   readonly gateway: GatewayOptions;
   readonly host: CoreHost;
   readonly getLink: GetLink;
   readonly logger: Logger;
+  /** Hears of each answer that is delivered. */
+  onDelivered?(delivery: Delivery): void;
   /** True leaves callers' headers as they are, for upstreams with a protocol of their own. */
   readonly isTransparent?: boolean;
 }
@@ -75,6 +89,8 @@
 
 interface AttemptIo {
   readonly signal: EventEmitter;
+  readonly host: HostId;
+  readonly startedAt: Millis;
   key?: string;
   answer?: StreamedAnswer;
   replay?: KeptAnswer;
@@ -83,7 +99,8 @@
 interface Exchange {
   readonly request: GatewayRequest;
   readonly attempts: Map<number, AttemptIo>;
-  readonly deadline: number;
+  readonly arrivedAt: Millis;
+  readonly deadline: Millis;
   resolve(outcome: GatewayOutcome): void;
 }
 
@@ -163,10 +180,12 @@
   function serve(request: GatewayRequest): Promise<GatewayOutcome> {
     const { arrival } = request;
     return new Promise((resolve) => {
+      const arrivedAt = clock.now();
       exchanges.set(arrival.id, {
         request,
         attempts: new Map(),
-        deadline: clock.now() + arrival.timeoutMs,
+        arrivedAt,
+        deadline: arrivedAt + arrival.timeoutMs,
         resolve,
       });
       tell({ kind: GatewayMessageKind.Arrived, arrival });
@@ -182,7 +201,7 @@
     action: OfKind<GatewayAction, GatewayActionKind.Reserve>,
   ): Promise<void> {
     const { id, attempt, to } = action;
-    const exchange = open(id, attempt);
+    const exchange = open(action);
     const link = getLink(to);
     if (link === undefined) return fail(id, attempt, false);
     const ticket = gateway.getTicket(id, attempt);
@@ -216,7 +235,7 @@
     action: OfKind<GatewayAction, GatewayActionKind.Submit>,
   ): Promise<void> {
     const { id, attempt, to } = action;
-    const exchange = open(id, attempt);
+    const exchange = open(action);
     const link = getLink(to);
     if (link === undefined) return fail(id, attempt, false);
     const head = createHead(exchange.request, action);
@@ -310,6 +329,12 @@
     const io = exchange.attempts.get(action.attempt)!;
     const key = io.key === undefined ? {} : { key: io.key };
     const { answer, replay } = io;
+    options.onDelivered?.({
+      route: exchange.request.arrival.route,
+      host: io.host,
+      placingMs: io.startedAt - exchange.arrivedAt,
+      attemptMs: clock.now() - io.startedAt,
+    });
     delete io.answer;
     if (answer !== undefined) exchange.resolve({ answer, ...key });
     else exchange.resolve({ replay: replay!, ...key });
@@ -325,9 +350,13 @@
     exchange?.resolve({ verdict: action.verdict, ...key });
   }
 
-  function open(id: string, attempt: number): Exchange {
+  function open({ id, attempt, to }: SendAction): Exchange {
     const exchange = exchanges.get(id)!;
-    exchange.attempts.set(attempt, { signal: new EventEmitter() });
+    exchange.attempts.set(attempt, {
+      signal: new EventEmitter(),
+      host: to,
+      startedAt: clock.now(),
+    });
     return exchange;
   }
 
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -52,6 +52,17 @@
   readonly logger: Logger;
   /** Gets a fresh reading of the upstream before a request is decided on. */
   readonly beforeAdmission?: BeforeAdmission;
+  /** Hears of each answer of the upstream. */
+  onUpstreamAnswered?(timing: UpstreamTiming): void;
+}
+
+/** How long a request took at this host. */
+export interface UpstreamTiming {
+  readonly route: string | undefined;
+  /** Wait before its start, in ms. */
+  readonly waitedMs: Millis;
+  /** From its start to the upstream's answer, in ms. */
+  readonly tookMs: Millis;
 }
 
 /** What the task may wait for before a request is decided on. */
@@ -243,12 +254,15 @@
     });
     if ("failure" in result) return failUpstream(ticket, result.failure);
     const { answer } = result;
+    const tookMs = clock.now() - startedAt;
+    const waitedMs = startedAt - flow.askedAt!;
+    options.onUpstreamAnswered?.({ route: flow.head?.route, waitedMs, tookMs });
     logger.info("upstream_answered", {
       req: getRequestName(ticket),
       ticket,
       status: answer.status,
-      tookMs: Math.round(clock.now() - startedAt),
-      waitedMs: Math.round(startedAt - flow.askedAt!),
+      tookMs: Math.round(tookMs),
+      waitedMs: Math.round(waitedMs),
       slowdown,
       inFlight,
       queued,
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -56,7 +56,7 @@
   isStopping(): boolean;
   /** Why no further request is taken, or undefined. */
   getObstacle(): DiagnosticName | undefined;
-  onAnswered(service: ServiceName, latencyMs: Millis): void;
+  onAnswered(arrival: Arrival, latencyMs: Millis): void;
 }
 
 interface CallerRequest {
@@ -198,7 +198,7 @@
   ): void {
     const { outgoing, incoming, id } = req;
     const tookMs = host.now() - req.arrivedAt;
-    options.onAnswered(arrival.service, tookMs);
+    options.onAnswered(arrival, tookMs);
     logger.info("answered", {
       req: req.statement.id,
       service: arrival.service,
--- a/src/daemon/latency_metrics.ts
+++ b/src/daemon/latency_metrics.ts
@@ -1,55 +1,119 @@
-/** HDR latencies by service, shown as a Prometheus summary. */
+/** HDR latencies by phase of a request, shown as Prometheus summaries. */
 
 import { build, type Histogram } from "hdr-histogram-js";
+import type { Millis } from "../core/types.ts";
 
 const MICROS_PER_MS = 1_000;
+const MICROS_PER_S = 1_000_000;
 const HIGHEST_MICROS = 600_000_000;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+/** Series of one phase; further ones are counted together. A histogram takes some 20 KB. */
+const MAX_SERIES = 64;
+const OTHER = "other";
 
-/** Latencies of answered requests. */
+/** What a latency measures. */
+export enum Phase {
+  /** Arrival of a request to its answer's head. */
+  Answer = "answer",
+  /** Arrival of a request to the start of the attempt that was answered. */
+  Placing = "placing",
+  /** Start of an attempt to its answer's head, as its gateway sees it. */
+  Attempt = "attempt",
+  /** Wait of a request at the guard. */
+  Queue = "queue",
+  /** Start at the local upstream to its answer. */
+  Upstream = "upstream",
+}
+
+const HELP: Record<Phase, string> = {
+  [Phase.Answer]: "Time from a request's arrival to its answer's head.",
+  [Phase.Placing]:
+    "Time from a request's arrival to the start of the answered attempt.",
+  [Phase.Attempt]: "Time from an attempt's start to its answer's head.",
+  [Phase.Queue]: "Time that requests waited at the guard.",
+  [Phase.Upstream]: "Time from a start at the local upstream to its answer.",
+};
+
+/** What a series is about; values are names from settings and configuration. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Latencies of requests. */
 export interface LatencyMetrics {
-  record(service: string, latencyMs: number): void;
+  record(phase: Phase, labels: Labels, latencyMs: Millis): void;
   /** Prometheus text. */
   format(): string;
 }
 
+interface Series {
+  readonly histogram: Histogram;
+  sumMs: Millis;
+}
+
 /** Creates empty metrics. */
 export function createLatencyMetrics(): LatencyMetrics {
-  const histograms = new Map<string, Histogram>();
-  const sums = new Map<string, number>();
+  const phases = new Map<Phase, Map<string, Series>>();
   return { record, format };
 
-  function record(service: string, latencyMs: number): void {
-    let histogram = histograms.get(service);
-    if (histogram === undefined) {
-      histogram = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: HIGHEST_MICROS,
-        numberOfSignificantValueDigits: 2,
-      });
-      histograms.set(service, histogram);
-    }
+  function record(phase: Phase, labels: Labels, latencyMs: Millis): void {
+    const series = getSeries(phase, labels);
     const micros = Math.max(1, Math.round(latencyMs * MICROS_PER_MS));
-    histogram.recordValue(Math.min(micros, HIGHEST_MICROS));
-    sums.set(service, (sums.get(service) ?? 0) + latencyMs);
+    series.histogram.recordValue(Math.min(micros, HIGHEST_MICROS));
+    series.sumMs += latencyMs;
+  }
+
+  function getSeries(phase: Phase, labels: Labels): Series {
+    let all = phases.get(phase);
+    if (all === undefined) phases.set(phase, all = new Map());
+    const key = formatLabels(labels);
+    const known = all.get(key);
+    if (known !== undefined) return known;
+    if (all.size >= MAX_SERIES && !Object.values(labels).includes(OTHER)) {
+      const names = Object.keys(labels).map((name) => [name, OTHER]);
+      return getSeries(phase, Object.fromEntries(names));
+    }
+    const created = { histogram: createHistogram(), sumMs: 0 };
+    all.set(key, created);
+    return created;
   }
 
   function format(): string {
-    const name = "vanillarock_answer_seconds";
-    const lines = [
-      `# HELP ${name} Time from a request's arrival to its answer's head.`,
-      `# TYPE ${name} summary`,
-    ];
-    for (const [service, histogram] of histograms) {
-      for (const quantile of QUANTILES) {
-        const micros = histogram.getValueAtPercentile(quantile * 100);
-        const labels = `service="${service}",quantile="${quantile}"`;
-        lines.push(`${name}{${labels}} ${micros / 1_000_000}`);
+    const lines: string[] = [];
+    for (const [phase, all] of phases) {
+      const name = `vanillarock_${phase}_seconds`;
+      lines.push(`# HELP ${name} ${HELP[phase]}`, `# TYPE ${name} summary`);
+      for (const [labels, series] of all) {
+        lines.push(...formatSeries(name, labels, series));
       }
-      const sum = (sums.get(service) ?? 0) / 1_000;
-      lines.push(`${name}_sum{service="${service}"} ${sum}`);
-      lines.push(`${name}_count{service="${service}"} ${histogram.totalCount}`);
     }
     return `${lines.join("\n")}\n`;
   }
 }
+
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MICROS,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+function formatLabels(labels: Labels): string {
+  return Object.entries(labels)
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
+    .join(",");
+}
+
+function formatSeries(
+  name: string,
+  labels: string,
+  { histogram, sumMs }: Series,
+): string[] {
+  const lines = QUANTILES.map((quantile) => {
+    const micros = histogram.getValueAtPercentile(quantile * 100);
+    const seconds = micros / MICROS_PER_S;
+    return `${name}{${labels},quantile="${quantile}"} ${seconds}`;
+  });
+  lines.push(`${name}_sum{${labels}} ${sumMs / 1_000}`);
+  lines.push(`${name}_count{${labels}} ${histogram.totalCount}`);
+  return lines;
+}
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -4,6 +4,7 @@
  */
 
 import { createServer, type RequestListener, type Server } from "node:http";
+import process from "node:process";
 import { v7 } from "uuid";
 import { ChoicePolicy } from "../core/choice.ts";
 import { createCounters } from "../core/counters.ts";
@@ -25,11 +26,11 @@
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
 import { createIngressHandler } from "./ingress_server.ts";
-import { createLatencyMetrics } from "./latency_metrics.ts";
+import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
 import type { Logger } from "./logger.ts";
-import { formatMetrics } from "./metrics_text.ts";
+import { formatMetrics, type Gauge } from "./metrics_text.ts";
 import { createPeerHandler } from "./peer_server.ts";
 import {
   createStoreTask,
@@ -143,6 +144,10 @@
       onLoad: watch.note,
     }),
     beforeAdmission: watch.refresh,
+    onUpstreamAnswered: ({ route = "", waitedMs, tookMs }) => {
+      latencies.record(Phase.Queue, { route }, waitedMs);
+      latencies.record(Phase.Upstream, { route }, tookMs);
+    },
     guard: {
       self: settings.host,
       service: settings.service,
@@ -173,6 +178,10 @@
     logger,
     getLink: links.get,
     isTransparent: true,
+    onDelivered: ({ route = "", host, placingMs, attemptMs }) => {
+      latencies.record(Phase.Placing, { route }, placingMs);
+      latencies.record(Phase.Attempt, { host }, attemptMs);
+    },
     gateway: {
       self: settings.host,
       incarnation,
@@ -230,7 +239,8 @@
       getRoutes: () => routes,
       isStopping: () => stoppingAt !== undefined,
       getObstacle,
-      onAnswered: latencies.record,
+      onAnswered: ({ service, route = "" }, latencyMs) =>
+        latencies.record(Phase.Answer, { service, route }, latencyMs),
     }),
   );
   const peers = await listen(
@@ -339,11 +349,38 @@
 
   function answerMetrics(...[_req, res]: Parameters<RequestListener>): void {
     res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-    res.end(formatMetrics([
-      { role: "gateway", counters: gatewayTask.gateway.counters },
-      { role: "guard", counters: guardTask.guard.counters },
-      { role: "daemon", counters },
-    ], latencies));
+    res.end(formatMetrics(
+      [
+        { role: "gateway", counters: gatewayTask.gateway.counters },
+        { role: "guard", counters: guardTask.guard.counters },
+        { role: "daemon", counters },
+      ],
+      getGauges(),
+      latencies,
+    ));
+  }
+
+  function getGauges(): Gauge[] {
+    const { inFlight, queued, slots, slowdown } = guardTask.guard.getReport();
+    return [
+      gauge(
+        "requests_open",
+        "Open requests.",
+        gatewayTask.gateway.getOpenCount(),
+      ),
+      gauge("upstream_in_flight", "Requests at the local upstream.", inFlight),
+      gauge("upstream_queued", "Requests that wait at the guard.", queued),
+      gauge("upstream_slots", "Slots that the guard fills.", slots),
+      gauge(
+        "upstream_slowdown_ratio",
+        "Work time by its usual one.",
+        slowdown ?? 1,
+      ),
+      gauge("upstreams_listed", "Upstreams that are listed.", upstreams.size()),
+      gauge("config_version", "Version in force.", routes?.config.version ?? 0),
+      gauge("store_in_touch", "1 while in touch.", store.isInTouch() ? 1 : 0),
+      gauge("memory_bytes", "Resident memory.", process.memoryUsage.rss()),
+    ];
   }
 
   /** A request that is taken too late could not end before the kill. */
@@ -386,6 +423,10 @@
   }
 }
 
+function gauge(name: string, help: string, value: number): Gauge {
+  return { name, help, value };
+}
+
 function closeServer(server: Server): void {
   server.close();
   server.closeAllConnections();
--- a/src/daemon/metrics_text.ts
+++ b/src/daemon/metrics_text.ts
@@ -1,4 +1,4 @@
-/** Counters and latencies in Prometheus' text format. */
+/** Counters, gauges and latencies in Prometheus' text format. */
 
 import type { Counters } from "../core/counters.ts";
 import type { LatencyMetrics } from "./latency_metrics.ts";
@@ -9,12 +9,22 @@
   readonly counters: Counters;
 }
 
+/** A value that rises and falls. */
+export interface Gauge {
+  /** Name without its prefix, with its unit. */
+  readonly name: string;
+  readonly help: string;
+  readonly value: number;
+}
+
 /** All metrics of a daemon. */
 export function formatMetrics(
   sets: readonly CounterSet[],
+  gauges: readonly Gauge[],
   latencies: LatencyMetrics,
 ): string {
-  return `${formatCounters(sets).join("\n")}\n${latencies.format()}`;
+  const lines = [...formatCounters(sets), ...gauges.flatMap(formatGauge)];
+  return `${lines.join("\n")}\n${latencies.format()}`;
 }
 
 /** Counters, one line each. */
@@ -31,3 +41,8 @@
   }
   return lines;
 }
+
+function formatGauge({ name, help, value }: Gauge): string[] {
+  const full = `vanillarock_${name}`;
+  return [`# HELP ${full} ${help}`, `# TYPE ${full} gauge`, `${full} ${value}`];
+}
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -243,6 +243,24 @@
   expect(seen.status).toBe(200);
 });
 
+test("metrics tell latencies by route, upstream and phase", async () => {
+  const [host] = mesh.hosts as [MeshHost];
+  await mesh.call(host, { id: "measured" });
+  const res = await fetch(`http://${host.ip}:9464/metrics`);
+  const text = await res.text();
+  const names = ["answer", "placing", "attempt", "queue", "upstream"];
+  for (const name of names) {
+    const label = name === "attempt" ? 'host="127' : 'route="reads"';
+    const count = new RegExp(
+      `^vanillarock_${name}_seconds_count{.*${label}.*} [1-9]`,
+      "m",
+    );
+    expect(text).toMatch(count);
+  }
+  expect(text).toMatch(/^vanillarock_upstreams_listed 3$/m);
+  expect(text).toMatch(/^vanillarock_store_in_touch 1$/m);
+});
+
 test("settings that can't be used end the process with a code of their own", async () => {
   const child = spawn(process.execPath, ["target/vanillarock.cjs"], {
     env: { ...process.env, VANILLAROCK_SETTINGS: "/nowhere/local.yaml" },
