--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
+import { type Relay, startRelay } from "../support/relay.ts";
 import { startStore, type StoreStandIn } from "./store_stand_in.ts";
 import { startUpstream, type UpstreamStandIn } from "./upstream_stand_in.ts";
 
@@ -13,12 +14,23 @@
 const PEER_PORT = 18_300;
 const READY_PORT = 18_302;
 const UPSTREAM_PORT = 18_301;
+const STORE_PORT = 18_306;
 const READY_TRIES = 200;
 const READY_POLL_MS = 25;
 
+/** Relays in front of what a daemon and its peers use. */
+export interface MeshLinks {
+  /** Messages of other daemons to this one. */
+  readonly peers: Relay;
+  /** The store as this daemon reaches it. */
+  readonly store: Relay;
+}
+
 /** One host: its daemon and its upstream. */
 export interface MeshHost {
   readonly ip: string;
+  /** Where relays were asked for. */
+  readonly links?: MeshLinks;
   readonly zone: string;
   readonly service: string;
   readonly upstream: UpstreamStandIn;
@@ -42,6 +54,8 @@
   readonly timeoutMs?: number;
   readonly body?: string | Buffer;
   readonly headers?: Record<string, string>;
+  /** The caller gives up where it aborts. */
+  readonly signal?: AbortSignal;
 }
 
 /** A running deployment. */
@@ -66,12 +80,15 @@
   readonly timeoutS: number;
   readonly sloS: number;
   readonly attempts: number;
+  /** Prefix of one more route for reads. */
+  readonly added: string;
 }
 
 /** Starts daemons, one for each given service. `base` keeps tests apart. */
 export async function startMesh(
   base: number,
   services: readonly string[],
+  options: { hasRelays?: boolean } = {},
 ): Promise<Mesh> {
   const store = await startStore();
   const folder = mkdtempSync(join(tmpdir(), "mesh-"));
@@ -96,7 +113,14 @@
       port: UPSTREAM_PORT,
     });
     const zone = index % 2 === 0 ? "east" : "west";
-    const host = { ip, zone, service, upstream, lines: [] as string[] };
+    const host = {
+      ip,
+      zone,
+      service,
+      upstream,
+      lines: [] as string[],
+      ...(options.hasRelays && { links: await startLinks(ip) }),
+    };
     hosts.push(host as unknown as MeshHost);
     list(hosts[index]!);
   }
@@ -105,9 +129,24 @@
   await Promise.all(hosts.map(waitReady));
   return mesh;
 
+  async function startLinks(ip: string): Promise<MeshLinks> {
+    const [storeIp, storePort] = store.address.split(":") as [string, string];
+    return {
+      peers: await startRelay(
+        { ip, port: PEER_PORT },
+        { ip: getListenIp(ip), port: PEER_PORT },
+      ),
+      store: await startRelay(
+        { ip, port: STORE_PORT },
+        { ip: storeIp, port: Number(storePort) },
+      ),
+    };
+  }
+
   function publish(version: number, change: Partial<RouteOptions> = {}): void {
     const { service = services[0]!, timeoutS = 2, sloS = 1, attempts = 3 } =
       change;
+    const { added = "/added/" } = change;
     store.put("op/config", {
       version: version.toString(16).padStart(8, "0"),
       routes: {
@@ -136,6 +175,18 @@
             service,
             null,
           ],
+          [
+            "added",
+            "shop",
+            added,
+            "safe",
+            timeoutS,
+            sloS,
+            2,
+            attempts,
+            service,
+            null,
+          ],
           [
             "orders",
             "shop",
@@ -190,7 +241,8 @@
 
   function startDaemon(host: MeshHost): void {
     const file = join(folder, `${host.ip}.yaml`);
-    writeFileSync(file, JSON.stringify(createSettings(host, store.address)));
+    const address = host.links ? `${host.ip}:${STORE_PORT}` : store.address;
+    writeFileSync(file, JSON.stringify(createSettings(host, address)));
     const child = spawn(process.execPath, ["target/vanillarock.cjs"], {
       env: { ...process.env, VANILLAROCK_SETTINGS: file },
       stdio: ["ignore", "pipe", "pipe"],
@@ -233,6 +285,7 @@
           ...what.headers,
         },
         body: what.body ?? null,
+        ...(what.signal && { signal: what.signal }),
       },
     );
     const text = await res.body.text();
@@ -254,6 +307,8 @@
         await ended;
       }
       await host.upstream.close();
+      await host.links?.peers.close();
+      await host.links?.store.close();
     }));
     await agent.destroy();
     await store.close();
@@ -261,7 +316,13 @@
   }
 }
 
+/** A daemon behind a relay listens for its peers at an address of its own. */
+function getListenIp(ip: string): string {
+  return ip.replace("127.0.", "127.1.");
+}
+
 function createSettings(host: MeshHost, store: string): unknown {
+  const peerIp = host.links ? getListenIp(host.ip) : host.ip;
   return {
     self: {
       ip: host.ip,
@@ -271,7 +332,7 @@
     },
     network: {
       listen: {
-        inbound: `${host.ip}:${PEER_PORT}`,
+        inbound: `${peerIp}:${PEER_PORT}`,
         outbound: `${host.ip}:${CALLER_PORT}`,
         ready: `${host.ip}:${READY_PORT}`,
       },
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -31,11 +31,24 @@
   Fails = "fails",
 }
 
+/** A request that an upstream began to work on. */
+export interface Run {
+  readonly id: string;
+  readonly instance: string;
+  /** Steady time, in ms. */
+  readonly at: number;
+  readonly body: Buffer;
+}
+
 /** An upstream in this process. */
 export interface UpstreamStandIn {
   readonly address: string;
   /** Ids of the requests that ran, in order. */
   readonly ran: string[];
+  /** The same with time and incarnation. */
+  readonly runs: Run[];
+  /** Requests that arrived, also those that did not run. */
+  arrivals: number;
   /** Headers of the requests that arrived. */
   readonly heard: IncomingMessage["headers"][];
   /** Bytes of the bodies that arrived. */
@@ -49,6 +62,9 @@
   slots: number;
   /** Connections that rested longer are forgotten without notice, in ms. */
   forgetsAfterMs: number;
+  createBody(id: string): string;
+  /** Resets all connections, as a process that is killed does. */
+  cut(): void;
   close(): Promise<void>;
 }
 
@@ -73,6 +89,8 @@
   const it: UpstreamStandIn = {
     address: `${ip}:${port}`,
     ran: [],
+    runs: [],
+    arrivals: 0,
     heard: [],
     bodies: [],
     cancelled: [],
@@ -82,6 +100,8 @@
     slowdownPercent: 100,
     slots: 10,
     forgetsAfterMs: Infinity,
+    createBody: () => BODY,
+    cut: () => server.closeAllConnections(),
     close: async () => {
       server.closeAllConnections();
       await new Promise((resolve) => server.close(resolve));
@@ -107,7 +127,9 @@
     it.heard.push(req.headers);
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
-    it.bodies.push(Buffer.concat(chunks));
+    it.arrivals += 1;
+    const body = Buffer.concat(chunks);
+    it.bodies.push(body);
     const id = String(req.headers["x-vanillarock-attempt-id"]);
     res.setHeader("x-vanillarock-attempt-id", id);
     const expected = req.headers["x-vanillarock-expect-instance"];
@@ -122,43 +144,47 @@
       return;
     }
     it.ran.push(id);
+    it.runs.push({ id, instance: it.instance, at: performance.now(), body });
     running += 1;
     res.once("close", () => {
       if (!res.writableEnded) it.cancelled.push(id);
     });
     await new Promise((resolve) => setTimeout(resolve, it.workMs));
     running -= 1;
-    moods[it.mood](res, id);
+    moods[it.mood](res, id, it.createBody(id));
   }
 }
 
-const moods: Record<UpstreamMood, (res: ServerResponse, id: string) => void> = {
-  [UpstreamMood.Serving]: (res) => sign(res).writeHead(200).end(BODY),
+type Answer = (res: ServerResponse, id: string, body: string) => void;
+
+const moods: Record<UpstreamMood, Answer> = {
+  [UpstreamMood.Serving]: (res, _id, body) =>
+    sign(res).writeHead(200).end(body),
   [UpstreamMood.Shedding]: () => {},
   [UpstreamMood.LosesAnswer]: (res) => res.socket!.resetAndDestroy(),
-  [UpstreamMood.CutsShort]: (res) => {
+  [UpstreamMood.CutsShort]: (res, _id, body) => {
     sign(res).writeHead(200, { "content-length": "100" });
-    res.write(BODY);
+    res.write(body);
     setTimeout(() => res.socket?.destroy(), 5);
   },
-  [UpstreamMood.AnswersTwice]: (res, id) => {
+  [UpstreamMood.AnswersTwice]: (res, id, body) => {
     const socket = res.socket!;
-    sign(res).writeHead(200).end(BODY, () => {
+    sign(res).writeHead(200).end(body, () => {
       socket.write(
         `HTTP/1.1 200 OK\r\nx-vanillarock-attempt-id: ${id}\r\n` +
           "x-vanillarock-response-signature: s\r\ncontent-length: 5\r\n\r\nextra",
       );
     });
   },
-  [UpstreamMood.ResetsUnframed]: (res, id) => {
-    writeUnframed(res, id);
+  [UpstreamMood.ResetsUnframed]: (res, id, body) => {
+    writeUnframed(res, id, body);
     setTimeout(() => res.socket?.resetAndDestroy(), 5);
   },
-  [UpstreamMood.Unframed]: (res, id) => {
-    writeUnframed(res, id);
+  [UpstreamMood.Unframed]: (res, id, body) => {
+    writeUnframed(res, id, body);
     res.socket!.end();
   },
-  [UpstreamMood.Unsigned]: (res) => res.writeHead(200).end(BODY),
+  [UpstreamMood.Unsigned]: (res, _id, body) => res.writeHead(200).end(body),
   [UpstreamMood.Hangs]: () => {},
   [UpstreamMood.Fails]: (res) => sign(res).writeHead(500).end("failed"),
 };
@@ -167,9 +193,9 @@
   return res.setHeader("x-vanillarock-response-signature", "s");
 }
 
-function writeUnframed(res: ServerResponse, id: string): void {
+function writeUnframed(res: ServerResponse, id: string, body: string): void {
   res.socket!.write(
     `HTTP/1.1 200 OK\r\nx-vanillarock-attempt-id: ${id}\r\n` +
-      `x-vanillarock-response-signature: s\r\nconnection: close\r\n\r\n${BODY}`,
+      `x-vanillarock-response-signature: s\r\nconnection: close\r\n\r\n${body}`,
   );
 }
--- a/test/recovery_test.ts
+++ b/test/recovery_test.ts
@@ -21,11 +21,13 @@
 
 beforeAll(async () => {
   for (let index = 0; index < 4; index++) {
-    const peers = BASE_PORT + 200 + index;
-    const control = BASE_PORT + 300 + index;
-    relays.push(await startRelay(BASE_PORT + RELAY_OFFSET + index, peers));
+    const at = (offset: number) => ({
+      ip: "127.0.0.1",
+      port: BASE_PORT + offset + index,
+    });
+    relays.push(await startRelay(at(RELAY_OFFSET), at(200)));
     controlRelays.push(
-      await startRelay(BASE_PORT + CONTROL_OFFSET + index, control, {
+      await startRelay(at(CONTROL_OFFSET), at(300), {
         delayMs: CONTROL_DELAY_MS,
       }),
     );
--- /dev/null
+++ b/test/soak/regressions.ts
@@ -0,0 +1,10 @@
+/** Seeds of the soak that failed once; CI runs them again. */
+
+/** A seed and what had made it fail. */
+export interface Regression {
+  readonly seed: number;
+  readonly cause: string;
+}
+
+/** All seeds that ever failed. */
+export const REGRESSIONS: readonly Regression[] = [];
--- /dev/null
+++ b/test/soak_test.ts
@@ -0,0 +1,110 @@
+/** A short run of the fault soak, and proof that its judge sees each broken promise. */
+
+import { expect, test } from "vitest";
+import { createAnswer, judge } from "./soak/judge.ts";
+import { drawPlan } from "./soak/plan.ts";
+import { REGRESSIONS } from "./soak/regressions.ts";
+import { runSoak } from "./soak/run.ts";
+import {
+  CallKind,
+  type CallRecord,
+  FaultKind,
+  type History,
+  Promised,
+} from "./soak/types.ts";
+
+/** The first has five hosts, the second twelve, of which some share readers. */
+const SEEDS = [2, 1, ...REGRESSIONS.map((r) => r.seed)];
+const FIRST_BASE = 140;
+/** A fault long before any request. */
+const BEFORE = { host: 0, from: -9_000, until: -8_000 };
+
+test.each(SEEDS.map((seed, index) => ({ seed, base: FIRST_BASE + index })))(
+  "seed $seed breaks no promise",
+  async ({ seed, base }) => {
+    const { violations, statuses } = await runSoak(seed, { base });
+    expect(violations).toEqual([]);
+    expect(statuses["200"]).toBeGreaterThan(1_000);
+  },
+);
+
+test("a seed always draws the same plan, and all kinds of fault come", () => {
+  expect(drawPlan(5, 12)).toEqual(drawPlan(5, 12));
+  const seen = new Set<FaultKind>();
+  for (let seed = 1; seed <= 50; seed++) {
+    for (const { kind } of drawPlan(seed, 12)) seen.add(kind);
+  }
+  expect([...seen].sort()).toEqual(Object.values(FaultKind).sort());
+});
+
+const read: CallRecord = {
+  id: "r",
+  kind: CallKind.Read,
+  host: 0,
+  sentAt: 0,
+  timeoutMs: 1_000,
+  body: "",
+  endedAt: 50,
+  status: 200,
+  text: createAnswer("r"),
+  isSigned: true,
+};
+const order: CallRecord = {
+  ...read,
+  id: "o",
+  kind: CallKind.Order,
+  body: "o.",
+  text: createAnswer("o"),
+};
+const runs = [
+  { id: "r", instance: "i", at: 10, body: "" },
+  { id: "o", instance: "i", at: 10, body: "o." },
+];
+const kept: History = {
+  calls: [read, order],
+  runs,
+  arrivals: 2,
+  injected: [{ ...BEFORE, kind: FaultKind.Killed }],
+  leavings: [],
+  ownEnds: [],
+  finals: [{ host: 0, newestRoute: 200, droppedRoute: 404, reads: [200] }],
+};
+
+/** A history that breaks one promise each. */
+const BROKEN: Record<Promised, Partial<History>> = {
+  [Promised.OwnAnswer]: { calls: [read, { ...order, text: "another's" }] },
+  [Promised.RunsOnce]: { runs: [...runs, runs[1]!] },
+  [Promised.RefusedNeverRuns]: { calls: [read, { ...order, status: 503 }] },
+  [Promised.OnlyAsked]: { runs: [runs[0]!, { ...runs[1]!, body: "changed" }] },
+  [Promised.InTime]: { calls: [{ ...read, endedAt: 1_600 }, order] },
+  [Promised.ServesWhileStopping]: {
+    calls: [read, createCutOff()],
+    injected: [{ host: 0, from: -100, until: 100, kind: FaultKind.Stopped }],
+  },
+  [Promised.LeftAlone]: {
+    runs: [runs[0]!, { ...runs[1]!, instance: "left" }],
+    leavings: [{ instance: "left", at: -2_100 }],
+  },
+  [Promised.ChangesHold]: {
+    finals: [{ host: 0, newestRoute: 404, droppedRoute: 404, reads: [200] }],
+  },
+  [Promised.Recovers]: {
+    finals: [{ host: 0, newestRoute: 200, droppedRoute: 404, reads: [503] }],
+  },
+  [Promised.StaysUp]: { ownEnds: [{ host: 0, at: 5, lines: ["crashed"] }] },
+  [Promised.RetriesBounded]: { arrivals: 63 },
+};
+
+test("a history that keeps all promises is not blamed", () => {
+  expect(judge(kept)).toEqual([]);
+});
+
+test.each(Object.values(Promised))("the judge sees when not: %s", (promise) => {
+  const found = judge({ ...kept, ...BROKEN[promise] });
+  expect(found.map((v) => v.promise)).toEqual([promise]);
+});
+
+function createCutOff(): CallRecord {
+  const { status: _status, text: _text, ...rest } = order;
+  return { ...rest, error: "closed" };
+}
