--- a/src/cli/run_command.ts
+++ b/src/cli/run_command.ts
@@ -39,7 +39,8 @@
       clearInterval(keepAlive);
       resolve();
     };
-    process.once("SIGTERM", done);
+    // A second SIGTERM must not end the process before its requests.
+    process.on("SIGTERM", done);
     process.once("SIGINT", done);
   });
 }
--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -8,10 +8,10 @@
 } from "./gateway_types.ts";
 import {
   type Arrival,
+  type Candidate,
   Execution,
   type GatewayAction,
   GatewayActionKind,
-  type HostId,
   type Millis,
   Repeatability,
   type Ticket,
@@ -154,13 +154,14 @@
 /** Adds an attempt at a host to a request. */
 export function addAttempt(
   request: PendingRequest,
-  host: HostId,
+  { host, instance }: Pick<Candidate, "host" | "instance">,
   how: { now: Millis; isHedge: boolean; mayQueue: boolean },
 ): Attempt {
   const reserves = isReserving(request.arrival);
   const attempt: Attempt = {
     number: request.attempts.length + 1,
     host,
+    ...(instance !== undefined && { instance }),
     sentAt: how.now,
     isHedge: how.isHedge,
     mayQueue: how.mayQueue,
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -175,6 +175,13 @@
     503,
     "another incarnation of an upstream has the address",
   ),
+  instance_replaced: row(
+    1028,
+    Refusal,
+    "instance_replaced",
+    503,
+    "another incarnation runs at the host than was meant",
+  ),
   no_upstream: row(
     2001,
     Refusal,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -43,6 +43,7 @@
   mayAskOn,
 } from "./placement.ts";
 import { createOpenRequests } from "./open_requests.ts";
+import { createReplacedInstances } from "./replaced_instances.ts";
 import { createRetryGate } from "./retry_gate.ts";
 import { hasOtherHost } from "./retry_rules.ts";
 import { createSettling } from "./settling.ts";
@@ -87,6 +88,7 @@
     chooser,
     loads,
   });
+  const replaced = createReplacedInstances(host);
   const asksFirst = (options.maxAsks ?? 0) > 0;
   const budgets = createAccountBudgets(host, options);
   const open = createOpenRequests();
@@ -152,7 +154,7 @@
     const { candidate, mayQueue } = placed;
     const reserves = isReserving(request.arrival);
     const now = host.now();
-    const attempt = addAttempt(request, candidate.host, {
+    const attempt = addAttempt(request, candidate, {
       now,
       isHedge,
       mayQueue,
@@ -217,6 +219,7 @@
       return [];
     }
     counters.add(`refused_${msg.verdict.diagnostic.reason}`);
+    replaced.note(attempt.instance, msg.verdict);
     if (isUpstreamsFault(msg.verdict)) loads.noteResult(attempt.host, false);
     attempt.isTurnedAway = asksFirst && isTurnedAway(msg.verdict);
     loads.noteEnded(attempt.host);
@@ -483,6 +486,6 @@
   }
 
   function getCandidatesOf(request: PendingRequest): readonly Candidate[] {
-    return options.getCandidates(request.arrival.service);
+    return replaced.filter(options.getCandidates(request.arrival.service));
   }
 }
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -104,6 +104,8 @@
 export interface Attempt {
   readonly number: number;
   readonly host: HostId;
+  /** The incarnation of the upstream that is meant. */
+  readonly instance?: string;
   readonly sentAt: Millis;
   readonly isHedge: boolean;
   /** False where its guard was asked for a start at once. */
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -153,6 +153,7 @@
     entries.set(ticket, entry);
     openCount += 1;
     if (head.service !== options.service) return [refuse(entry, "wrong_host")];
+    if (isReplaced(head)) return [refuse(entry, "instance_replaced")];
     if (head.key !== undefined) {
       const settled = judgeKey(keys, { ...head, key: head.key });
       if (settled !== undefined) return [answerKey(entry, settled)];
@@ -161,6 +162,12 @@
     return enqueue(entry);
   }
 
+  /** True where the incarnation that is meant has made room for another. */
+  function isReplaced({ instance }: RequestHead): boolean {
+    const known = options.upstream?.getInstance();
+    return instance !== undefined && known !== undefined && known !== instance;
+  }
+
   /** Seals a key that has not run, so that its request may go elsewhere. */
   function settle(
     msg: OfKind<GuardMessage, GuardMessageKind.Settle>,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -35,6 +35,7 @@
   Diagnostics.deadline_in_queue,
   Diagnostics.over_fair_share,
   Diagnostics.wrong_host,
+  Diagnostics.instance_replaced,
   Diagnostics.grant_expired,
 ]);
 
@@ -42,6 +43,7 @@
 const MOVED = new Set([
   Diagnostics.draining,
   Diagnostics.wrong_host,
+  Diagnostics.instance_replaced,
   Diagnostics.grant_expired,
   Diagnostics.link_lost,
   Diagnostics.reserve_timeout,
--- /dev/null
+++ b/src/core/replaced_instances.ts
@@ -0,0 +1,44 @@
+/**
+ * Incarnations that their own guards say are no more, although the list still
+ * names them: after a loss of power that takes several heartbeats.
+ */
+
+import { Diagnostics } from "./diagnostics.ts";
+import type { Candidate, CoreHost, Millis, Verdict } from "./types.ts";
+
+/** How long a guard's word is believed, in ms; the list drops an entry after three heartbeats of 1.5 s. */
+const BELIEF_MS = 5_000;
+
+/** Refusals by which a host says that another incarnation runs there. */
+const REPLACED = new Set([
+  Diagnostics.instance_replaced,
+  Diagnostics.wrong_instance,
+]);
+
+/** Incarnations that were replaced. */
+export interface ReplacedInstances {
+  /** Takes the verdict on an attempt that was meant for an incarnation. */
+  note(instance: string | undefined, verdict: Verdict): void;
+  /** Candidates without those that were replaced. */
+  filter(candidates: readonly Candidate[]): readonly Candidate[];
+}
+
+/** Creates an empty set. */
+export function createReplacedInstances(host: CoreHost): ReplacedInstances {
+  const until = new Map<string, Millis>();
+  return { note, filter };
+
+  function note(instance: string | undefined, { diagnostic }: Verdict): void {
+    if (instance === undefined || !REPLACED.has(diagnostic)) return;
+    until.set(instance, host.now() + BELIEF_MS);
+  }
+
+  function filter(candidates: readonly Candidate[]): readonly Candidate[] {
+    const now = host.now();
+    for (const [instance, at] of until) {
+      if (at <= now) until.delete(instance);
+    }
+    if (until.size === 0) return candidates;
+    return candidates.filter((c) => !until.has(c.instance ?? ""));
+  }
+}
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -30,7 +30,7 @@
 export interface UpstreamList {
   put(upstream: ListedUpstream): void;
   remove(instance: string): void;
-  /** Takes the whole list: what it lacks has left or lapsed. */
+  /** Takes the whole list, the oldest first: what it lacks has left or lapsed. */
   replaceAll(upstreams: readonly ListedUpstream[]): void;
   noteListLost(): void;
   noteListRegained(): void;
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -246,10 +246,12 @@
     flow.signal = signal;
     const forward = { ...flow.forward!, signal };
     const instance = flow.head?.instance;
+    const isProtected = flow.head?.repeatability === Repeatability.AtMostOnce;
     const startedAt = clock.now();
     const { inFlight, queued, slowdown } = guard.getReport();
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(flow.deadline! - clock.now())),
+      isProtected,
       ...(instance !== undefined && { instance }),
     });
     if ("failure" in result) return failUpstream(ticket, result.failure);
@@ -267,14 +269,16 @@
       inFlight,
       queued,
     });
-    const isKept = flow.head?.repeatability === Repeatability.AtMostOnce;
-    const body = isKept ? record(ticket, answer) : answer.body;
+    const body = isProtected ? record(ticket, answer) : answer.body;
     const reply = { kind: ReplyKind.Answer as const, ticket };
-    if (answer.isWhole && !isKept) {
+    if (answer.isWhole && !isProtected) {
       sendReply(ticket, { ...reply, answer });
       return finishAnswer(ticket, answer.status);
     }
-    watchEnd(ticket, answer.body, { status: answer.status, isKept });
+    watchEnd(ticket, answer.body, {
+      status: answer.status,
+      isKept: isProtected,
+    });
     sendReply(ticket, { ...reply, answer: { ...answer, body } });
   }
 
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -98,7 +98,7 @@
 
 /** A running daemon. */
 export interface MeshDaemon {
-  /** Stops without cutting off any request, within the time granted. */
+  /** Stops without cutting off any request, within the time granted; once, however often it is called. */
   stop(): Promise<void>;
 }
 
@@ -117,6 +117,7 @@
   const peerPort = splitAddress(settings.listen.peers).port;
   let routes: RouteTable | undefined;
   let stoppingAt: Millis | undefined;
+  let stopping: Promise<void> | undefined;
 
   const upstreams = createUpstreamList(host, {
     lapseGraceMs: LAPSE_GRACE_MS,
@@ -260,7 +261,7 @@
   const readiness = await listen(settings.listen.readiness, answerReadiness);
   const metrics = await listen(settings.listen.metrics, answerMetrics);
   store.start();
-  return { stop };
+  return { stop: () => stopping ??= stop() };
 
   function getPeerAddress(id: HostId): string {
     return `${id}:${peerPort}`;
@@ -391,7 +392,6 @@
   }
 
   async function stop(): Promise<void> {
-    if (stoppingAt !== undefined) return;
     const startedAt = clock.now();
     stoppingAt = startedAt;
     logger.info("stopping", { open: countOpen() });
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -40,7 +40,7 @@
 
 /** Reads a store. */
 export interface StoreReader {
-  /** Everything that a daemon follows. */
+  /** Everything that a daemon follows, the oldest entry first. */
   readAll(): Promise<Result<StoreBatch, StoreError>>;
   /** Changes after a revision; empty where none came within the wait. */
   watch(after: number, waitMs: Millis): Promise<Result<StoreBatch, StoreError>>;
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -64,11 +64,21 @@
     headersTimeout: TIMEOUT_MS,
     bodyTimeout: TIMEOUT_MS,
   });
+  let instance: string | undefined;
+  let instanceReadAt: Millis = -Infinity;
   let load: UpstreamLoad | undefined;
   let readAt: Millis = -Infinity;
   let reading: Promise<void> | undefined;
   let timer: NodeJS.Timeout | undefined;
-  return { refresh, note, getUsableSlots, getSlowdown, getHoldMs, close };
+  return {
+    refresh,
+    note,
+    getUsableSlots,
+    getSlowdown,
+    getHoldMs,
+    getInstance,
+    close,
+  };
 
   async function refresh(): Promise<void> {
     if (clock.now() - readAt < FRESH_MS) return;
@@ -88,6 +98,8 @@
     try {
       const res = await client.request({ method: "GET", path });
       await res.body.dump();
+      instance = options.protocol.readInstance(res.headers);
+      instanceReadAt = clock.now();
       const stated = options.protocol.readLoad(res.headers);
       if (stated !== undefined) note(stated);
     } catch (error) {
@@ -129,6 +141,12 @@
     return isKnown() ? spells.getHoldMs(clock.now()) : 0;
   }
 
+  /** Answers to requests do not name it, so that only its own age counts. */
+  function getInstance(): string | undefined {
+    const isFresh = clock.now() - instanceReadAt < MAX_AGE_MS;
+    return isFresh ? instance : undefined;
+  }
+
   function isKnown(): boolean {
     return load !== undefined && clock.now() - readAt < MAX_AGE_MS;
   }
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -66,7 +66,7 @@
     options.clock,
     options.connections,
   );
-  return { send, close: () => Promise.resolve(connections.pool.destroy()) };
+  return { send, close: () => Promise.resolve(connections.close()) };
 
   async function send(
     request: ForwardRequest,
@@ -96,7 +96,7 @@
       const { method, path, body, signal } = request;
       const headers = protocol.createHeaders(request, call);
       const req = httpRequest({
-        agent: connections.pool,
+        agent: connections.getPool(call.isProtected),
         host,
         port,
         method,
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -1,24 +1,31 @@
-/** Connections to one upstream that are kept for reuse, for a short rest only. */
+/**
+ * Connections to one upstream that are kept for reuse. An upstream may forget
+ * one that rested, without notice, and reset it at the next request: one that
+ * may be sent again is only late then, a protected one is in doubt.
+ */
 
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { Millis } from "../core/types.ts";
 import type { Clock } from "../daemon/clock.ts";
 
-/** Longest rest of a kept connection, in ms; upstreams are known to forget theirs after 300. */
-const MAX_REST_MS = 150;
+/** Longest rest of a kept connection, in ms; below the time-outs that upstreams state. */
+const MAX_REST_MS = 4_000;
+/** As above before a protected request, in ms; upstreams are known to forget connections after 300. */
+const MAX_PROTECTED_REST_MS = 150;
 /** Lower bound of the rest where upstreams forget sooner, in ms; keeps connections within a burst. */
 const MIN_REST_MS = 5;
 
 /** Connections to one upstream. */
 export interface UpstreamConnections {
-  readonly pool: Agent;
+  getPool(isProtected: boolean): Agent;
   /** Hears of a reused connection that was lost before its answer. */
   noteForgotten(socket: Socket): void;
+  close(): void;
 }
 
 /**
- * Creates a pool. It keeps no connection on which bytes come that belong to no
+ * Creates the connections. None is kept on which bytes come that belong to no
  * request, and none for longer than the upstream seems to remember them.
  */
 export function createUpstreamConnections(
@@ -28,25 +35,40 @@
   const keptAt = new WeakMap<Socket, Millis>();
   const restedMs = new WeakMap<Socket, Millis>();
   let maxRestMs = MAX_REST_MS;
-  const pool = new Agent({ keepAlive: true, maxSockets });
-  const keep = pool.keepSocketAlive.bind(pool);
-  const reuse = pool.reuseSocket.bind(pool);
-  pool.keepSocketAlive = (stream) => {
-    const socket = stream as Socket;
-    const isKept = keep(socket);
-    keptAt.set(socket, clock.now());
-    socket.on("data", destroySocket).on("timeout", destroySocket).resume();
-    socket.setTimeout(maxRestMs);
-    return isKept;
-  };
-  pool.reuseSocket = (stream, req) => {
-    const socket = stream as Socket;
-    socket.setTimeout(0);
-    socket.off("data", destroySocket).off("timeout", destroySocket);
-    restedMs.set(socket, clock.now() - keptAt.get(socket)!);
-    reuse(socket, req);
+  const repeatable = createPool(() => maxRestMs);
+  const protecting = createPool(() =>
+    Math.min(maxRestMs, MAX_PROTECTED_REST_MS)
+  );
+  return {
+    getPool: (isProtected) => isProtected ? protecting : repeatable,
+    noteForgotten,
+    close: () => {
+      repeatable.destroy();
+      protecting.destroy();
+    },
   };
-  return { pool, noteForgotten };
+
+  function createPool(getMaxRestMs: () => Millis): Agent {
+    const pool = new Agent({ keepAlive: true, maxSockets });
+    const keep = pool.keepSocketAlive.bind(pool);
+    const reuse = pool.reuseSocket.bind(pool);
+    pool.keepSocketAlive = (stream) => {
+      const socket = stream as Socket;
+      const isKept = keep(socket);
+      keptAt.set(socket, clock.now());
+      socket.on("data", destroySocket).on("timeout", destroySocket).resume();
+      socket.setTimeout(getMaxRestMs());
+      return isKept;
+    };
+    pool.reuseSocket = (stream, req) => {
+      const socket = stream as Socket;
+      socket.setTimeout(0);
+      socket.off("data", destroySocket).off("timeout", destroySocket);
+      restedMs.set(socket, clock.now() - keptAt.get(socket)!);
+      reuse(socket, req);
+    };
+    return pool;
+  }
 
   function noteForgotten(socket: Socket): void {
     const rested = restedMs.get(socket) ?? maxRestMs;
--- a/src/upstream/upstream_protocol.ts
+++ b/src/upstream/upstream_protocol.ts
@@ -15,6 +15,8 @@
   readonly timeoutMs: Millis;
   /** The incarnation that is meant; any other must not run the request. */
   readonly instance?: string;
+  /** True where the request must not run again. */
+  readonly isProtected: boolean;
 }
 
 /** What the head of an answer says. */
@@ -51,6 +53,8 @@
 export interface UpstreamProtocol {
   createHeaders(forward: ForwardRequest, call: UpstreamCall): Headers;
   judge(forward: ForwardRequest, answer: AnswerHead): AnswerStanding;
+  /** The incarnation that answered a health check, or undefined. */
+  readInstance(headers: IncomingHttpHeaders): string | undefined;
   /** Load stated by an answer, or undefined. */
   readLoad(headers: IncomingHttpHeaders): UpstreamLoad | undefined;
   /** True holds answers back until they are whole, so that a cut one is noticed. */
@@ -66,6 +70,7 @@
   return {
     createHeaders: (forward) => ({ ...forward.headers }),
     judge,
+    readInstance: () => undefined,
     readLoad: () => undefined,
     checksWhole: false,
   };
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -167,6 +167,61 @@
   20_000,
 );
 
+test("a second SIGTERM cuts no request off", async () => {
+  const [, host] = mesh.hosts as [MeshHost, MeshHost];
+  setWork(800);
+  const open = mesh.call(host, { id: "told-twice" });
+  await pause(100);
+  const ended = new Promise((resolve) => host.process.once("exit", resolve));
+  host.process.kill("SIGTERM");
+  await pause(50);
+  host.process.kill("SIGTERM");
+  expect((await open).status).toBe(200);
+  setWork(1);
+  expect(await ended).toBe(0);
+  mesh.startDaemon(host);
+  await mesh.waitReady(host);
+}, 20_000);
+
+test("a reload while the process starts does not end it", async () => {
+  const [, , host] = mesh.hosts as [MeshHost, MeshHost, MeshHost];
+  const ended = new Promise((resolve) => host.process.once("exit", resolve));
+  host.process.kill("SIGKILL");
+  await ended;
+  mesh.startDaemon(host);
+  // Long enough for Node.js itself, not for the modules.
+  await pause(60);
+  for (let i = 0; i < 20; i++) {
+    host.process.kill("SIGHUP");
+    await pause(5);
+  }
+  await mesh.waitReady(host);
+  expect(host.process.exitCode).toBe(null);
+  expect(host.process.signalCode).toBe(null);
+});
+
+test("after a loss of power entries of before are not used", async () => {
+  const [first, second] = mesh.hosts as [MeshHost, MeshHost];
+  const before = second.upstream.instance;
+  // By key the entry of before comes last.
+  second.upstream.instance = "i-0";
+  mesh.list(second);
+  const ended = new Promise((resolve) => first.process.once("exit", resolve));
+  first.process.kill("SIGKILL");
+  await ended;
+  mesh.startDaemon(first);
+  await mesh.waitReady(first);
+  const arrivals = countArrivals();
+  const calls = Array.from(
+    { length: 30 },
+    (_, i) => mesh.call(first, { id: `after-power-${i}`, path: "/order/1" }),
+  );
+  const statuses = (await Promise.all(calls)).map((s) => s.status);
+  expect(statuses).toEqual(Array(30).fill(200));
+  expect(countArrivals() - arrivals).toBe(30);
+  mesh.store.remove(`servers/${before}`);
+});
+
 test("entries that can't be read name no upstream, and the others hold", async () => {
   mesh.store.putText("servers/i-broken", "{not json");
   mesh.store.put("servers/i-typed", { address: 7, info: {}, status: {} });
@@ -277,6 +332,10 @@
   for (const { upstream } of mesh.hosts) upstream.workMs = ms;
 }
 
+function countArrivals(): number {
+  return mesh.hosts.reduce((sum, h) => sum + h.upstream.arrivals, 0);
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -12,10 +12,15 @@
 import { ListedUpstreamState } from "../src/core/routing_types.ts";
 import { createSlowSpells } from "../src/core/slow_spells.ts";
 import { createGateway } from "../src/core/gateway.ts";
+import type { Gateway } from "../src/core/gateway_types.ts";
+import { createGuard } from "../src/core/guard.ts";
 import {
   Execution,
+  type GatewayAction,
   GatewayActionKind,
   GatewayMessageKind,
+  GuardActionKind,
+  GuardMessageKind,
   Repeatability,
 } from "../src/core/types.ts";
 import {
@@ -161,7 +166,7 @@
     const placed = placement.tryPlace(request, candidates)!;
     expect([placed.candidate.host, placed.mayQueue]).toEqual([expected, false]);
     const how = { now: 0, isHedge: false, mayQueue: placed.mayQueue };
-    addAttempt(request, expected, how).isTurnedAway = true;
+    addAttempt(request, { host: expected }, how).isTurnedAway = true;
     request.lastVerdict = {
       execution: Execution.NotRun,
       diagnostic: Diagnostics.no_room_now,
@@ -373,3 +378,94 @@
   expect([...written[0]!]).toEqual([...written[1]!]);
   expect(budgets[0]!.takeOmitted()).toBeGreaterThan(1_500);
 });
+
+test("a whole fleet that restarted: stale entries cost no arrival and no retry", () => {
+  const host = createTestHost();
+  const old = { host: "a", failureDomain: "east", instance: "i-old" };
+  const live = { host: "b", failureDomain: "west", instance: "i-live" };
+  const gateway = createGateway(host, {
+    self: "a",
+    incarnation: "a#1",
+    maxAttempts: 4,
+    maxAsks: 4,
+    reserveTimeoutMs: 100,
+    silenceMs: 1_000,
+    chooser: {
+      policy: ChoicePolicy.ExpectedTime,
+      failureDomain: "east",
+      crossDomainMs: 3,
+    },
+    getCandidates: () => [old, live],
+    getLimits: () => ({
+      retryBudget: 0,
+      hedgeBudget: 0,
+      hedgePercentile: 99,
+    }),
+  });
+  const guard = createGuard(host, {
+    self: "a",
+    service: "shop",
+    incarnation: "a#1",
+    slots: 4,
+    queueCapacity: 4,
+    grantTtlMs: 1_000,
+    keyCapacity: 16,
+    getWeight: () => 1,
+    upstream: {
+      getUsableSlots: () => 4,
+      getInstance: () => "i-new",
+      getSlowdown: () => 1,
+      getHoldMs: () => 0,
+    },
+  });
+  const [asked] = arriveAt(gateway, "1");
+  expect(asked).toMatchObject({ to: "a", instance: "i-old" });
+  const [refused] = guard.handle({
+    kind: GuardMessageKind.Submit,
+    ticket: "t",
+    head: {
+      account: "all",
+      service: "shop",
+      repeatability: Repeatability.Idempotent,
+      fingerprint: "",
+      timeoutMs: 1_000,
+      instance: "i-old",
+    },
+  });
+  expect(refused).toMatchObject({
+    kind: GuardActionKind.Refuse,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.instance_replaced,
+    },
+  });
+  const [askedOn] = gateway.handle({
+    kind: GatewayMessageKind.Refused,
+    id: "1",
+    attempt: 1,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.instance_replaced,
+    },
+  });
+  expect(askedOn).toMatchObject({ to: "b", instance: "i-live" });
+  // The next request does not ask there again while the list lags.
+  expect(arriveAt(gateway, "2")[0]).toMatchObject({ to: "b" });
+  host.advance(5_001);
+  expect(arriveAt(gateway, "3")[0]).toMatchObject({ to: "a" });
+});
+
+function arriveAt(gateway: Gateway, id: string): GatewayAction[] {
+  return gateway.handle({
+    kind: GatewayMessageKind.Arrived,
+    arrival: {
+      id,
+      account: "all",
+      service: "shop",
+      repeatability: Repeatability.Idempotent,
+      timeoutMs: 1_000,
+      replayable: true,
+      retriesLeft: 3,
+    },
+  });
+}
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -34,6 +34,8 @@
   key: string;
   value?: string;
   rev: number;
+  /** Revision at which the key came to be. */
+  created: number;
   deleted?: boolean;
 }
 
@@ -72,7 +74,7 @@
     putText,
     remove: (key) => {
       items.delete(key);
-      record({ key, rev: 0, deleted: true });
+      record({ key, rev: 0, created: 0, deleted: true });
     },
     setMood: (next) => {
       mood = next;
@@ -95,12 +97,13 @@
 
   function putText(key: string, text: string): void {
     const value = Buffer.from(text).toString("base64");
-    record({ key, value, rev: 0 });
+    record({ key, value, rev: 0, created: 0 });
   }
 
   function record(item: Item): void {
     revision += 1;
     item.rev = revision;
+    item.created = items.get(item.key)?.created ?? revision;
     if (item.deleted !== true) items.set(item.key, item);
     events.push(item);
     for (const entry of [...waiting]) {
@@ -110,7 +113,9 @@
 
   function range(url: URL, res: ServerResponse): void {
     const prefix = url.searchParams.get("prefix") ?? "";
-    const found = [...items.values()].filter((i) => i.key.startsWith(prefix));
+    const found = [...items.values()]
+      .filter((i) => i.key.startsWith(prefix))
+      .sort((a, b) => a.key < b.key ? -1 : 1);
     answer(res, 200, { items: found, hasMore: false, at: revision });
   }
 
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -7,4 +7,9 @@
 }
 
 /** All seeds that ever failed. */
-export const REGRESSIONS: readonly Regression[] = [];
+export const REGRESSIONS: readonly Regression[] = [
+  {
+    seed: 17,
+    cause: "a second SIGTERM ended the process at once, with open requests",
+  },
+];
--- a/test/support/guarded_upstream.ts
+++ b/test/support/guarded_upstream.ts
@@ -86,6 +86,7 @@
     refusesEarly: true,
     upstream: {
       getUsableSlots: () => pattern.slots,
+      getInstance: () => undefined,
       getSlowdown: () => speed,
       getHoldMs: () => without.holds ? 0 : spells.getHoldMs(host.now()),
     },
