--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -118,8 +118,8 @@
       });
       req.on("error", (error) => {
         clearTimeout(connecting);
-        if (answer === undefined && req.reusedSocket) {
-          connections.noteForgotten(req.socket!);
+        if (answer === undefined && isReset(error) && req.socket) {
+          connections.noteReset(req.socket);
         }
         // Without a length Node.js would take a reset for the answer's end.
         answer?.destroy(error);
@@ -160,6 +160,10 @@
 /** The request was cancelled here. */
 class AbortError extends Error {}
 
+function isReset(error: Error): boolean {
+  return (error as { code?: string }).code === "ECONNRESET";
+}
+
 /** Reads a body of moderate size to its end, so that a cut one is noticed. */
 async function hold(answer: StreamedAnswer): Promise<UpstreamResult> {
   const length = Number(getHeader(answer.headers, "content-length") ?? 0);
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -14,13 +14,15 @@
 /** As above before a protected request, in ms; upstreams are known to forget connections after 300. */
 const MAX_PROTECTED_REST_MS = 150;
 /** Lower bound of the rest where upstreams forget sooner, in ms; keeps connections within a burst. */
-const MIN_REST_MS = 5;
+const MIN_REST_MS = 25;
+/** A forgotten connection is reset within some round trips, in ms; later resets have other causes. */
+const FORGOTTEN_WITHIN_MS = 10;
 
 /** Connections to one upstream. */
 export interface UpstreamConnections {
   getPool(isProtected: boolean): Agent;
-  /** Hears of a reused connection that was lost before its answer. */
-  noteForgotten(socket: Socket): void;
+  /** Hears of a reused connection that the upstream reset before its answer. */
+  noteReset(socket: Socket): void;
   close(): void;
 }
 
@@ -33,7 +35,7 @@
   maxSockets: number,
 ): UpstreamConnections {
   const keptAt = new WeakMap<Socket, Millis>();
-  const restedMs = new WeakMap<Socket, Millis>();
+  const reusedAt = new WeakMap<Socket, Millis>();
   let maxRestMs = MAX_REST_MS;
   const repeatable = createPool(() => maxRestMs);
   const protecting = createPool(() =>
@@ -41,7 +43,7 @@
   );
   return {
     getPool: (isProtected) => isProtected ? protecting : repeatable,
-    noteForgotten,
+    noteReset,
     close: () => {
       repeatable.destroy();
       protecting.destroy();
@@ -64,15 +66,18 @@
       const socket = stream as Socket;
       socket.setTimeout(0);
       socket.off("data", destroySocket).off("timeout", destroySocket);
-      restedMs.set(socket, clock.now() - keptAt.get(socket)!);
+      reusedAt.set(socket, clock.now());
       reuse(socket, req);
     };
     return pool;
   }
 
-  function noteForgotten(socket: Socket): void {
-    const rested = restedMs.get(socket) ?? maxRestMs;
-    maxRestMs = Math.max(MIN_REST_MS, Math.min(maxRestMs, rested / 2));
+  function noteReset(socket: Socket): void {
+    const reused = reusedAt.get(socket);
+    if (reused === undefined) return;
+    if (clock.now() - reused > FORGOTTEN_WITHIN_MS) return;
+    const restedMs = reused - keptAt.get(socket)!;
+    maxRestMs = Math.max(MIN_REST_MS, Math.min(maxRestMs, restedMs / 2));
   }
 }
 
