Store: one root reads for all daemons, over a stand-by and heads of failure domains

Change: one root; rank and hops keep circles out; followers that lost all sources ask the store at most every 2 s.

--- a/src/core/reading_plan.ts
+++ b/src/core/reading_plan.ts
@@ -1,16 +1,28 @@
 /**
- * Which daemons read the store themselves. In a failure domain with many hosts
- * a few do, and pass on what changed; every daemon works out the same few from
+ * Which daemons read the store themselves. Where there are many, one does and
+ * passes on what changed: to a stand-by, to two heads in each failure domain,
+ * and through these to all others. Every daemon works out the same few from
  * the list of upstreams, without an election.
  */
 
 import murmurhash from "murmurhash";
 import type { FailureDomainName, HostId } from "./types.ts";
 
-/** Readers in a failure domain: the second takes over while the first is lost. */
-const READERS = 2;
-/** Hosts of a failure domain from which sharing saves more than half of the calls. */
-const MIN_SHARING_HOSTS = 3 * READERS;
+/** Roots of the whole deployment and heads of a failure domain: one, and one that takes over. */
+const SOURCES = 2;
+/** Hosts from which sharing saves most of the calls; below, the bounds are kept with less. */
+const MIN_SHARING_HOSTS = 18;
+
+/** A daemon's place in the order in which changes are passed on. */
+export enum ReadingRank {
+  /** Reads the store. */
+  Root = 0,
+  /** Reads the store while the root is lost. */
+  StandBy = 1,
+  /** Passes changes on in its failure domain. */
+  Head = 2,
+  Follower = 3,
+}
 
 /** A host and where it stands. */
 export interface PlacedHost {
@@ -20,12 +32,11 @@
 
 /** How a daemon reads the store. */
 export interface ReadingPlan {
-  /** True where it reads the store itself. */
-  readonly isReader: boolean;
-  /** True where others of its failure domain depend on readers. */
+  readonly rank: ReadingRank;
+  /** True where others depend on readers. */
   readonly isShared: boolean;
-  /** Readers to follow, the preferred one first. */
-  readonly readers: readonly HostId[];
+  /** Daemons to follow, the preferred one first; the store where none is left. */
+  readonly sources: readonly HostId[];
 }
 
 /** Plans how a daemon reads, given the hosts that are listed as ready. */
@@ -33,15 +44,30 @@
   self: PlacedHost,
   listed: readonly PlacedHost[],
 ): ReadingPlan {
+  if (listed.length < MIN_SHARING_HOSTS) {
+    return { rank: ReadingRank.Root, isShared: false, sources: [] };
+  }
+  const isShared = true;
+  const roots = pick(listed, "reads");
+  const others = roots.filter((host) => host !== self.host);
+  if (self.host === roots[0]) {
+    return { rank: ReadingRank.Root, isShared, sources: others };
+  }
+  if (others.length < roots.length) {
+    return { rank: ReadingRank.StandBy, isShared, sources: others };
+  }
   const peers = listed.filter((it) => it.failureDomain === self.failureDomain);
-  if (peers.length < MIN_SHARING_HOSTS) {
-    return { isReader: true, isShared: false, readers: [] };
+  const heads = pick(peers, "passes on");
+  if (heads.includes(self.host)) {
+    return { rank: ReadingRank.Head, isShared, sources: roots };
   }
-  const readers = rank(peers.map((it) => it.host), "reads").slice(0, READERS);
-  const isReader = readers.includes(self.host);
-  // Followers spread over the readers.
-  const order = isReader ? [] : rank(readers, `followed by ${self.host}`);
-  return { isReader, isShared: true, readers: order };
+  // Followers spread over the heads.
+  const sources = rank(heads, `followed by ${self.host}`);
+  return { rank: ReadingRank.Follower, isShared, sources };
+}
+
+function pick(hosts: readonly PlacedHost[], purpose: string): HostId[] {
+  return rank(hosts.map((it) => it.host), purpose).slice(0, SOURCES);
 }
 
 /** Orders hosts by a hash, alike at every daemon. */
--- a/src/daemon/change_follower.ts
+++ b/src/daemon/change_follower.ts
@@ -1,34 +1,37 @@
-/** Follows the store's changes through another daemon that reads the store. */
+/** Follows the store's changes through another daemon. */
 
 import { type IncomingMessage, request } from "node:http";
 import { createInterface } from "node:readline";
 import { z } from "zod";
-import type { StoreBatch } from "../core/change_log.ts";
 import type { Millis } from "../core/types.ts";
 import { Header, Step } from "../link/wire.ts";
+import type { RelayedBatch } from "./change_relay.ts";
 import { decodeJson } from "../settings/json.ts";
 
 /** Time to connect and to hear the first line, in ms; a hundred round trips. */
 const FIRST_LINE_MS = 400;
 /**
- * Longest silence of a reader, in ms: its wait for changes (800), its pause
- * between two watches (250) and one and a half for delay. Finding a lost
- * reader and asking another stays within the bound on departures.
+ * Longest silence of a source that reads the store, in ms: its wait for changes
+ * (500), its pause between two watches (250) and some delay. Finding a lost
+ * source and asking another stays within the bound on departures.
  */
-const MAX_SILENCE_MS = 1_300;
+const MAX_SILENCE_MS = 900;
+/** More patience for each daemon between, in ms, so that it finds another source first. */
+const SILENCE_PER_HOP_MS = 200;
 
 const batchSchema = z.object({
   revision: z.int(),
+  hops: z.int().min(0),
   entries: z.array(z.object({ key: z.string(), text: z.string().optional() })),
 });
 
 /** What a follower asks for. */
 export interface FollowOptions {
-  /** IP address and port of the reader's daemon. */
+  /** IP address and port of the daemon that is followed. */
   readonly address: string;
   /** Changes are wanted after this revision. */
   readonly after: number;
-  onBatch(batch: StoreBatch): void;
+  onBatch(batch: RelayedBatch): void;
   /** Called once, with what ended it. */
   onEnd(reason: string): void;
 }
@@ -38,8 +41,8 @@
   close(): void;
 }
 
-/** Starts to follow a reader. */
-export function followReader(options: FollowOptions): Following {
+/** Starts to follow a daemon. */
+export function followSource(options: FollowOptions): Following {
   const { address, after } = options;
   let hasEnded = false;
   const req = request(`http://${address}/`, {
@@ -57,7 +60,7 @@
     // The interface passes on the errors of its input.
     lines.on("error", (error: Error) => end(error.message));
     lines.on("line", take);
-    lines.on("close", () => end("reader left"));
+    lines.on("close", () => end("source left"));
   }
 
   function take(line: string): void {
@@ -65,8 +68,9 @@
     const decoded = decodeJson(line, batchSchema);
     if (decoded.err) return end(`malformed line: ${decoded.val}`);
     clearTimeout(timer);
-    timer = expectLine(MAX_SILENCE_MS);
-    options.onBatch(decoded.val);
+    const batch = decoded.val;
+    timer = expectLine(MAX_SILENCE_MS + batch.hops * SILENCE_PER_HOP_MS);
+    options.onBatch(batch);
   }
 
   function expectLine(limitMs: Millis): NodeJS.Timeout {
--- a/src/daemon/change_relay.ts
+++ b/src/daemon/change_relay.ts
@@ -1,7 +1,7 @@
 /**
  * Passes the store's changes on to daemons that follow this one: a line of
  * JSON for each answer of the store, also for one without changes, so that a
- * follower that hears nothing knows that its reader has lost the store.
+ * follower that hears nothing knows that the way to the store is lost.
  */
 
 import type { ServerResponse } from "node:http";
@@ -9,50 +9,54 @@
 import type { Counters } from "../core/counters.ts";
 import type { CoreHost, Millis } from "../core/types.ts";
 
-/** Age of the store's last answer up to which followers are taken, in ms; a follower's patience. */
-const MAX_ANSWER_AGE_MS = 1_300;
+/** Age of the store's last answer up to which followers are taken, in ms; the shortest patience of a follower. */
+const MAX_ANSWER_AGE_MS = 900;
 /** Bytes that may wait for a follower that reads slowly; a few large configurations. */
 const MAX_WAITING_BYTES = 8_388_608;
 
-/** Settings of the relay. */
-export interface ChangeRelayOptions {
-  readonly counters: Counters;
-  /** True where this daemon reads the store itself. */
-  isReader(): boolean;
+/** What is passed on. */
+export interface RelayedBatch extends StoreBatch {
+  /** Daemons between the sender and the store; 0 where it reads itself. */
+  readonly hops: number;
 }
 
 /** The relay of one daemon. */
 export interface ChangeRelay {
   /** Takes the whole content of the store. */
   restart(batch: StoreBatch): void;
-  /** Takes an answer of the store and passes it on. */
-  publish(batch: StoreBatch): void;
+  /** Takes an answer of the store, read itself or relayed, and passes it on. */
+  publish(batch: RelayedBatch): void;
   /** Sends a follower what changed after a revision, and all that changes later. */
   attach(after: number, outgoing: ServerResponse): void;
-  /** Lets all followers go, so that they turn to another reader. */
+  /** Lets all followers go, so that they turn to another source. */
   release(): void;
+  /** Releases all followers and takes no more. */
+  close(): void;
 }
 
 /** Creates a relay without followers. */
 export function createChangeRelay(
   host: CoreHost,
-  options: ChangeRelayOptions,
+  { counters }: { counters: Counters },
 ): ChangeRelay {
-  const { counters } = options;
   const log = createChangeLog();
   const followers = new Set<ServerResponse>();
   let answeredAt: Millis = -Infinity;
-  return { restart, publish, attach, release };
+  let hops = 0;
+  let isClosed = false;
+  return { restart, publish, attach, release, close };
 
   function restart(batch: StoreBatch): void {
     // Followers may lack changes from before the batch.
     release();
     answeredAt = host.now();
+    hops = 0;
     log.restart(batch);
   }
 
-  function publish(batch: StoreBatch): void {
+  function publish(batch: RelayedBatch): void {
     answeredAt = host.now();
+    hops = batch.hops;
     log.take(batch);
     const line = encode(batch);
     for (const follower of followers) send(follower, line);
@@ -60,9 +64,7 @@
 
   function attach(after: number, outgoing: ServerResponse): void {
     const isFresh = host.now() - answeredAt <= MAX_ANSWER_AGE_MS;
-    const missed = options.isReader() && isFresh
-      ? log.tryGetSince(after)
-      : undefined;
+    const missed = isFresh && !isClosed ? log.tryGetSince(after) : undefined;
     if (missed === undefined) {
       counters.add("follower_refused");
       outgoing.writeHead(503, { "content-length": "0" }).end();
@@ -72,7 +74,7 @@
     followers.add(outgoing);
     outgoing.once("close", () => followers.delete(outgoing));
     outgoing.writeHead(200, { "content-type": "application/x-ndjson" });
-    send(outgoing, encode(missed));
+    send(outgoing, encode({ ...missed, hops }));
   }
 
   function send(follower: ServerResponse, line: string): void {
@@ -88,8 +90,13 @@
     for (const follower of followers) follower.end();
     followers.clear();
   }
+
+  function close(): void {
+    isClosed = true;
+    release();
+  }
 }
 
-function encode(batch: StoreBatch): string {
-  return `${JSON.stringify(batch)}\n`;
+function encode({ revision, hops, entries }: RelayedBatch): string {
+  return `${JSON.stringify({ revision, hops, entries })}\n`;
 }
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -210,10 +210,7 @@
       }),
     },
   });
-  const relay = createChangeRelay(host, {
-    counters,
-    isReader: () => stoppingAt === undefined && getPlan().isReader,
-  });
+  const relay = createChangeRelay(host, { counters });
   const store = createStoreTask(host, {
     reader: deployment.store,
     relay,
@@ -396,7 +393,7 @@
     stoppingAt = startedAt;
     logger.info("stopping", { open: countOpen() });
     void guardTask.drain();
-    relay.release();
+    relay.close();
     const limit = startedAt + bounds.graceMs * STOP_SHARE;
     const soonest = startedAt + LEAVE_MS;
     while (clock.now() < limit) {
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -7,11 +7,11 @@
 import type { Result } from "neverthrow";
 import type { StoreBatch, StoreEntry } from "../core/change_log.ts";
 import type { Counters } from "../core/counters.ts";
-import type { ReadingPlan } from "../core/reading_plan.ts";
+import { type ReadingPlan, ReadingRank } from "../core/reading_plan.ts";
 import type { ListedUpstream, RoutingConfig } from "../core/routing_types.ts";
 import type { CoreHost, HostId, Millis } from "../core/types.ts";
-import { type Following, followReader } from "./change_follower.ts";
-import type { ChangeRelay } from "./change_relay.ts";
+import { type Following, followSource } from "./change_follower.ts";
+import type { ChangeRelay, RelayedBatch } from "./change_relay.ts";
 import type { Logger } from "./logger.ts";
 
 /** What changed in the store. */
@@ -52,7 +52,7 @@
 /** Settings of the task. */
 export interface StoreTaskOptions {
   readonly reader: StoreReader;
-  /** Passes on what this daemon reads itself. */
+  /** Passes on what this daemon knows of the store. */
   readonly relay: ChangeRelay;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -77,9 +77,11 @@
 }
 
 /** Longest wait of a watch that others depend on, in ms: its end shows them that the reader is in touch. */
-const SHARED_WAIT_MS = 800;
-/** Time for which a reader that was lost or refused is not asked again, in ms. */
-const AVOID_READER_MS = 2_000;
+const SHARED_WAIT_MS = 500;
+/** Time for which a source that was lost is not asked again, in ms. */
+const AVOID_LOST_MS = 2_000;
+/** As above where it had nothing to pass on, in ms; asking costs little. */
+const AVOID_REFUSING_MS = 500;
 /** Pause between two watches, so that changes in a row cost one call, in ms. */
 const BATCH_MS = 250;
 /** Wait of a watch while the store is lost, in ms: a swallowed call must not be waited for long. */
@@ -88,8 +90,8 @@
 const MIN_BACKOFF_MS = 100;
 /** Short beside the bound on changes, which counts from the store's return, in ms. */
 const MAX_BACKOFF_MS = 400;
-/** As above for one of many daemons, whose readers try more often, in ms. */
-const MAX_FOLLOWER_BACKOFF_MS = 1_000;
+/** As above for one of many daemons, whose sources try more often, in ms. */
+const MAX_FOLLOWER_BACKOFF_MS = 2_000;
 
 /** Creates the task. */
 export function createStoreTask(
@@ -109,7 +111,10 @@
   function step(): void {
     if (revision === undefined) return void readAll();
     const plan = options.getPlan();
-    const source = plan.readers.find((it) => !isAvoided(it));
+    const mustFollow = plan.rank !== ReadingRank.Root || failures > 0;
+    const source = mustFollow
+      ? plan.sources.find((it) => !isAvoided(it))
+      : undefined;
     if (source === undefined) void watch(revision, plan);
     else follow(source, revision);
   }
@@ -136,27 +141,32 @@
     );
     if (isClosed) return;
     if (result.isErr()) return fail(result.error);
-    take(result.value);
+    take({ ...result.value, hops: 0 });
     schedule(result.value.entries.length > 0 ? BATCH_MS : 0);
   }
 
   function follow(source: HostId, after: number): void {
-    counters.add("reader_asked");
+    counters.add("source_asked");
     let isHeard = false;
-    following = followReader({
+    following = followSource({
       address: options.getPeerAddress(source),
       after,
       onBatch: (batch) => {
-        if (!isHeard) logger.info("reader_followed", { reader: source, after });
+        const { rank, sources } = options.getPlan();
+        // Who is as far from the store may be following this daemon.
+        const isNearer = batch.hops < Math.max(rank, 1);
+        if (!isNearer) return following?.close();
+        if (!isHeard) logger.info("source_followed", { source, after });
         isHeard = true;
-        take(batch);
-        if (!options.getPlan().readers.includes(source)) following?.close();
+        take({ ...batch, hops: batch.hops + 1 });
+        if (!sources.includes(source)) following?.close();
       },
       onEnd: (reason) => {
         if (isClosed) return;
-        counters.add(isHeard ? "reader_lost" : "reader_refused");
-        if (isHeard) logger.warn("reader_lost", { reader: source, reason });
-        avoidedUntil.set(source, host.now() + AVOID_READER_MS);
+        counters.add(isHeard ? "source_lost" : "source_refused");
+        if (isHeard) logger.warn("source_lost", { source, reason });
+        const avoidMs = isHeard ? AVOID_LOST_MS : AVOID_REFUSING_MS;
+        avoidedUntil.set(source, host.now() + avoidMs);
         schedule(0);
       },
     });
@@ -168,9 +178,9 @@
     return avoidedUntil.has(source);
   }
 
-  function take(batch: StoreBatch): void {
+  function take(batch: RelayedBatch): void {
     regain();
-    // Another reader may be behind.
+    // Another source may be behind.
     if (revision !== undefined && batch.revision < revision) return;
     revision = batch.revision;
     relay.publish(batch);
@@ -203,8 +213,8 @@
       logger.warn("store_lost", { call, message, revision });
       options.onLost();
     }
-    const { readers } = options.getPlan();
-    const longest = readers.length > 0
+    const { rank } = options.getPlan();
+    const longest = rank >= ReadingRank.Head
       ? MAX_FOLLOWER_BACKOFF_MS
       : MAX_BACKOFF_MS;
     const backoff = Math.min(MIN_BACKOFF_MS * 2 ** failures, longest);
@@ -220,7 +230,7 @@
     isClosed = true;
     clearTimeout(timer);
     following?.close();
-    relay.release();
+    relay.close();
     await reader.close();
   }
 }
