Soak: an upstream that leaves is not listed as ready again; SIGHUP waits for the boot of Node.js

Traces: the crash handler listed an incarnation as ready that the drain handler had said to leave 97 ms before; and SIGHUP came 10 ms after the start of a process, before any JavaScript could run.

--- a/test/soak/inject.ts
+++ b/test/soak/inject.ts
@@ -26,6 +26,8 @@
 const LEAVING_MS = 2_500;
 /** Longest wait for a daemon to come up while other faults last, in ms. */
 const START_MS = 8_000;
+/** Time from a process's start until its program can handle a signal, in ms: the boot of Node.js. */
+const NODE_BOOT_MS = 150;
 /** Pause before a process that ended starts again, in ms. */
 const RESTART_MS = 100;
 
@@ -67,6 +69,7 @@
   const ownEnds: OwnEnd[] = [];
   /** Processes that were told to end, with the pause before the next. */
   const told = new WeakMap<object, number>();
+  const startedAt = new WeakMap<object, number>();
   let version = 1;
   let incarnations = 0;
   let isFinished = false;
@@ -117,9 +120,11 @@
       await waitUp(host);
     },
     [FaultKind.Stopped]: stop,
-    [FaultKind.Reloaded]: (fault) => {
-      getHost(fault).process.kill("SIGHUP");
-      return Promise.resolve();
+    [FaultKind.Reloaded]: async (fault) => {
+      const { process } = getHost(fault);
+      const bootedAt = (startedAt.get(process) ?? -Infinity) + NODE_BOOT_MS;
+      await pause(Math.max(0, bootedAt - performance.now()));
+      process.kill("SIGHUP");
     },
     [FaultKind.Drained]: async (fault) => {
       const host = getHost(fault);
@@ -136,7 +141,7 @@
       host.upstream.instance = createInstance(host);
       await pause(fault.forMs);
       mesh.store.remove(`servers/${instance}`);
-      mesh.list(host);
+      relist(host);
     },
     [FaultKind.UpstreamSpoilt]: async (fault) => {
       const { upstream } = getHost(fault);
@@ -230,6 +235,7 @@
       setTimeout(() => {
         if (isFinished) return;
         mesh.startDaemon(host);
+        startedAt.set(host.process, performance.now());
         watchProcess(index);
       }, delayMs ?? RESTART_MS);
     });
@@ -241,6 +247,13 @@
     mesh.list(host);
   }
 
+  /** An incarnation that said that it leaves is never listed as ready again. */
+  function relist(host: MeshHost): void {
+    const { instance } = host.upstream;
+    const isLeaving = leavings.some((l) => l.instance === instance);
+    mesh.list(host, isLeaving ? { state: "draining" } : {});
+  }
+
   function createInstance(host: MeshHost): string {
     incarnations += 1;
     return `${host.upstream.instance.split("+")[0]}+${incarnations}`;
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -12,4 +12,9 @@
     seed: 17,
     cause: "a second SIGTERM ended the process at once, with open requests",
   },
+  {
+    seed: 132,
+    cause: "the soak listed an upstream as ready after it had said that it " +
+      "leaves, and sent SIGHUP while Node.js itself was starting",
+  },
 ];
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -19,7 +19,9 @@
 /** A fault long before any request. */
 const BEFORE = { host: 0, from: -9_000, until: -8_000 };
 
-test.each(SEEDS.map((seed, index) => ({ seed, base: FIRST_BASE + index })))(
+test.concurrent.each(
+  SEEDS.map((seed, index) => ({ seed, base: FIRST_BASE + index })),
+)(
   "seed $seed breaks no promise",
   async ({ seed, base }) => {
     const { violations, statuses } = await runSoak(seed, { base });
