--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -22,6 +22,8 @@
 const SESSIONS = "test/baselines_test.ts";
 const SOCKETS = "test/daemon_test.ts";
 const UNITS = "test/core_test.ts";
+const OVERLOAD = "test/overload_test.ts";
+const READING = "test/reading_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -164,7 +166,7 @@
   {
     name: "upstream_names_its_request",
     promise: "an answer reaches its own caller",
-    file: "src/upstream/upstream_client.ts",
+    file: "src/upstream/upstream_protocol.ts",
     edits: [{
       find: "if (answeredId !== undefined && answeredId !== sentId) {",
       replace: "if (answeredId === '') {",
@@ -263,4 +265,56 @@
     }],
     proof: "test/budget_test.ts",
   },
+  {
+    name: "refuses_replaced_instance",
+    promise: "work at its worst load",
+    file: "src/core/guard.ts",
+    edits: [{
+      find:
+        'if (isReplaced(head)) return [refuse(entry, "instance_replaced")];',
+      replace: "",
+    }],
+    proof: OVERLOAD,
+  },
+  {
+    name: "believes_in_replacement",
+    promise: "work at its worst load",
+    file: "src/core/replaced_instances.ts",
+    edits: [{
+      find: "until.set(instance, host.now() + BELIEF_MS);",
+      replace: "",
+    }],
+    proof: OVERLOAD,
+  },
+  {
+    name: "patience_by_objective",
+    promise: "work at its worst load",
+    file: "src/core/admission.ts",
+    edits: [{
+      find: "if (endsLate || waitMs > getPatience(state, request)) {",
+      replace: "if (endsLate && getPatience(state, request) > 0) {",
+    }],
+    proof: OVERLOAD,
+  },
+  {
+    name: "queue_by_urgency",
+    promise: "work at its worst load",
+    file: "src/core/urgency_queue.ts",
+    edits: [{
+      find:
+        "return a.rank === b.rank ? a.startBy <= b.startBy : a.rank < b.rank;",
+      replace: "return a !== b;",
+    }],
+    proof: OVERLOAD,
+  },
+  {
+    name: "sources_nearer_to_the_store",
+    promise: "shared reading of the store",
+    file: "src/core/reading_plan.ts",
+    edits: [{
+      find: 'const roots = pick(listed, "reads");',
+      replace: "const roots = pick(listed, `reads ${self.host}`);",
+    }],
+    proof: READING,
+  },
 ];
