--- a/src/core/replaced_instances.ts
+++ b/src/core/replaced_instances.ts
@@ -1,6 +1,6 @@
 /**
- * Incarnations that their own guards say are no more, although the list still
- * names them: after a loss of power that takes several heartbeats.
+ * Incarnations that the guards at their addresses say are no more, although
+ * the list still names them: after a loss of power that takes some heartbeats.
  */
 
 import { Diagnostics } from "./diagnostics.ts";
@@ -9,10 +9,11 @@
 /** How long a guard's word is believed, in ms; the list drops an entry after three heartbeats of 1.5 s. */
 const BELIEF_MS = 5_000;
 
-/** Refusals by which a host says that another incarnation runs there. */
+/** Refusals by which a host says that another incarnation, or another service, runs there. */
 const REPLACED = new Set([
   Diagnostics.instance_replaced,
   Diagnostics.wrong_instance,
+  Diagnostics.wrong_host,
 ]);
 
 /** Incarnations that were replaced. */
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -15,6 +15,7 @@
 import type { Gateway } from "../src/core/gateway_types.ts";
 import { createGuard } from "../src/core/guard.ts";
 import {
+  type CoreHost,
   Execution,
   type GatewayAction,
   GatewayActionKind,
@@ -387,27 +388,7 @@
 
 test("a whole fleet that restarted: stale entries cost no arrival and no retry", () => {
   const host = createTestHost();
-  const old = { host: "a", failureDomain: "east", instance: "i-old" };
-  const live = { host: "b", failureDomain: "west", instance: "i-live" };
-  const gateway = createGateway(host, {
-    self: "a",
-    incarnation: "a#1",
-    maxAttempts: 4,
-    maxAsks: 4,
-    reserveTimeoutMs: 100,
-    silenceMs: 1_000,
-    chooser: {
-      policy: ChoicePolicy.ExpectedTime,
-      failureDomain: "east",
-      crossDomainMs: 3,
-    },
-    getCandidates: () => [old, live],
-    getLimits: () => ({
-      retryBudget: 0,
-      hedgeBudget: 0,
-      hedgePercentile: 99,
-    }),
-  });
+  const gateway = createTwoHostGateway(host);
   const guard = createGuard(host, {
     self: "a",
     service: "shop",
@@ -462,6 +443,59 @@
   expect(arriveAt(gateway, "3")[0]).toMatchObject({ to: "a" });
 });
 
+test("an address that another service took over is asked once, not by every request", () => {
+  const host = createTestHost();
+  const gateway = createTwoHostGateway(host);
+  expect(arriveAt(gateway, "1")[0]).toMatchObject({ to: "a" });
+  const [askedOn] = gateway.handle({
+    kind: GatewayMessageKind.Refused,
+    id: "1",
+    attempt: 1,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.wrong_host,
+    },
+  });
+  expect(askedOn).toMatchObject({ to: "b" });
+  // Its guard looks idle, since none of its requests is of this service.
+  const [refused] = gateway.handle({
+    kind: GatewayMessageKind.Refused,
+    id: "1",
+    attempt: 2,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.no_room_now,
+    },
+  });
+  expect(refused).toMatchObject({ to: "b", kind: GatewayActionKind.Submit });
+  expect(arriveAt(gateway, "2")[0]).toMatchObject({ to: "b" });
+});
+
+/** A gateway on host "a", whose list also names host "b". */
+function createTwoHostGateway(host: CoreHost): Gateway {
+  const old = { host: "a", failureDomain: "east", instance: "i-old" };
+  const live = { host: "b", failureDomain: "west", instance: "i-live" };
+  return createGateway(host, {
+    self: "a",
+    incarnation: "a#1",
+    maxAttempts: 4,
+    maxAsks: 4,
+    reserveTimeoutMs: 100,
+    silenceMs: 1_000,
+    chooser: {
+      policy: ChoicePolicy.ExpectedTime,
+      failureDomain: "east",
+      crossDomainMs: 3,
+    },
+    getCandidates: () => [old, live],
+    getLimits: () => ({
+      retryBudget: 0,
+      hedgeBudget: 0,
+      hedgePercentile: 99,
+    }),
+  });
+}
+
 function arriveAt(gateway: Gateway, id: string): GatewayAction[] {
   return gateway.handle({
     kind: GatewayMessageKind.Arrived,
