--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -1,6 +1,9 @@
-/** Reading of settings files for commands. */
+/** Reading of settings and log files for commands. */
 
 import { readFile } from "node:fs/promises";
+import type { Writable } from "node:stream";
+import { text } from "node:stream/consumers";
+import process from "node:process";
 import { UsageError } from "clipanion";
 import type { z } from "zod";
 import { decodeYaml, formatProblem } from "../settings/decode.ts";
@@ -14,6 +17,30 @@
   }
 }
 
+/** Lines of all files; "-" is standard input. */
+export async function readLines(paths: readonly string[]): Promise<string[]> {
+  const lines: string[] = [];
+  for (const path of paths) {
+    const content = path === "-"
+      ? await text(process.stdin)
+      : await readText(path);
+    for (const line of content.split("\n")) lines.push(line);
+  }
+  return lines;
+}
+
+/** Says how many lines were not understood, and where the first is. */
+export function reportUnreadable(
+  unreadable: readonly number[],
+  stderr: Writable,
+): void {
+  if (unreadable.length === 0) return;
+  stderr.write(
+    `${unreadable.length} lines can't be read, the first is line ` +
+      `${unreadable[0]} of all files together\n`,
+  );
+}
+
 /** Reads a YAML file against a schema, or ends the command with all mistakes. */
 export async function readSettings<S extends z.ZodType>(
   path: string,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { CheckCommand } from "./check_command.ts";
 import { ExplainCommand } from "./explain_command.ts";
 import { LoadCommand } from "./load_command.ts";
+import { OutageCommand } from "./outage_command.ts";
 import { RunCommand } from "./run_command.ts";
 import { PlatformCommand, UpstreamCommand } from "./stand_in_commands.ts";
 import { StatusCommand } from "./status_command.ts";
@@ -18,6 +19,7 @@
   ExplainCommand,
   StatusCommand,
   StoryCommand,
+  OutageCommand,
   LoadCommand,
   PlatformCommand,
   UpstreamCommand,
--- /dev/null
+++ b/src/cli/outage_command.ts
@@ -0,0 +1,47 @@
+/** vanillarock outage */
+
+import { Command, Option } from "clipanion";
+import { formatLine } from "../logs/log_lines.ts";
+import { formatSecond, sumUpOutage } from "../logs/outage.ts";
+import { readLines, reportUnreadable } from "./files.ts";
+
+/** Sums up what was lost and refused in a stretch of time, from log files. */
+export class OutageCommand extends Command {
+  static override paths = [["outage"]];
+  static override usage = Command.Usage({
+    description: "Sum up an outage, from the logs of hosts",
+    details: "Per second: requests accepted, answered, failed by their " +
+      "upstream, left by their caller and refused by reason; then what hosts " +
+      "lost and regained. Lines of requests are a fair sample above the log's " +
+      "limit. Exits 1 where no line is found.",
+    examples: [[
+      "Two minutes of an evening",
+      "vanillarock outage --from 2026-01-01T20:01 --until 2026-01-01T20:03 *.log",
+    ]],
+  });
+
+  from = Option.String("--from", {
+    description: "UTC, as the log writes it",
+  });
+  until = Option.String("--until", {
+    description: "UTC, as the log writes it",
+  });
+  files = Option.Rest({ required: 1, name: "FILE" });
+
+  async execute(): Promise<number> {
+    const { seconds, changes, unreadable } = sumUpOutage(
+      await readLines(this.files),
+      {
+        ...(this.from !== undefined && { from: this.from }),
+        ...(this.until !== undefined && { until: this.until }),
+      },
+    );
+    const { stdout, stderr } = this.context;
+    for (const second of seconds) stdout.write(`${formatSecond(second)}\n`);
+    for (const change of changes) stdout.write(`${formatLine(change)}\n`);
+    reportUnreadable(unreadable, stderr);
+    if (seconds.length + changes.length > 0) return 0;
+    stderr.write("no line in this stretch of time\n");
+    return 1;
+  }
+}
--- a/src/cli/story_command.ts
+++ b/src/cli/story_command.ts
@@ -1,8 +1,9 @@
 /** vanillarock story */
 
 import { Command, Option } from "clipanion";
-import { formatLine, tellStory } from "../logs/story.ts";
-import { readText } from "./files.ts";
+import { formatLine } from "../logs/log_lines.ts";
+import { tellStory } from "../logs/story.ts";
+import { readLines, reportUnreadable } from "./files.ts";
 
 /** Tells what became of one request, from log files. */
 export class StoryCommand extends Command {
@@ -20,19 +21,15 @@
   files = Option.Rest({ required: 1, name: "FILE" });
 
   async execute(): Promise<number> {
-    const texts: string[] = [];
-    for (const file of this.files) {
-      for (const line of (await readText(file)).split("\n")) texts.push(line);
-    }
-    const { lines, cause, unreadable } = tellStory(texts, this.id);
+    const { lines, context, cause, unreadable } = tellStory(
+      await readLines(this.files),
+      this.id,
+    );
     const { stdout, stderr } = this.context;
     for (const line of lines) stdout.write(`${formatLine(line)}\n`);
-    if (unreadable.length > 0) {
-      stderr.write(
-        `${unreadable.length} lines can't be read, the first is line ` +
-          `${unreadable[0]} of all files together\n`,
-      );
-    }
+    if (context.length > 0) stdout.write("meanwhile at its hosts:\n");
+    for (const line of context) stdout.write(`  ${formatLine(line)}\n`);
+    reportUnreadable(unreadable, stderr);
     stdout.write(`${cause ?? `no line of request ${this.id}`}\n`);
     return cause === undefined ? 1 : 0;
   }
--- a/src/logs/story.ts
+++ b/src/logs/story.ts
@@ -1,75 +1,95 @@
 /** Tells what became of one request from the log lines of many hosts. */
 
 import { tryGetDiagnostic } from "../core/diagnostics.ts";
-
-/** One line of a log. */
-export interface LogLine {
-  readonly time: string;
-  readonly event: string;
-  /** All other fields, in the order of the line. */
-  readonly fields: ReadonlyMap<string, string>;
-}
+import { compareTimes, type LogLine, parseLines } from "./log_lines.ts";
 
 /** What became of a request. */
 export interface Story {
   readonly lines: readonly LogLine[];
+  /** What happened to the hosts of the request meanwhile. */
+  readonly context: readonly LogLine[];
   /** The final word and why; undefined where no line of the request was found. */
   readonly cause?: string;
   /** Lines that could not be read, by their number from 1. */
   readonly unreadable: readonly number[];
 }
 
-const PAIR = /([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)/g;
 /** Events that end a request at the host that took it. */
 const FINAL_EVENTS = new Set(["answered", "refused", "caller_gone"]);
-
-/** Reads a line; undefined where it is not one of ours. */
-export function tryParseLine(text: string): LogLine | undefined {
-  const fields = new Map<string, string>();
-  for (const [, name, value] of text.matchAll(PAIR)) {
-    fields.set(name!, unquote(value!));
-  }
-  const time = fields.get("time");
-  const event = fields.get("event");
-  if (time === undefined || event === undefined) return undefined;
-  for (const name of ["time", "event", "level"]) fields.delete(name);
-  return { time, event, fields };
-}
+/** Changes of a host's state or belief that may explain a request. */
+const CONTEXT_EVENTS = new Set([
+  "starting",
+  "stopping",
+  "stopped",
+  "store_lost",
+  "store_regained",
+  "config_in_force",
+  "upstream_draining",
+  "upstream_lapsed",
+  "upstream_restarted",
+  "upstream_gone",
+]);
+/** Time around a request in which such changes are shown, in ms. */
+const CONTEXT_MS = 2_000;
 
 /** Finds the lines of a request, in order of time, and names the cause. */
 export function tellStory(texts: Iterable<string>, id: string): Story {
-  const lines: LogLine[] = [];
-  const unreadable: number[] = [];
-  let number = 0;
-  for (const text of texts) {
-    number += 1;
-    if (text.trim() === "") continue;
-    const line = tryParseLine(text);
-    if (line === undefined) unreadable.push(number);
-    else if (line.fields.get("req") === id) lines.push(line);
-  }
-  // Clocks of two hosts differ a little; lines of one host keep their order.
-  lines.sort((a, b) => a.time < b.time ? -1 : a.time > b.time ? 1 : 0);
+  const parsed = parseLines(texts);
+  const lines = parsed.lines.filter((l) => l.fields.get("req") === id)
+    // Clocks of two hosts differ a little.
+    .sort(compareTimes);
   const cause = tryNameCause(lines);
-  return { lines, unreadable, ...(cause !== undefined && { cause }) };
+  return {
+    lines,
+    context: findContext(parsed.lines, lines),
+    unreadable: parsed.unreadable,
+    ...(cause !== undefined && { cause }),
+  };
 }
 
-/** A line for people. */
-export function formatLine({ time, event, fields }: LogLine): string {
-  const rest = [...fields].filter(([name]) => name !== "req")
-    .map(([name, value]) => `${name}=${value}`);
-  return [time, event, ...rest].join(" ");
+/** Changes at the hosts of a request, and of the belief in them at its own. */
+function findContext(
+  all: readonly LogLine[],
+  story: readonly LogLine[],
+): LogLine[] {
+  if (story.length === 0) return [];
+  const from = Date.parse(story[0]!.time) - CONTEXT_MS;
+  const until = Date.parse(story.at(-1)!.time) + CONTEXT_MS;
+  const origin = findOrigin(story);
+  const placed = findPlaced(story).map((l) => l.fields.get("to")!);
+  return all.filter(({ time, event, fields }) => {
+    if (!CONTEXT_EVENTS.has(event)) return false;
+    const at = Date.parse(time);
+    if (at < from || at > until) return false;
+    const host = fields.get("host")!;
+    const address = fields.get("address");
+    if (address !== undefined) {
+      return host === origin && placed.includes(address.split(":")[0]!);
+    }
+    return host === origin || placed.includes(host);
+  }).sort(compareTimes);
+}
+
+function findOrigin(story: readonly LogLine[]): string | undefined {
+  return story.find((l) => l.event === "accepted")?.fields.get("host");
+}
+
+function findPlaced(story: readonly LogLine[]): LogLine[] {
+  return story.filter((l) => l.event === "placed");
 }
 
 function tryNameCause(lines: readonly LogLine[]): string | undefined {
   const first = lines[0];
   if (first === undefined) return undefined;
   const final = lines.findLast(({ event }) => FINAL_EVENTS.has(event));
+  const silent = tryNameSilent(lines);
   if (final === undefined) {
     const host = first.fields.get("host");
     return `no final line: host ${host} ended or lost its lines meanwhile`;
   }
-  if (final.event === "caller_gone") return "the caller left before the answer";
+  if (final.event === "caller_gone") {
+    return `the caller left before the answer${silent}`;
+  }
   if (final.event === "answered") {
     return `answered with status ${final.fields.get("status")}`;
   }
@@ -80,16 +100,16 @@
   );
   const where = failure?.fields.get("host");
   return `${final.fields.get("execution")}: ${text}` +
-    (where === undefined ? "" : ` (last heard from ${where}: ` +
+    (where === undefined ? silent : ` (last heard from ${where}: ` +
       `${failure!.fields.get("reason")})`);
 }
 
-function unquote(value: string): string {
-  if (!value.startsWith('"')) return value;
-  try {
-    return JSON.parse(value) as string;
-  } catch {
-    // A line that was cut off in a quoted value: what is there is shown.
-    return value;
-  }
+/** Names the host of the last attempt where it wrote nothing of the request. */
+function tryNameSilent(lines: readonly LogLine[]): string {
+  const last = findPlaced(lines).at(-1);
+  const to = last?.fields.get("to");
+  if (to === undefined || to === last!.fields.get("host")) return "";
+  const wrote = lines.some((l) => l.fields.get("host") === to);
+  return wrote ? "" : ` (no line of ${to} on attempt ` +
+    `${last!.fields.get("attempt")}: lost, cut off, or its lines are missing)`;
 }
--- a/test/story_test.ts
+++ b/test/story_test.ts
@@ -2,7 +2,9 @@
 
 import { expect, test } from "vitest";
 import { formatRecord } from "../src/daemon/logger.ts";
-import { tellStory, tryParseLine } from "../src/logs/story.ts";
+import { tryParseLine } from "../src/logs/log_lines.ts";
+import { formatSecond, sumUpOutage } from "../src/logs/outage.ts";
+import { tellStory } from "../src/logs/story.ts";
 
 const LINES = [
   "time=2026-01-01T00:00:00.010Z level=info event=placed host=a req=r1 attempt=1 to=b mayQueue=false",
@@ -44,3 +46,35 @@
   });
   expect(tryParseLine(text)?.fields.get("message")).toBe('Error: "no" = way');
 });
+
+const SILENT = [
+  "time=2026-01-01T00:00:00.001Z level=info event=accepted host=a req=r4 route=reads",
+  "time=2026-01-01T00:00:00.002Z level=info event=placed host=a req=r4 attempt=1 to=b",
+  "time=2026-01-01T00:00:00.800Z level=info event=caller_gone host=a req=r4",
+  "time=2026-01-01T00:00:01.500Z level=info event=upstream_gone host=a instance=i address=b:80",
+  "time=2026-01-01T00:00:01.600Z level=info event=starting host=b incarnation=2",
+  "time=2026-01-01T00:00:01.700Z level=info event=starting host=c incarnation=2",
+  "time=2026-01-01T00:00:09.000Z level=info event=starting host=b incarnation=3",
+];
+
+test("a host that wrote nothing is named, with what became of it", () => {
+  const { cause, context } = tellStory(SILENT, "r4");
+  expect(cause).toContain("no line of b on attempt 1");
+  expect(context.map((l) => `${l.event} ${l.fields.get("host")}`)).toEqual([
+    "upstream_gone a",
+    "starting b",
+  ]);
+});
+
+test("an outage is summed up by second, refusals by reason", () => {
+  const { seconds, changes, unreadable } = sumUpOutage([...LINES, ...SILENT]);
+  expect(seconds.map(formatSecond)).toEqual([
+    "2026-01-01T00:00:00 accepted=3 answered=0 failed=0 gone=1 " +
+    "deadline_too_short=1",
+  ]);
+  expect(changes).toHaveLength(4);
+  expect(unreadable).toEqual([6]);
+  const later = sumUpOutage(SILENT, { from: "2026-01-01T00:00:05" });
+  expect(later.seconds).toEqual([]);
+  expect(later.changes).toHaveLength(1);
+});
