Gateway: a host that says nothing gets no more requests but a trial now and then

Ruled out: hedging (no gain when tried), a larger allowance (the budget is the platform's). Change: 120 ms without a word take a host out of the choice for 0.4 s, twice as long after each silent trial up to 1.6 s, until it is heard; all stay in where none else is left.

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -33,6 +33,7 @@
   type Attempt,
   AttemptPhase,
   type Gateway,
+  type GatewayHandlers,
   type GatewayOptions,
   type PendingRequest,
 } from "./gateway_types.ts";
@@ -43,11 +44,11 @@
   mayAskOn,
 } from "./placement.ts";
 import { createOpenRequests } from "./open_requests.ts";
-import { createReplacedInstances } from "./replaced_instances.ts";
 import { createRetryGate } from "./retry_gate.ts";
 import { hasOtherHost } from "./retry_rules.ts";
 import { createSettling } from "./settling.ts";
 import { createLoadBook } from "./load_book.ts";
+import { createUsableHosts } from "./usable_hosts.ts";
 import {
   type Arrival,
   type Candidate,
@@ -68,12 +69,6 @@
 /** Retry-after where no guard named one, in ms. */
 const DEFAULT_RETRY_AFTER_MS = 100;
 
-type Handlers = {
-  [K in GatewayMessageKind]: (
-    msg: OfKind<GatewayMessage, K>,
-  ) => GatewayAction[];
-};
-
 /** Creates a gateway. */
 export function createGateway(
   host: CoreHost,
@@ -88,7 +83,7 @@
     chooser,
     loads,
   });
-  const replaced = createReplacedInstances(host);
+  const usable = createUsableHosts(host);
   const asksFirst = (options.maxAsks ?? 0) > 0;
   const budgets = createAccountBudgets(host, options);
   const open = createOpenRequests();
@@ -98,7 +93,7 @@
   const retries = createRetryGate(host, options, { budgets });
   const timers = createAttemptTimers(host, { options, wakes, budgets, loads });
 
-  const handlers: Handlers = {
+  const handlers: GatewayHandlers = {
     [GatewayMessageKind.Arrived]: (msg) => arrive(msg.arrival),
     [GatewayMessageKind.Granted]: onGranted,
     [GatewayMessageKind.Accepted]: onAccepted,
@@ -116,7 +111,10 @@
   return {
     handle: (msg) =>
       (handlers[msg.kind] as (m: GatewayMessage) => GatewayAction[])(msg),
-    takeReport: (report) => void loads.takeReport(report),
+    takeReport: (report) => {
+      usable.noteHeard(report.host);
+      loads.takeReport(report);
+    },
     getNextWake: wakes.getNext,
     getOpenCount: open.getCount,
     getTicket,
@@ -160,6 +158,7 @@
       mayQueue,
     });
     loads.noteSent(candidate.host);
+    usable.noteSent(candidate.host);
     if (reserves) timers.scheduleReserve(request, attempt);
     else {
       timers.scheduleAccept(request, attempt);
@@ -180,7 +179,10 @@
   function onAccepted(
     msg: OfKind<GatewayMessage, GatewayMessageKind.Accepted>,
   ): GatewayAction[] {
-    delete open.tryFind(msg.id, msg.attempt)?.attempt.acceptDeadline;
+    const attempt = open.tryFind(msg.id, msg.attempt)?.attempt;
+    if (attempt === undefined) return [];
+    usable.noteHeard(attempt.host);
+    delete attempt.acceptDeadline;
     return [];
   }
 
@@ -219,7 +221,7 @@
       return [];
     }
     counters.add(`refused_${msg.verdict.diagnostic.reason}`);
-    replaced.note(attempt.instance, msg.verdict);
+    usable.noteRefused(attempt, msg.verdict);
     if (isUpstreamsFault(msg.verdict)) loads.noteResult(attempt.host, false);
     attempt.isTurnedAway = asksFirst && isTurnedAway(msg.verdict);
     loads.noteEnded(attempt.host);
@@ -418,19 +420,24 @@
     attempt: Attempt,
   ): GatewayAction[] {
     delete attempt.acceptDeadline;
-    loads.noteResult(attempt.host, false);
+    noteSilent(attempt);
     if (retries.findObstacle(request) !== undefined) return [];
     counters.add("retry_link_silent");
     request.retriesLeft -= 1;
     return sendAttempt(request, false);
   }
 
+  function noteSilent({ host: id }: Attempt): void {
+    loads.noteResult(id, false);
+    usable.noteSilent(id);
+  }
+
   function giveUpSilent(
     request: PendingRequest,
     attempt: Attempt,
     how: { name: DiagnosticName; mayHaveRun: boolean },
   ): GatewayAction[] {
-    loads.noteResult(attempt.host, false);
+    noteSilent(attempt);
     attempt.isTurnedAway = asksFirst && !how.mayHaveRun;
     const ending = createEnding(request, attempt, { isSilent: true });
     return [ending, ...giveUp(request, attempt, how)];
@@ -486,6 +493,6 @@
   }
 
   function getCandidatesOf(request: PendingRequest): readonly Candidate[] {
-    return replaced.filter(options.getCandidates(request.arrival.service));
+    return usable.filter(options.getCandidates(request.arrival.service));
   }
 }
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -9,10 +9,12 @@
   Candidate,
   GatewayAction,
   GatewayMessage,
+  GatewayMessageKind,
   HostId,
   Incarnation,
   LoadReport,
   Millis,
+  OfKind,
   ServiceName,
   Ticket,
   Verdict,
@@ -86,6 +88,13 @@
   readonly counters: Counters;
 }
 
+/** What a gateway does at each kind of message. */
+export type GatewayHandlers = {
+  [K in GatewayMessageKind]: (
+    msg: OfKind<GatewayMessage, K>,
+  ) => GatewayAction[];
+};
+
 /** Where an attempt stands. */
 export enum AttemptPhase {
   /** Reserve sent; nothing can run. */
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -317,6 +317,16 @@
     }],
     proof: OVERLOAD,
   },
+  {
+    name: "spares_silent_hosts",
+    promise: "work at its worst load",
+    file: "src/core/silent_hosts.ts",
+    edits: [{
+      find: "return heard.length > 0 ? heard : candidates;",
+      replace: "return candidates;",
+    }],
+    proof: OVERLOAD,
+  },
   {
     name: "sources_nearer_to_the_store",
     promise: "shared reading of the store",
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -31,6 +31,7 @@
 import { createUrgencyQueue } from "../src/core/urgency_queue.ts";
 import { createTestHost } from "./support/core_host.ts";
 import { replayLoad } from "./support/guarded_upstream.ts";
+import { replayVanishing } from "./support/vanishing_hosts.ts";
 
 const NOISY = {
   slots: 9,
@@ -471,6 +472,19 @@
   expect(arriveAt(gateway, "2")[0]).toMatchObject({ to: "b" });
 });
 
+test("hosts vanish: callers of the next seconds are served by those that remain", () => {
+  // Two of three in the caller's own failure domain, which is asked first.
+  const listed = Array.from({ length: 9 }, (_, i) => ({
+    host: `host-${i}`,
+    failureDomain: i < 3 ? "east" : "west",
+  }));
+  const vanished = ["host-0", "host-1"];
+  const outcome = replayVanishing(listed, vanished, { perSecond: 13 });
+  // Only what is sent before their silence shows, and a trial now and then.
+  expect(outcome.lost / outcome.asked).toBeLessThan(0.02);
+  expect(outcome.trials).toBeGreaterThan(2);
+});
+
 /** A gateway on host "a", whose list also names host "b". */
 function createTwoHostGateway(host: CoreHost): Gateway {
   const old = { host: "a", failureDomain: "east", instance: "i-old" };
