--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -203,13 +203,6 @@
     503,
     "the account's retry budget is empty",
   ),
-  attempts_exhausted: row(
-    2004,
-    Refusal,
-    "attempts_exhausted",
-    503,
-    "no attempt is left",
-  ),
   home_unreachable: row(
     2005,
     Link,
@@ -231,13 +224,6 @@
     504,
     "the guard did not answer the reservation",
   ),
-  link_silent: row(
-    2008,
-    Link,
-    "link_silent",
-    502,
-    "the link fell silent and is replaced",
-  ),
   stopping: row(2009, Refusal, "stopping", 503, "this daemon is stopping"),
   not_ready: row(
     2010,
--- /dev/null
+++ b/test/diagnostics_test.ts
@@ -0,0 +1,84 @@
+/** The table of diagnostics: every row is used, counted and told alike. */
+
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { createGateway } from "../src/core/gateway.ts";
+import { ChoicePolicy } from "../src/core/choice.ts";
+import {
+  Execution,
+  GatewayActionKind,
+  GatewayMessageKind,
+  Repeatability,
+} from "../src/core/types.ts";
+import { createTestHost } from "./support/core_host.ts";
+
+const rows = Object.entries(Diagnostics);
+const sources = readSources("src").filter((s) =>
+  !s.includes("/** All messages. Codes:")
+).join("\n");
+
+test("codes and reasons are unique, and a row's name is its reason", () => {
+  expect(new Set(rows.map(([, row]) => row.code)).size).toBe(rows.length);
+  for (const [name, row] of rows) expect(row.reason).toBe(name);
+});
+
+test.each(rows.map(([name]) => name))("%s is given somewhere", (name) => {
+  const isUsed = sources.includes(`"${name}"`) ||
+    new RegExp(`Diagnostics\\.${name}\\b`).test(sources);
+  expect(isUsed).toBe(true);
+});
+
+test("a refusal of each reason is counted by that reason, at arrival and end", () => {
+  for (const [name, diagnostic] of rows) {
+    const gateway = createGateway(createTestHost(), {
+      self: "a",
+      incarnation: "a#1",
+      maxAttempts: 1,
+      reserveTimeoutMs: 100,
+      silenceMs: 1_000,
+      chooser: {
+        policy: ChoicePolicy.ExpectedTime,
+        failureDomain: "east",
+        crossDomainMs: 3,
+      },
+      getCandidates: () => [{ host: "b", failureDomain: "east" }],
+      getLimits: () => ({
+        retryBudget: 0,
+        hedgeBudget: 0,
+        hedgePercentile: 99,
+      }),
+    });
+    gateway.handle({
+      kind: GatewayMessageKind.Arrived,
+      arrival: {
+        id: "1",
+        account: "all",
+        service: "shop",
+        repeatability: Repeatability.Idempotent,
+        timeoutMs: 1_000,
+        replayable: true,
+        retriesLeft: 0,
+      },
+    });
+    const [last] = gateway.handle({
+      kind: GatewayMessageKind.Refused,
+      id: "1",
+      attempt: 1,
+      verdict: { execution: Execution.NotRun, diagnostic },
+    });
+    expect(gateway.counters.get(`refused_${name}`)).toBe(1);
+    // What ends the request has a counter and a verdict of the same name.
+    expect(last?.kind).toBe(GatewayActionKind.Finish);
+    if (last?.kind !== GatewayActionKind.Finish) continue;
+    const { reason } = last.verdict.diagnostic;
+    expect(gateway.counters.get(`finished_${reason}`)).toBe(1);
+  }
+});
+
+function readSources(folder: string): string[] {
+  return readdirSync(folder, { withFileTypes: true, recursive: true })
+    .filter((entry) => entry.isFile() && entry.name.endsWith(".ts"))
+    .map((entry) => readFileSync(join(entry.parentPath, entry.name), "utf8"));
+}
