Store: heads by the size of a failure domain, the plan kept while the list holds

Cause: at the target size two heads a domain had 133 followers each and sent 23 KB/s, and each line cost 6 ms of sorting.

--- a/src/core/reading_plan.ts
+++ b/src/core/reading_plan.ts
@@ -1,6 +1,6 @@
 /**
  * Which daemons read the store themselves. Where there are many, one does and
- * passes on what changed: to a stand-by, to two heads in each failure domain,
+ * passes on what changed: to a stand-by, to a few heads in each failure domain,
  * and through these to all others. Every daemon works out the same few from
  * the list of upstreams, without an election.
  */
@@ -8,8 +8,10 @@
 import murmurhash from "murmurhash";
 import type { FailureDomainName, HostId } from "./types.ts";
 
-/** Roots of the whole deployment and heads of a failure domain: one, and one that takes over. */
+/** Sources of one daemon: one, and one that takes over. */
 const SOURCES = 2;
+/** Hosts of a failure domain for each head beyond two, so that a head sends some 9 KB/s at the most. */
+const HOSTS_PER_HEAD = 50;
 /** Hosts from which sharing saves most of the calls; below, the bounds are kept with less. */
 const MIN_SHARING_HOSTS = 18;
 
@@ -48,7 +50,7 @@
     return { rank: ReadingRank.Root, isShared: false, sources: [] };
   }
   const isShared = true;
-  const roots = pick(listed, "reads");
+  const roots = pick(listed, "reads", SOURCES);
   const others = roots.filter((host) => host !== self.host);
   if (self.host === roots[0]) {
     return { rank: ReadingRank.Root, isShared, sources: others };
@@ -57,17 +59,22 @@
     return { rank: ReadingRank.StandBy, isShared, sources: others };
   }
   const peers = listed.filter((it) => it.failureDomain === self.failureDomain);
-  const heads = pick(peers, "passes on");
+  const headCount = Math.max(SOURCES, Math.ceil(peers.length / HOSTS_PER_HEAD));
+  const heads = pick(peers, "passes on", headCount);
   if (heads.includes(self.host)) {
     return { rank: ReadingRank.Head, isShared, sources: roots };
   }
   // Followers spread over the heads.
-  const sources = rank(heads, `followed by ${self.host}`);
+  const sources = rank(heads, `followed by ${self.host}`).slice(0, SOURCES);
   return { rank: ReadingRank.Follower, isShared, sources };
 }
 
-function pick(hosts: readonly PlacedHost[], purpose: string): HostId[] {
-  return rank(hosts.map((it) => it.host), purpose).slice(0, SOURCES);
+function pick(
+  hosts: readonly PlacedHost[],
+  purpose: string,
+  count: number,
+): HostId[] {
+  return rank(hosts.map((it) => it.host), purpose).slice(0, count);
 }
 
 /** Orders hosts by a hash, alike at every daemon. */
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -118,6 +118,8 @@
   let routes: RouteTable | undefined;
   let stoppingAt: Millis | undefined;
   let stopping: Promise<void> | undefined;
+  /** By the list as it is; undefined where it changed since. */
+  let plan: ReadingPlan | undefined;
 
   const upstreams = createUpstreamList(host, {
     lapseGraceMs: LAPSE_GRACE_MS,
@@ -269,7 +271,7 @@
       host: settings.host,
       failureDomain: settings.failureDomain,
     };
-    return planReading(self, upstreams.getReadyHosts());
+    return plan ??= planReading(self, upstreams.getReadyHosts());
   }
 
   function takeSnapshot(changes: readonly StoreChange[]): void {
@@ -321,6 +323,7 @@
   }
 
   function noteUpstream(change: UpstreamChange, it: ListedUpstream): void {
+    plan = undefined;
     counters.add(`upstream_${change}`);
     logger.info(`upstream_${change}`, {
       instance: it.instance,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -332,8 +332,8 @@
     promise: "shared reading of the store",
     file: "src/core/reading_plan.ts",
     edits: [{
-      find: 'const roots = pick(listed, "reads");',
-      replace: "const roots = pick(listed, `reads ${self.host}`);",
+      find: 'const roots = pick(listed, "reads", SOURCES);',
+      replace: "const roots = pick(listed, `reads ${self.host}`, SOURCES);",
     }],
     proof: READING,
   },
--- a/test/reading_test.ts
+++ b/test/reading_test.ts
@@ -37,6 +37,21 @@
   expect(next.rank).toBe(ReadingRank.Root);
 });
 
+test("at the target size no daemon has more than some sixty followers", () => {
+  const hosts = Array.from({ length: 2_400 }, (_, i) => ({
+    host: `10.0.${Math.floor(i / 250)}.${i % 250}`,
+    failureDomain: `domain-${i % 9}`,
+  }));
+  const followers = new Map<string, number>();
+  // Every eighth stands for all; the plan of each sorts the whole list.
+  for (const self of hosts.filter((_, i) => i % 8 === 0)) {
+    const [preferred] = planReading(self, hosts).sources;
+    if (preferred === undefined) continue;
+    followers.set(preferred, (followers.get(preferred) ?? 0) + 8);
+  }
+  expect(Math.max(...followers.values())).toBeLessThan(110);
+});
+
 test("daemons of a small deployment all read the store", () => {
   const hosts = placeHosts(17);
   for (const self of hosts) {
