--- a/test/diagnostics_test.ts
+++ b/test/diagnostics_test.ts
@@ -4,15 +4,13 @@
 import { join } from "node:path";
 import { expect, test } from "vitest";
 import { Diagnostics } from "../src/core/diagnostics.ts";
-import { createGateway } from "../src/core/gateway.ts";
-import { ChoicePolicy } from "../src/core/choice.ts";
 import {
   Execution,
   GatewayActionKind,
   GatewayMessageKind,
-  Repeatability,
 } from "../src/core/types.ts";
 import { createTestHost } from "./support/core_host.ts";
+import { arriveAt, createTestGateway } from "./support/test_gateway.ts";
 
 const rows = Object.entries(Diagnostics);
 const sources = readSources("src").filter((s) =>
@@ -32,36 +30,12 @@
 
 test("a refusal of each reason is counted by that reason, at arrival and end", () => {
   for (const [name, diagnostic] of rows) {
-    const gateway = createGateway(createTestHost(), {
-      self: "a",
-      incarnation: "a#1",
+    const gateway = createTestGateway(createTestHost(), {
       maxAttempts: 1,
-      reserveTimeoutMs: 100,
-      silenceMs: 1_000,
-      chooser: {
-        policy: ChoicePolicy.ExpectedTime,
-        failureDomain: "east",
-        crossDomainMs: 3,
-      },
+      maxAsks: 0,
       getCandidates: () => [{ host: "b", failureDomain: "east" }],
-      getLimits: () => ({
-        retryBudget: 0,
-        hedgeBudget: 0,
-        hedgePercentile: 99,
-      }),
-    });
-    gateway.handle({
-      kind: GatewayMessageKind.Arrived,
-      arrival: {
-        id: "1",
-        account: "all",
-        service: "shop",
-        repeatability: Repeatability.Idempotent,
-        timeoutMs: 1_000,
-        replayable: true,
-        retriesLeft: 0,
-      },
     });
+    arriveAt(gateway, "1", { retriesLeft: 0 });
     const [last] = gateway.handle({
       kind: GatewayMessageKind.Refused,
       id: "1",
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -11,13 +11,11 @@
 import { createRetryAllowance } from "../src/core/retry_allowance.ts";
 import { ListedUpstreamState } from "../src/core/routing_types.ts";
 import { createSlowSpells } from "../src/core/slow_spells.ts";
-import { createGateway } from "../src/core/gateway.ts";
 import type { Gateway } from "../src/core/gateway_types.ts";
 import { createGuard } from "../src/core/guard.ts";
 import {
   type CoreHost,
   Execution,
-  type GatewayAction,
   GatewayActionKind,
   GatewayMessageKind,
   GuardActionKind,
@@ -30,6 +28,7 @@
 } from "../src/core/upstream_list.ts";
 import { createUrgencyQueue } from "../src/core/urgency_queue.ts";
 import { createTestHost } from "./support/core_host.ts";
+import { arriveAt, createTestGateway } from "./support/test_gateway.ts";
 import { replayLoad } from "./support/guarded_upstream.ts";
 import { replayVanishing } from "./support/vanishing_hosts.ts";
 
@@ -247,37 +246,15 @@
 /** A gateway whose request was submitted to host a; b is in another domain. */
 function createSubmitted({ mayRetry }: { mayRetry: boolean }) {
   const host = createTestHost();
-  const gateway = createGateway(host, {
-    self: "c",
-    incarnation: "c#1",
-    maxAttempts: 4,
+  const gateway = createTestGateway(host, {
     maxAsks: 2,
-    reserveTimeoutMs: 120,
-    silenceMs: 2_000,
-    chooser: {
-      policy: ChoicePolicy.ExpectedTime,
-      failureDomain: "east",
-      crossDomainMs: 3,
-    },
     retryAllowance: { noteRequest: () => {}, tryTake: () => mayRetry },
     getCandidates: () => [
       { host: "a", failureDomain: "east" },
       { host: "b", failureDomain: "west" },
     ],
-    getLimits: () => ({ retryBudget: 0, hedgeBudget: 0, hedgePercentile: 99 }),
-  });
-  gateway.handle({
-    kind: GatewayMessageKind.Arrived,
-    arrival: {
-      id: "1",
-      account: "all",
-      service: "shop",
-      repeatability: Repeatability.Idempotent,
-      timeoutMs: 800,
-      replayable: true,
-      retriesLeft: 3,
-    },
   });
+  arriveAt(gateway, "1", { timeoutMs: 800 });
   return { gateway, host };
 }
 
@@ -489,38 +466,5 @@
 function createTwoHostGateway(host: CoreHost): Gateway {
   const old = { host: "a", failureDomain: "east", instance: "i-old" };
   const live = { host: "b", failureDomain: "west", instance: "i-live" };
-  return createGateway(host, {
-    self: "a",
-    incarnation: "a#1",
-    maxAttempts: 4,
-    maxAsks: 4,
-    reserveTimeoutMs: 100,
-    silenceMs: 1_000,
-    chooser: {
-      policy: ChoicePolicy.ExpectedTime,
-      failureDomain: "east",
-      crossDomainMs: 3,
-    },
-    getCandidates: () => [old, live],
-    getLimits: () => ({
-      retryBudget: 0,
-      hedgeBudget: 0,
-      hedgePercentile: 99,
-    }),
-  });
-}
-
-function arriveAt(gateway: Gateway, id: string): GatewayAction[] {
-  return gateway.handle({
-    kind: GatewayMessageKind.Arrived,
-    arrival: {
-      id,
-      account: "all",
-      service: "shop",
-      repeatability: Repeatability.Idempotent,
-      timeoutMs: 1_000,
-      replayable: true,
-      retriesLeft: 3,
-    },
-  });
+  return createTestGateway(host, { getCandidates: () => [old, live] });
 }
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -18,6 +18,20 @@
 const READY_TRIES = 200;
 const READY_POLL_MS = 25;
 
+/** Columns of the platform's table of routes. */
+export const ROUTE_COLUMNS = [
+  "name",
+  "host",
+  "prefix",
+  "kind",
+  "timeoutS",
+  "sloS",
+  "priority",
+  "attempts",
+  "service",
+  "split",
+];
+
 /** Relays in front of what a daemon and its peers use. */
 export interface MeshLinks {
   /** Messages of other daemons to this one. */
@@ -150,18 +164,7 @@
     store.put("op/config", {
       version: version.toString(16).padStart(8, "0"),
       routes: {
-        columns: [
-          "name",
-          "host",
-          "prefix",
-          "kind",
-          "timeoutS",
-          "sloS",
-          "priority",
-          "attempts",
-          "service",
-          "split",
-        ],
+        columns: ROUTE_COLUMNS,
         rows: [
           [
             "reads",
--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -9,6 +9,7 @@
 import { ListedUpstreamState } from "../src/core/routing_types.ts";
 import { Execution, Repeatability } from "../src/core/types.ts";
 import { EventEmitter } from "node:events";
+import { ROUTE_COLUMNS } from "./platform/mesh.ts";
 import { AnswerStanding } from "../src/upstream/upstream_protocol.ts";
 
 const SETTINGS = `
@@ -74,18 +75,7 @@
 const CONFIG = {
   version: "0000000c",
   routes: {
-    columns: [
-      "name",
-      "host",
-      "prefix",
-      "kind",
-      "timeoutS",
-      "sloS",
-      "priority",
-      "attempts",
-      "service",
-      "split",
-    ],
+    columns: ROUTE_COLUMNS,
     rows: [
       ["a", "shop", "/a/", "safe", 0.8, 0.3, 2, 2, "one", null],
       ["b", "shop", "/b/", "upload", 1, 0.4, 1, 2, null, [
--- /dev/null
+++ b/test/support/test_gateway.ts
@@ -0,0 +1,56 @@
+/** A gateway as the platform's daemons have it, for tests of its decisions. */
+
+import { ChoicePolicy } from "../../src/core/choice.ts";
+import { createGateway } from "../../src/core/gateway.ts";
+import type { Gateway, GatewayOptions } from "../../src/core/gateway_types.ts";
+import {
+  type Arrival,
+  type CoreHost,
+  type GatewayAction,
+  GatewayMessageKind,
+  Repeatability,
+} from "../../src/core/types.ts";
+
+/** Creates a gateway in failure domain "east" that knows no upstream. */
+export function createTestGateway(
+  host: CoreHost,
+  options: Partial<GatewayOptions>,
+): Gateway {
+  return createGateway(host, {
+    self: "caller",
+    incarnation: "caller#1",
+    maxAttempts: 4,
+    maxAsks: 4,
+    reserveTimeoutMs: 120,
+    silenceMs: 2_000,
+    chooser: {
+      policy: ChoicePolicy.ExpectedTime,
+      failureDomain: "east",
+      crossDomainMs: 3,
+    },
+    getCandidates: () => [],
+    getLimits: () => ({ retryBudget: 0, hedgeBudget: 0, hedgePercentile: 99 }),
+    ...options,
+  });
+}
+
+/** Hands a gateway an idempotent request. */
+export function arriveAt(
+  gateway: Gateway,
+  id: string,
+  change: Partial<Arrival> = {},
+): GatewayAction[] {
+  return gateway.handle({
+    kind: GatewayMessageKind.Arrived,
+    arrival: {
+      id,
+      account: "all",
+      service: "shop",
+      repeatability: Repeatability.Idempotent,
+      timeoutMs: 1_000,
+      replayable: true,
+      retriesLeft: 3,
+      ...change,
+    },
+  });
+}
--- a/test/support/vanishing_hosts.ts
+++ b/test/support/vanishing_hosts.ts
@@ -3,8 +3,6 @@
  * them: what they are sent is neither refused nor answered.
  */
 
-import { ChoicePolicy } from "../../src/core/choice.ts";
-import { createGateway } from "../../src/core/gateway.ts";
 import { createRetryAllowance } from "../../src/core/retry_allowance.ts";
 import {
   type Candidate,
@@ -13,9 +11,9 @@
   type GatewayMessage,
   GatewayMessageKind,
   type HostId,
-  Repeatability,
 } from "../../src/core/types.ts";
 import { createTestHost } from "./core_host.ts";
+import { arriveAt, createTestGateway } from "./test_gateway.ts";
 
 /** What callers saw. */
 export interface VanishingOutcome {
@@ -27,7 +25,6 @@
 }
 
 const SECONDS = 6;
-const TIMEOUT_MS = 1_000;
 const ACK_MS = 2;
 const WORK_MS = 60;
 const STEP_MS = 1;
@@ -45,18 +42,7 @@
   const host = createTestHost();
   const due: { at: number; msg: GatewayMessage }[] = [];
   const seen = { asked: 0, lost: 0, trials: 0 };
-  const gateway = createGateway(host, {
-    self: "caller",
-    incarnation: "caller#1",
-    maxAttempts: 4,
-    maxAsks: 4,
-    reserveTimeoutMs: 120,
-    silenceMs: 2_000,
-    chooser: {
-      policy: ChoicePolicy.ExpectedTime,
-      failureDomain: "east",
-      crossDomainMs: 3,
-    },
+  const gateway = createTestGateway(host, {
     retryAllowance: createRetryAllowance(host, {
       ratio: 0.2,
       windowMs: 10_000,
@@ -64,11 +50,6 @@
       getDaemonCount: () => 10,
     }),
     getCandidates: () => listed,
-    getLimits: () => ({
-      retryBudget: 0,
-      hedgeBudget: 0,
-      hedgePercentile: 99,
-    }),
   });
   const gapMs = 1_000 / load.perSecond;
   let nextAt = 0;
@@ -107,19 +88,7 @@
 
   function arrive(): void {
     seen.asked += 1;
-    act(gateway.handle({
-      kind: GatewayMessageKind.Arrived,
-      arrival: {
-        id: String(seen.asked),
-        account: "all",
-        service: "shop",
-        repeatability: Repeatability.Idempotent,
-        timeoutMs: TIMEOUT_MS,
-        replayable: true,
-        retriesLeft: 3,
-        maxRuns: 3,
-      },
-    }));
+    act(arriveAt(gateway, String(seen.asked), { maxRuns: 3 }));
   }
 
   function act(actions: readonly GatewayAction[]): void {
