Logs: what a gateway comes to believe of hosts

Cause: since silent and replaced hosts are left out, a story lacked why a host was not asked. Change: host_silent, host_heard and host_replaced as lines, counters and context of a story.

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -83,7 +83,7 @@
     chooser,
     loads,
   });
-  const usable = createUsableHosts(host);
+  const usable = createUsableHosts(host, { ...options, counters });
   const asksFirst = (options.maxAsks ?? 0) > 0;
   const budgets = createAccountBudgets(host, options);
   const open = createOpenRequests();
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -3,6 +3,7 @@
 import type { ChooserOptions } from "./choice.ts";
 import type { Counters } from "./counters.ts";
 import type { LoadEntry } from "./load_book.ts";
+import type { NoteBelief } from "./usable_hosts.ts";
 import type {
   AccountName,
   Arrival,
@@ -50,6 +51,8 @@
   readonly maxAsks?: number;
   /** Replaces the accounts' retry budgets. */
   readonly retryAllowance?: RetryAllowance;
+  /** Hears what the gateway comes to believe of hosts. */
+  readonly onBelief?: NoteBelief;
   /** True sends an idempotent request again after an upstream's own failure. */
   readonly retriesFailures?: boolean;
 }
--- a/src/core/replaced_instances.ts
+++ b/src/core/replaced_instances.ts
@@ -18,8 +18,8 @@
 
 /** Incarnations that were replaced. */
 export interface ReplacedInstances {
-  /** Takes the verdict on an attempt that was meant for an incarnation. */
-  note(instance: string | undefined, verdict: Verdict): void;
+  /** Takes the verdict on an attempt that was meant for an incarnation; true where its end is news. */
+  note(instance: string, verdict: Verdict): boolean;
   /** Candidates without those that were replaced. */
   filter(candidates: readonly Candidate[]): readonly Candidate[];
 }
@@ -29,9 +29,11 @@
   const until = new Map<string, Millis>();
   return { note, filter };
 
-  function note(instance: string | undefined, { diagnostic }: Verdict): void {
-    if (instance === undefined || !REPLACED.has(diagnostic)) return;
+  function note(instance: string, { diagnostic }: Verdict): boolean {
+    if (!REPLACED.has(diagnostic)) return false;
+    const isNews = !until.has(instance);
     until.set(instance, host.now() + BELIEF_MS);
+    return isNews;
   }
 
   function filter(candidates: readonly Candidate[]): readonly Candidate[] {
--- a/src/core/silent_hosts.ts
+++ b/src/core/silent_hosts.ts
@@ -20,10 +20,10 @@
 
 /** Hosts that are taken as silent. */
 export interface SilentHosts {
-  /** Takes that a host has not answered an attempt in time. */
-  noteSilent(host: HostId): void;
-  /** Takes that a host said something. */
-  noteHeard(host: HostId): void;
+  /** Takes that a host has not answered an attempt in time; true where that is new. */
+  noteSilent(host: HostId): boolean;
+  /** Takes that a host said something; true where it was silent. */
+  noteHeard(host: HostId): boolean;
   /** Takes that an attempt goes to a host: of a silent one it is the trial. */
   noteSent(host: HostId): void;
   /** Candidates that are not silent; all where none is left. */
@@ -35,18 +35,21 @@
   const silences = new Map<HostId, Silence>();
   return {
     noteSilent,
-    noteHeard: (id) => void silences.delete(id),
+    noteHeard: (id) => silences.delete(id),
     noteSent,
     filter,
   };
 
-  function noteSilent(id: HostId): void {
+  function noteSilent(id: HostId): boolean {
     const known = silences.get(id);
     const now = host.now();
-    if (known === undefined) {
-      const beliefMs = FIRST_BELIEF_MS;
-      silences.set(id, { beliefMs, until: now + beliefMs });
-    } else known.until = Math.max(known.until, now + known.beliefMs);
+    if (known !== undefined) {
+      known.until = Math.max(known.until, now + known.beliefMs);
+      return false;
+    }
+    const beliefMs = FIRST_BELIEF_MS;
+    silences.set(id, { beliefMs, until: now + beliefMs });
+    return true;
   }
 
   function noteSent(id: HostId): void {
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -205,6 +205,8 @@
         crossDomainMs: CROSS_DOMAIN_MS,
       },
       getCandidates: upstreams.getCandidates,
+      onBelief: (belief, { host: peer, instance }) =>
+        logger.info(`host_${belief}`, { peer, instance }),
       getLimits: () => ({
         retryBudget: 0,
         hedgeBudget: 0,
--- a/src/logs/outage.ts
+++ b/src/logs/outage.ts
@@ -28,7 +28,7 @@
 const SECOND_LENGTH = 19;
 const FAILED_STATUS = 500;
 const CHANGES =
-  /^(starting|stopping|stopped|reloaded|reload_rejected|store_.*|source_lost|config_in_force|upstream_(draining|lapsed|restarted|gone))$/;
+  /^(starting|stopping|stopped|reloaded|reload_rejected|store_.*|source_lost|config_in_force|host_(silent|heard|replaced)|upstream_(draining|lapsed|restarted|gone))$/;
 
 type Count = (second: OutageSecond, line: LogLine) => void;
 
--- a/src/logs/story.ts
+++ b/src/logs/story.ts
@@ -24,6 +24,9 @@
   "store_lost",
   "store_regained",
   "config_in_force",
+  "host_silent",
+  "host_heard",
+  "host_replaced",
   "upstream_draining",
   "upstream_lapsed",
   "upstream_restarted",
@@ -62,10 +65,8 @@
     const at = Date.parse(time);
     if (at < from || at > until) return false;
     const host = fields.get("host")!;
-    const address = fields.get("address");
-    if (address !== undefined) {
-      return host === origin && placed.includes(address.split(":")[0]!);
-    }
+    const other = fields.get("address")?.split(":")[0] ?? fields.get("peer");
+    if (other !== undefined) return host === origin && placed.includes(other);
     return host === origin || placed.includes(host);
   }).sort(compareTimes);
 }
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -457,6 +457,7 @@
   }));
   const vanished = ["host-0", "host-1"];
   const outcome = replayVanishing(listed, vanished, { perSecond: 13 });
+  expect(outcome.believedSilent).toEqual(vanished);
   // Only what is sent before their silence shows, and a trial now and then.
   expect(outcome.lost / outcome.asked).toBeLessThan(0.02);
   expect(outcome.trials).toBeGreaterThan(2);
--- a/test/support/vanishing_hosts.ts
+++ b/test/support/vanishing_hosts.ts
@@ -12,6 +12,7 @@
   GatewayMessageKind,
   type HostId,
 } from "../../src/core/types.ts";
+import { Belief } from "../../src/core/usable_hosts.ts";
 import { createTestHost } from "./core_host.ts";
 import { arriveAt, createTestGateway } from "./test_gateway.ts";
 
@@ -22,6 +23,8 @@
   readonly lost: number;
   /** Attempts that went to a vanished host. */
   readonly trials: number;
+  /** Hosts that the gateway came to believe silent, in order of their names. */
+  readonly believedSilent: HostId[];
 }
 
 const SECONDS = 6;
@@ -42,6 +45,7 @@
   const host = createTestHost();
   const due: { at: number; msg: GatewayMessage }[] = [];
   const seen = { asked: 0, lost: 0, trials: 0 };
+  const believedSilent = new Set<HostId>();
   const gateway = createTestGateway(host, {
     retryAllowance: createRetryAllowance(host, {
       ratio: 0.2,
@@ -50,6 +54,9 @@
       getDaemonCount: () => 10,
     }),
     getCandidates: () => listed,
+    onBelief: (belief, about) => {
+      if (belief === Belief.Silent) believedSilent.add(about.host);
+    },
   });
   const gapMs = 1_000 / load.perSecond;
   let nextAt = 0;
@@ -65,7 +72,7 @@
     act(gateway.handle({ kind: GatewayMessageKind.Tick }));
     host.advance(STEP_MS);
   }
-  return seen;
+  return { ...seen, believedSilent: [...believedSilent].sort() };
 
   /** Those that remain are full, so that only who is silent may have room. */
   function reportBusy(): void {
