--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -8,9 +8,11 @@
 import { platformCallers } from "../platform/callers.ts";
 import { createCounters } from "../src/core/counters.ts";
 import { createRouteTable } from "../src/core/route_table.ts";
-import { Repeatability } from "../src/core/types.ts";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { Execution, Repeatability } from "../src/core/types.ts";
 import type { GatewayTask } from "../src/daemon/gateway_task.ts";
 import { createIngressHandler } from "../src/daemon/ingress_server.ts";
+import type { LogFields, Logger } from "../src/daemon/logger.ts";
 import { createTestHost } from "./support/core_host.ts";
 
 const ROUTES = createRouteTable({
@@ -59,12 +61,65 @@
     complete: (id: string) => void completed.push(id),
     abandon: () => {},
   } as unknown as GatewayTask;
+  const { port, close } = await listen(task);
+  const res = await request(`http://127.0.0.1:${port}/order/1`, {
+    method: "POST",
+    headers: { host: "shop", "x-vanillarock-attempt-id": "id-1" },
+    body: "x",
+  });
+  expect(res.statusCode).toBe(201);
+  expect(res.headers["x-vanillarock-response-signature"]).toBe("s");
+  expect(await res.body.text()).toBe("the order");
+  await close();
+  expect(completed).toHaveLength(1);
+});
+
+test("whatever refuses a request is written with its id, reason and execution", async () => {
+  const verdicts = Object.values(Diagnostics).flatMap((diagnostic) =>
+    [Execution.NotRun, Execution.MayHaveRun].map((execution) => ({
+      diagnostic,
+      execution,
+    }))
+  );
+  let next = 0;
+  const task = {
+    serve: () => Promise.resolve({ verdict: verdicts[next]! }),
+    complete: () => {},
+    abandon: () => {},
+  } as unknown as GatewayTask;
+  const written: LogFields[] = [];
+  const { port, close } = await listen(task, {
+    ...SILENT,
+    info: (event, fields = {}) => {
+      if (event === "refused") written.push(fields);
+    },
+  });
+  for (; next < verdicts.length; next++) {
+    const res = await request(`http://127.0.0.1:${port}/order/1`, {
+      headers: { host: "shop", "x-vanillarock-attempt-id": `id-${next}` },
+    });
+    await res.body.dump();
+  }
+  await close();
+  expect(written.map(({ req, reason, execution }) => [req, reason, execution]))
+    .toEqual(verdicts.map(({ diagnostic, execution }, index) => [
+      `id-${index}`,
+      diagnostic.reason,
+      execution,
+    ]));
+});
+
+/** Serves callers with a task in place of a gateway. */
+async function listen(
+  task: GatewayTask,
+  logger: Logger = SILENT,
+): Promise<{ port: number; close(): Promise<void> }> {
   const server = createServer(createIngressHandler({
     host: createTestHost(),
     task,
     dialect: platformCallers,
     counters: createCounters(),
-    logger: SILENT,
+    logger,
     origin: "orders",
     getRoutes: () => ROUTES,
     isStopping: () => false,
@@ -73,15 +128,10 @@
   }));
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const res = await request(`http://127.0.0.1:${port}/order/1`, {
-    method: "POST",
-    headers: { host: "shop", "x-vanillarock-attempt-id": "id-1" },
-    body: "x",
-  });
-  expect(res.statusCode).toBe(201);
-  expect(res.headers["x-vanillarock-response-signature"]).toBe("s");
-  expect(await res.body.text()).toBe("the order");
-  server.closeAllConnections();
-  await new Promise((resolve) => server.close(resolve));
-  expect(completed).toHaveLength(1);
-});
+  return { port, close };
+
+  async function close(): Promise<void> {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  }
+}
--- /dev/null
+++ b/test/log_events_test.ts
@@ -0,0 +1,44 @@
+/** The page on operations names every line that the platform's daemon writes. */
+
+import { readFileSync } from "node:fs";
+import { expect, test } from "vitest";
+import { UpstreamChange } from "../src/core/upstream_list.ts";
+import { Belief } from "../src/core/usable_hosts.ts";
+import { GatewayActionKind } from "../src/core/types.ts";
+
+/** Modules that the platform's daemon is made of and that write lines. */
+const MODULES = [
+  "platform/main.ts",
+  "src/daemon/gateway_task.ts",
+  "src/daemon/guard_task.ts",
+  "src/daemon/ingress_server.ts",
+  "src/daemon/logger.ts",
+  "src/daemon/mesh_daemon.ts",
+  "src/daemon/store_task.ts",
+];
+const WRITTEN = /logger\.(?:debug|info|warn|error)\(\s*"([a-z_]+)"/g;
+/** Lines whose name is put together. */
+const COMPOSED = [
+  ...Object.values(UpstreamChange).map((change) => `upstream_${change}`),
+  ...Object.values(Belief).map((belief) => `host_${belief}`),
+  "placed",
+  ...[
+    GatewayActionKind.Run,
+    GatewayActionKind.Settle,
+    GatewayActionKind.Release,
+    GatewayActionKind.Cancel,
+  ].map((kind) => `attempt_${kind}`),
+];
+
+test("every event of the log is explained", () => {
+  const page = readFileSync("docs/OPERATIONS.md", "utf8");
+  const events = new Set(COMPOSED);
+  for (const file of MODULES) {
+    for (const [, event] of readFileSync(file, "utf8").matchAll(WRITTEN)) {
+      events.add(event!);
+    }
+  }
+  expect(events.size).toBeGreaterThan(30);
+  const missing = [...events].filter((event) => !page.includes(`\`${event}\``));
+  expect(missing).toEqual([]);
+});
