Store: large changes are read from the store, not sent over the links of heads

A head sent some hundreds of KB to each of 13 followers over a link of 8 to 12 Mbit/s: seconds. Change: changes above 16 KB are announced in a line without entries; a follower then asks the store itself once and follows again. Test: test/sharing_test.ts with a value of 50 KB; each follower asks the store once, and not for the next small change.

--- a/src/daemon/change_follower.ts
+++ b/src/daemon/change_follower.ts
@@ -22,6 +22,7 @@
 const batchSchema = z.object({
   revision: z.int(),
   hops: z.int().min(0),
+  isLarge: z.boolean().default(false),
   entries: z.array(z.object({ key: z.string(), text: z.string().optional() })),
 });
 
--- a/src/daemon/change_relay.ts
+++ b/src/daemon/change_relay.ts
@@ -14,10 +14,18 @@
 /** Bytes that may wait for a follower that reads slowly; a few large configurations. */
 const MAX_WAITING_BYTES = 8_388_608;
 
+/**
+ * Size of changes up to which they are passed on, in characters. A head on a
+ * weak link would need seconds to send more to all of its followers.
+ */
+const MAX_RELAYED_CHARS = 16_384;
+
 /** What is passed on. */
 export interface RelayedBatch extends StoreBatch {
   /** Daemons between the sender and the store; 0 where it reads itself. */
   readonly hops: number;
+  /** True where the changes are too large and are to be read from the store. */
+  readonly isLarge?: boolean;
 }
 
 /** The relay of one daemon. */
@@ -98,5 +106,9 @@
 }
 
 function encode({ revision, hops, entries }: RelayedBatch): string {
-  return `${JSON.stringify({ revision, hops, entries })}\n`;
+  const chars = entries.reduce((sum, e) => sum + (e.text?.length ?? 0), 0);
+  const line = chars > MAX_RELAYED_CHARS
+    ? { revision, hops, entries: [], isLarge: true }
+    : { revision, hops, entries };
+  return `${JSON.stringify(line)}\n`;
 }
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -106,11 +106,17 @@
   let lostAt: Millis | undefined;
   let timer: NodeJS.Timeout | undefined;
   let following: Following | undefined;
+  /** True where a source has changes that it does not pass on. */
+  let mustRead = false;
   return { start: step, isInTouch: () => failures === 0, close };
 
   function step(): void {
     if (revision === undefined) return void readAll();
     const plan = options.getPlan();
+    if (mustRead) {
+      mustRead = false;
+      return void watch(revision, plan);
+    }
     const mustFollow = plan.rank !== ReadingRank.Root || failures > 0;
     const source = mustFollow
       ? plan.sources.find((it) => !isAvoided(it))
@@ -158,11 +164,19 @@
         if (!isNearer) return following?.close();
         if (!isHeard) logger.info("source_followed", { source, after });
         isHeard = true;
+        if (batch.isLarge) {
+          mustRead = true;
+          return following?.close();
+        }
         take({ ...batch, hops: batch.hops + 1 });
         if (!sources.includes(source)) following?.close();
       },
       onEnd: (reason) => {
         if (isClosed) return;
+        if (mustRead) {
+          counters.add("source_left_to_read");
+          return schedule(0);
+        }
         counters.add(isHeard ? "source_lost" : "source_refused");
         if (isHeard) logger.warn("source_lost", { source, reason });
         const avoidMs = isHeard ? AVOID_LOST_MS : AVOID_REFUSING_MS;
--- a/test/sharing_test.ts
+++ b/test/sharing_test.ts
@@ -41,6 +41,22 @@
   await waitInForce(mesh.hosts);
 });
 
+test("a large change is read from the store, not sent over the links of heads", async () => {
+  const before = mesh.store.calls.get("/-/kv-watch")!;
+  version += 1;
+  mesh.publish(version, { added: `/${"large".repeat(10_000)}/` });
+  await waitInForce(mesh.hosts);
+  const made = mesh.store.calls.get("/-/kv-watch")! - before;
+  // The root's own call was waiting before.
+  expect(made).toBeGreaterThanOrEqual(HOSTS - 1);
+  // Back to following, each reads the next change from its source again.
+  await pause(1_000);
+  const after = mesh.store.calls.get("/-/kv-watch")!;
+  publish();
+  await waitInForce(mesh.hosts);
+  expect(mesh.store.calls.get("/-/kv-watch")! - after).toBeLessThan(HOSTS);
+});
+
 test("a change is in force in time while the root and its stand-by are frozen", async () => {
   await freezeDuringChange([ReadingRank.Root, ReadingRank.StandBy]);
 });
