Waker: after a pause of the process, sockets are read before deadlines

Cause of this fault: Node runs due timers before it reads sockets, so after a pause of 120 ms or more a gateway took answers that lay in its sockets for silence (reserve_timeout, host_silent), though only it had been held up. Change: a timer later than 50 ms ticks after one turn of reading.

--- a/src/daemon/waker.ts
+++ b/src/daemon/waker.ts
@@ -5,6 +5,11 @@
 
 /** Longest sleep, so that a missed wake costs little, in ms. */
 const MAX_SLEEP_MS = 1_000;
+/**
+ * From this delay of a timer on, the process itself was held up, in ms; under
+ * half of the shortest wait for a silent host.
+ */
+const LATE_TIMER_MS = 50;
 
 /** A timer that follows the machine's next wake. */
 export interface Waker {
@@ -20,6 +25,7 @@
 ): Waker {
   let timer: NodeJS.Timeout | undefined;
   let timerAt: Millis = Infinity;
+  let afterReading: NodeJS.Immediate | undefined;
   return { update, close };
 
   function update(): void {
@@ -32,7 +38,17 @@
     timer.unref();
   }
 
+  /**
+   * After a pause of the process, sockets are read before deadlines are looked
+   * at: answers that came in the meantime are not taken for silence.
+   */
   function fire(): void {
+    if (clock.now() - timerAt < LATE_TIMER_MS) return tick();
+    clearImmediate(afterReading);
+    afterReading = setImmediate(tick);
+  }
+
+  function tick(): void {
     timerAt = Infinity;
     options.tick();
     update();
@@ -40,5 +56,6 @@
 
   function close(): void {
     clearTimeout(timer);
+    clearImmediate(afterReading);
   }
 }
--- a/test/recovery_test.ts
+++ b/test/recovery_test.ts
@@ -96,7 +96,8 @@
   const stopped = fleet.daemons[ORDERS]!.stop();
   await pause(50);
   const results = await sendOrders(10, [1, 2]);
-  expect(results.every((r) => r.status === 200)).toBe(true);
+  // The whole answers, so that a failure says why an order was turned away.
+  expect(results.filter((r) => r.status !== 200)).toEqual([]);
   await stopped;
   const journal = fleet.upstreams[ORDERS]!.getJournal();
   expect(getStarted().length).toBe(before + 10);
@@ -150,6 +151,7 @@
       status: res.statusCode,
       id: String(res.headers[Header.RequestId]),
       execution: String(res.headers[Header.Execution]),
+      reason: String(res.headers[Header.Reason]),
     };
   }));
 }
