Gateway: a guard that drains costs no retry

An empty retry budget would explain it: the refusal of a draining guard was charged, though no upstream heard of the request. Test: test/overload_test.ts, failed first.

--- a/src/core/retry_rules.ts
+++ b/src/core/retry_rules.ts
@@ -1,7 +1,7 @@
 /** Whether a request may be tried again, and what forbids it. */
 
 import { isBodyUnsent, isInDoubt, isProtected } from "./attempts.ts";
-import type { DiagnosticName } from "./diagnostics.ts";
+import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import type { PendingRequest } from "./gateway_types.ts";
 import { countRuns } from "./placement.ts";
 import type { Candidate, Millis } from "./types.ts";
@@ -29,6 +29,10 @@
   const isSpent = countRuns(request) >= context.maxAttempts ||
     request.retriesLeft <= 0;
   if (isSpent || !context.hasOtherHost) return "last";
+  // A guard that drains turned the request away before its upstream heard of it.
+  if (request.lastVerdict?.diagnostic === Diagnostics.draining) {
+    return undefined;
+  }
   return context.tryTakeRetry() ? undefined : "retry_budget_empty";
 }
 
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -531,3 +531,30 @@
   const live = { host: "b", failureDomain: "west", instance: "i-live" };
   return createTestGateway(host, { getCandidates: () => [old, live] });
 }
+
+test("a guard that drains costs no retry, one that is full does", () => {
+  const answerBy = (diagnostic: typeof Diagnostics.draining) => {
+    const gateway = createTestGateway(createTestHost(), {
+      maxAsks: 0,
+      retryAllowance: { noteRequest: () => {}, tryTake: () => false },
+      getCandidates: () =>
+        ["a", "b"].map((host) => ({ host, failureDomain: "east" })),
+    });
+    arriveAt(gateway, "1");
+    return gateway.handle({
+      kind: GatewayMessageKind.Refused,
+      id: "1",
+      attempt: 1,
+      verdict: { execution: Execution.NotRun, diagnostic },
+    });
+  };
+  expect(answerBy(Diagnostics.draining)).toMatchObject([
+    { kind: GatewayActionKind.Submit, attempt: 2 },
+  ]);
+  expect(answerBy(Diagnostics.queue_full)).toMatchObject([
+    {
+      kind: GatewayActionKind.Finish,
+      verdict: { diagnostic: Diagnostics.retry_budget_empty },
+    },
+  ]);
+});
