--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -316,6 +316,17 @@
     }],
     proof: OVERLOAD,
   },
+  {
+    name: "reads_before_deadlines",
+    promise: "work at its worst load",
+    file: "src/daemon/waker.ts",
+    edits: [{
+      find: "if (clock.now() - timerAt < LATE_TIMER_MS) return tick();",
+      replace:
+        "if (clock.now() - timerAt < LATE_TIMER_MS * 100) return tick();",
+    }],
+    proof: "test/waker_test.ts",
+  },
   {
     name: "queue_by_urgency",
     promise: "work at its worst load",
