--- a/src/demo/fleet.ts
+++ b/src/demo/fleet.ts
@@ -132,7 +132,8 @@
     const name = `${role} ${host}`;
     launch(name, members.get(name)!.args);
     const found = hosts.find(({ settings }) => settings.host === host)!;
-    if (role === FleetRole.Daemon) await waitForReady(found);
+    if (role === FleetRole.Daemon) return await waitForReady(found);
+    await waitFor(found.settings.upstream.address, "/control/journal");
   }
 
   async function stop(): Promise<(number | null)[]> {
