--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -147,7 +147,9 @@
   ): GatewayAction[] {
     const placed = placement.tryPlace(request, getCandidatesOf(request));
     if (placed === undefined) {
-      return isHedge ? [] : [finish(request, "no_upstream")];
+      // Beside an attempt that is still open nothing is final.
+      const mayEnd = !isHedge && !request.attempts.some(isOpen);
+      return mayEnd ? [finish(request, "no_upstream")] : [];
     }
     const { candidate, mayQueue } = placed;
     const reserves = isReserving(request.arrival);
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -293,6 +293,34 @@
   ]);
 });
 
+test("a silent guard is waited for where all others drain", () => {
+  const { gateway, host } = createSubmitted({ mayRetry: true });
+  host.advance(100);
+  gateway.takeReport({
+    host: "b",
+    incarnation: "b#1",
+    sequence: 1,
+    slots: 4,
+    inFlight: 0,
+    queued: 0,
+    serviceMs: 10,
+    draining: true,
+    ageMs: 1_000,
+  });
+  host.advance(100);
+  expect(gateway.handle({ kind: GatewayMessageKind.Tick })).toEqual([]);
+  const answered = {
+    kind: GatewayMessageKind.Answered,
+    id: "1",
+    attempt: 1,
+    ticket: gateway.getTicket("1", 1),
+    status: 200,
+  } as const;
+  expect(gateway.handle(answered)).toMatchObject([
+    { kind: GatewayActionKind.Deliver, attempt: 1 },
+  ]);
+});
+
 test("a silent guard's answer still counts beside another try that is refused", () => {
   const { gateway, host } = createSubmitted({ mayRetry: true });
   host.advance(200);
