Store: the rest between large reads follows the deployment's bounds; one test gateway

The 650 ms stood for a third of the two sites' bound on changes. It is now a third of the shorter of the deployment's bounds on configuration and departures, which the settings state. The benchmark of decisions and the tests share one gateway and one arrival; the tests' placements and answers stand once.

--- a/src/bench/decisions.ts
+++ b/src/bench/decisions.ts
@@ -7,14 +7,9 @@
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { createHmac } from "node:crypto";
-import { ChoicePolicy } from "../core/choice.ts";
-import { createGateway } from "../core/gateway.ts";
-import {
-  type CoreHost,
-  GatewayMessageKind,
-  Repeatability,
-} from "../core/types.ts";
+import { type CoreHost, GatewayMessageKind } from "../core/types.ts";
 import { createUrgencyQueue, type Urgent } from "../core/urgency_queue.ts";
+import { arriveAt, createTestGateway } from "../lab/test_gateway.ts";
 
 const ROUNDS = 7;
 const CALLS = 4_000;
@@ -53,42 +48,15 @@
 function createCall(): (index: number) => void {
   const candidates = Array.from({ length: CANDIDATES }, (_, i) => ({
     host: `host-${i}`,
-    failureDomain: `domain-${i % 3}`,
+    failureDomain: ["east", "west", "south"][i % 3]!,
     instance: `instance-${i}`,
   }));
-  const gateway = createGateway(host, {
-    self: "host-0",
-    incarnation: "host-0#1",
-    maxAttempts: 4,
-    maxAsks: 4,
-    reserveTimeoutMs: 120,
-    silenceMs: 2_000,
-    chooser: {
-      policy: ChoicePolicy.ExpectedTime,
-      failureDomain: "domain-0",
-      crossDomainMs: 3,
-    },
+  const gateway = createTestGateway(host, {
     getCandidates: () => candidates,
-    getLimits: () => ({
-      retryBudget: 0,
-      hedgeBudget: 0,
-      hedgePercentile: 99,
-    }),
   });
   return (index) => {
     const id = String(index);
-    gateway.handle({
-      kind: GatewayMessageKind.Arrived,
-      arrival: {
-        id,
-        account: "all",
-        service: "shop",
-        repeatability: Repeatability.Idempotent,
-        timeoutMs: 1_000,
-        replayable: true,
-        retriesLeft: 3,
-      },
-    });
+    arriveAt(gateway, id);
     const ticket = gateway.getTicket(id, 1);
     const status = 200;
     gateway.handle({
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -23,9 +23,9 @@
 /** Attempts of one request that guards may turn away, asks included. */
 const MAX_TURNED_AWAY = 8;
 /**
- * Part of its objective that a request may spend on asks, as with a caller's
- * own patience for a refusal. Load pattern "slow asks": daemons under load
- * take longer to turn a call away than the call's work takes.
+ * Part of its objective that a request may spend on asks. Load pattern "slow
+ * asks": daemons under load take 20 to 90 ms to turn away a call whose work
+ * takes 30 ms; within an objective of 150 ms it then asks one guard.
  */
 const ASKING_SHARE = 1 / 8;
 /** Bodies from this size on stay in their failure domain where they can, in bytes. */
--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -64,6 +64,11 @@
 const CROSS_DOMAIN_MS = 3;
 /** How long an entry that lapsed with the store may stay away after it, in ms. */
 const LAPSE_GRACE_MS = 2_000;
+/**
+ * Part of the shorter bound on changes for which a daemon rests between two
+ * reads of large ones; as much again is left for a lost source.
+ */
+const LARGE_GAP_SHARE = 1 / 3;
 /** Connections to the local upstream; the guard bounds those in use by its slots. */
 const MAX_UPSTREAM_CONNECTIONS = 256;
 /** Slots of an upstream that has stated none yet. */
@@ -223,6 +228,7 @@
     counters,
     logger,
     waitMs: bounds.stableMs,
+    largeGapMs: Math.min(bounds.inForceMs, bounds.drainMs) * LARGE_GAP_SHARE,
     onSnapshot: takeSnapshot,
     onChange: takeChange,
     onLost: upstreams.noteListLost,
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -62,6 +62,11 @@
   readonly logger: Logger;
   /** Longest wait of one watch, in ms. */
   readonly waitMs: Millis;
+  /**
+   * Time between two reads of large changes, in ms. Each costs a call and time
+   * in which the daemon takes no request.
+   */
+  readonly largeGapMs: Millis;
   /** Which daemons read the store, by the newest list of hosts. */
   getPlan(): ReadingPlan;
   /** Where a host takes messages of its peers. */
@@ -88,12 +93,6 @@
 const AVOID_REFUSING_MS = 500;
 /** Pause between two watches, so that changes in a row cost one call, in ms. */
 const BATCH_MS = 250;
-/**
- * Time between two reads of large changes, in ms; a third of the shortest bound
- * on a change. Each daemon pays for such a read with a call and with time in
- * which it takes no request.
- */
-const LARGE_GAP_MS = 650;
 /** Wait of a watch while the store is lost, in ms: a swallowed call must not be waited for long. */
 const LOST_WAIT_MS = 50;
 /** First pause after a failed call, in ms; it doubles up to the longest. */
@@ -188,7 +187,7 @@
         if (mustRead) {
           counters.add("source_left_to_read");
           return schedule(
-            Math.max(0, largeReadAt + LARGE_GAP_MS - host.now()),
+            Math.max(0, largeReadAt + options.largeGapMs - host.now()),
           );
         }
         counters.add(isHeard ? "source_lost" : "source_refused");
--- a/test/support/test_gateway.ts
+++ b/src/lab/test_gateway.ts
@@ -1,15 +1,15 @@
-/** A gateway as the platform's daemons have it, for tests of its decisions. */
+/** A gateway as the platform's daemons have it, for tests and benchmarks of its decisions. */
 
-import { ChoicePolicy } from "../../src/core/choice.ts";
-import { createGateway } from "../../src/core/gateway.ts";
-import type { Gateway, GatewayOptions } from "../../src/core/gateway_types.ts";
+import { ChoicePolicy } from "../core/choice.ts";
+import { createGateway } from "../core/gateway.ts";
+import type { Gateway, GatewayOptions } from "../core/gateway_types.ts";
 import {
   type Arrival,
   type CoreHost,
   type GatewayAction,
   GatewayMessageKind,
   Repeatability,
-} from "../../src/core/types.ts";
+} from "../core/types.ts";
 
 /** Creates a gateway in failure domain "east" that knows no upstream. */
 export function createTestGateway(
@@ -34,6 +34,23 @@
   });
 }
 
+/** An idempotent request. */
+export function createArrival(
+  id: string,
+  change: Partial<Arrival> = {},
+): Arrival {
+  return {
+    id,
+    account: "all",
+    service: "shop",
+    repeatability: Repeatability.Idempotent,
+    timeoutMs: 1_000,
+    replayable: true,
+    retriesLeft: 3,
+    ...change,
+  };
+}
+
 /** Hands a gateway an idempotent request. */
 export function arriveAt(
   gateway: Gateway,
@@ -42,15 +59,6 @@
 ): GatewayAction[] {
   return gateway.handle({
     kind: GatewayMessageKind.Arrived,
-    arrival: {
-      id,
-      account: "all",
-      service: "shop",
-      repeatability: Repeatability.Idempotent,
-      timeoutMs: 1_000,
-      replayable: true,
-      retriesLeft: 3,
-      ...change,
-    },
+    arrival: createArrival(id, change),
   });
 }
--- a/src/settings/mesh_settings.ts
+++ b/src/settings/mesh_settings.ts
@@ -31,6 +31,8 @@
   readonly stableMs: Millis;
   /** Time from a listed departure to the last request. */
   readonly drainMs: Millis;
+  /** Time from a change of configuration to its effect everywhere. */
+  readonly inForceMs: Millis;
   /** Time between a request to stop and a kill. */
   readonly graceMs: Millis;
   /** Sends beyond the first for each request. */
--- a/test/diagnostics_test.ts
+++ b/test/diagnostics_test.ts
@@ -10,7 +10,7 @@
   GatewayMessageKind,
 } from "../src/core/types.ts";
 import { createTestHost } from "./support/core_host.ts";
-import { arriveAt, createTestGateway } from "./support/test_gateway.ts";
+import { arriveAt, createTestGateway } from "../src/lab/test_gateway.ts";
 
 const rows = Object.entries(Diagnostics);
 const sources = readSources("src").filter((s) =>
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -28,7 +28,11 @@
 } from "../src/core/upstream_list.ts";
 import { createUrgencyQueue } from "../src/core/urgency_queue.ts";
 import { createTestHost } from "./support/core_host.ts";
-import { arriveAt, createTestGateway } from "./support/test_gateway.ts";
+import {
+  arriveAt,
+  createArrival,
+  createTestGateway,
+} from "../src/lab/test_gateway.ts";
 import { replayLoad } from "./support/guarded_upstream.ts";
 import { replayOracle } from "./support/oracle.ts";
 import { replayVanishing } from "./support/vanishing_hosts.ts";
@@ -181,32 +185,12 @@
 
 test("a gateway asks its own failure domain first and then queues at the best", () => {
   const host = createTestHost();
-  const loads = createLoadBook(host);
-  const chooser = createChooser(host, {
-    policy: ChoicePolicy.ExpectedTime,
-    failureDomain: "east",
-    crossDomainMs: 3,
-    loads,
-  });
-  const placement = createPlacement(host, {
-    failureDomain: "east",
-    maxAsks: 2,
-    chooser,
-    loads,
-  });
+  const placement = createEastPlacement(host, 2);
   const candidates = [
     { host: "far", failureDomain: "west" },
     { host: "near", failureDomain: "east" },
   ];
-  const request = createPending({
-    id: "1",
-    account: "all",
-    service: "shop",
-    repeatability: Repeatability.Idempotent,
-    timeoutMs: 800,
-    replayable: true,
-    retriesLeft: 3,
-  }, 0);
+  const request = createPending(createArrival("1", { timeoutMs: 800 }), 0);
   for (const expected of ["near", "far"]) {
     const placed = placement.tryPlace(request, candidates)!;
     expect([placed.candidate.host, placed.mayQueue]).toEqual([expected, false]);
@@ -223,33 +207,13 @@
 
 test("slow asks: a request takes a queue before the time for its work is asked away", () => {
   const host = createTestHost();
-  const loads = createLoadBook(host);
-  const chooser = createChooser(host, {
-    policy: ChoicePolicy.ExpectedTime,
-    failureDomain: "east",
-    crossDomainMs: 3,
-    loads,
-  });
-  const placement = createPlacement(host, {
-    failureDomain: "east",
-    maxAsks: 4,
-    chooser,
-    loads,
-  });
+  const placement = createEastPlacement(host, 4);
   const candidates = ["a", "b", "c", "d", "e"].map((name) => ({
     host: name,
     failureDomain: "east",
   }));
-  const call = createPending({
-    id: "1",
-    account: "all",
-    service: "shop",
-    repeatability: Repeatability.Idempotent,
-    timeoutMs: 433,
-    objectiveMs: 148,
-    replayable: true,
-    retriesLeft: 3,
-  }, host.now());
+  const arrival = createArrival("1", { timeoutMs: 433, objectiveMs: 148 });
+  const call = createPending(arrival, host.now());
   // Daemons under load take some 40 ms to turn a request away.
   const ask = () => {
     const placed = placement.tryPlace(call, candidates)!;
@@ -281,14 +245,7 @@
   const { gateway, host } = createSubmitted({ mayRetry: false });
   host.advance(200);
   expect(gateway.handle({ kind: GatewayMessageKind.Tick })).toEqual([]);
-  const answered = {
-    kind: GatewayMessageKind.Answered,
-    id: "1",
-    attempt: 1,
-    ticket: gateway.getTicket("1", 1),
-    status: 200,
-  } as const;
-  expect(gateway.handle(answered)).toMatchObject([
+  expect(answerFirst(gateway)).toMatchObject([
     { kind: GatewayActionKind.Deliver },
   ]);
 });
@@ -309,14 +266,7 @@
   });
   host.advance(100);
   expect(gateway.handle({ kind: GatewayMessageKind.Tick })).toEqual([]);
-  const answered = {
-    kind: GatewayMessageKind.Answered,
-    id: "1",
-    attempt: 1,
-    ticket: gateway.getTicket("1", 1),
-    status: 200,
-  } as const;
-  expect(gateway.handle(answered)).toMatchObject([
+  expect(answerFirst(gateway)).toMatchObject([
     { kind: GatewayActionKind.Deliver, attempt: 1 },
   ]);
 });
@@ -337,17 +287,34 @@
     },
   } as const;
   expect(gateway.handle(refused)).toEqual([]);
-  const answered = {
+  expect(answerFirst(gateway)).toMatchObject([
+    { kind: GatewayActionKind.Deliver, attempt: 1 },
+  ]);
+});
+
+/** The first attempt's upstream answers. */
+function answerFirst(gateway: Gateway) {
+  return gateway.handle({
     kind: GatewayMessageKind.Answered,
     id: "1",
     attempt: 1,
     ticket: gateway.getTicket("1", 1),
     status: 200,
-  } as const;
-  expect(gateway.handle(answered)).toMatchObject([
-    { kind: GatewayActionKind.Deliver, attempt: 1 },
-  ]);
-});
+  });
+}
+
+/** The placement of a gateway in failure domain "east". */
+function createEastPlacement(host: CoreHost, maxAsks: number) {
+  const loads = createLoadBook(host);
+  const failureDomain = "east";
+  const chooser = createChooser(host, {
+    policy: ChoicePolicy.ExpectedTime,
+    failureDomain,
+    crossDomainMs: 3,
+    loads,
+  });
+  return createPlacement(host, { failureDomain, maxAsks, chooser, loads });
+}
 
 /** A gateway whose request was submitted to host a; b is in another domain. */
 function createSubmitted({ mayRetry }: { mayRetry: boolean }) {
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -345,6 +345,7 @@
       bounds: {
         stableS: 3,
         drainS: 2,
+        configS: 2,
         graceS: 6,
         retryBudgetRatio: 0.2,
         budgetWindowS: 10,
--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -19,7 +19,7 @@
   seeds: []
 platform: { heartbeatS: 1.5, platform: { address: "10.200.1.7:8309", form: read } }
 terms:
-  bounds: { stableS: 3, drainS: 2.5, graceS: 6, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 64, new: 1 }
+  bounds: { stableS: 3, drainS: 2.5, configS: 2, graceS: 6, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 64, new: 1 }
 `;
 
 test("settings are decoded, and fields that are not known are ignored", () => {
@@ -29,7 +29,7 @@
     failureDomain: "kadikoy",
     upstreamAddress: "10.1.0.8:8301",
     storeAddress: "10.200.1.7:8309",
-    bounds: { drainMs: 2_500, retrySlack: 64 },
+    bounds: { drainMs: 2_500, inForceMs: 2_000, retrySlack: 64 },
   });
 });
 
--- a/test/sharing_test.ts
+++ b/test/sharing_test.ts
@@ -10,7 +10,7 @@
 const IN_FORCE_MS = 2_000;
 
 /** Time between two reads of large changes by one daemon, in ms. */
-const LARGE_GAP_MS = 650;
+const LARGE_GAP_MS = IN_FORCE_MS / 3;
 
 let mesh: Mesh;
 let version = 1;
--- a/test/support/vanishing_hosts.ts
+++ b/test/support/vanishing_hosts.ts
@@ -14,7 +14,7 @@
 } from "../../src/core/types.ts";
 import { Belief } from "../../src/core/usable_hosts.ts";
 import { createTestHost } from "./core_host.ts";
-import { arriveAt, createTestGateway } from "./test_gateway.ts";
+import { arriveAt, createTestGateway } from "../../src/lab/test_gateway.ts";
 
 /** What callers saw. */
 export interface VanishingOutcome {
