Stop: what came while the process was held up is answered before it leaves

A process that was held up closed connections with requests it had not read. Change: sockets are read before the look, each request of callers and peers counts until its answer is out, and both listeners close in the same turn.

--- a/src/daemon/mesh_daemon.ts
+++ b/src/daemon/mesh_daemon.ts
@@ -123,6 +123,8 @@
   let routes: RouteTable | undefined;
   let stoppingAt: Millis | undefined;
   let stopping: Promise<void> | undefined;
+  /** Requests of callers and peers whose answer is not out yet. */
+  let takenRequests = 0;
   /** By the list as it is; undefined where it changed since. */
   let plan: ReadingPlan | undefined;
 
@@ -237,7 +239,7 @@
   logger.info("starting", { incarnation, service: settings.service });
   const ingress = await listen(
     settings.listen.callers,
-    createIngressHandler({
+    countTaken(createIngressHandler({
       host,
       task: gatewayTask,
       dialect: deployment.callers,
@@ -249,11 +251,11 @@
       getObstacle,
       onAnswered: ({ service, route = "" }, latencyMs) =>
         latencies.record(Phase.Answer, { service, route }, latencyMs),
-    }),
+    })),
   );
   const peers = await listen(
     settings.listen.peers,
-    createPeerHandler({
+    countTaken(createPeerHandler({
       guard: guardTask,
       getRevisions: () => String(routes?.config.version ?? 0),
       onHeard: () => {},
@@ -262,7 +264,7 @@
         counters.add(reason);
         logger.warn("peer_nonsense", { reason, message });
       },
-    }),
+    })),
   );
   peers.keepAliveTimeout = PEER_KEEP_ALIVE_MS;
   const readiness = await listen(settings.listen.readiness, answerReadiness);
@@ -408,9 +410,12 @@
     const limit = startedAt + bounds.graceMs * STOP_SHARE;
     const soonest = startedAt + LEAVE_MS;
     while (clock.now() < limit) {
-      if (clock.now() >= soonest && countOpen() === 0) break;
       await pause(STOP_POLL_MS);
+      await nextTurn();
+      if (clock.now() >= soonest && countOpen() === 0) break;
     }
+    // Closed in the turn that found nothing open, so that no request comes between.
+    for (const server of [ingress, peers]) server.close();
     for (const server of [ingress, peers, readiness, metrics]) {
       lifecycle.add("server", () => closeServer(server));
     }
@@ -426,8 +431,16 @@
     }
   }
 
+  function countTaken(handler: RequestListener): RequestListener {
+    return (incoming, outgoing) => {
+      takenRequests += 1;
+      outgoing.once("close", () => takenRequests -= 1);
+      handler(incoming, outgoing);
+    };
+  }
+
   function countOpen(): number {
-    return gatewayTask.gateway.getOpenCount() + guardTask.guard.getOpenCount();
+    return takenRequests + guardTask.guard.getOpenCount();
   }
 }
 
@@ -435,11 +448,17 @@
   return { name, help, value };
 }
 
+/** Closes what idle connections leave over, as requests that hang. */
 function closeServer(server: Server): void {
   server.close();
   server.closeAllConnections();
 }
 
+/** Resolves after sockets were read, which Node does after due timers. */
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 async function listen(
   address: string,
   handler: RequestListener,
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -2,8 +2,14 @@
 
 import { spawn } from "node:child_process";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { afterAll, beforeAll, expect, test } from "vitest";
-import { type Mesh, type MeshHost, startMesh } from "./platform/mesh.ts";
+import {
+  CALLER_PORT,
+  type Mesh,
+  type MeshHost,
+  startMesh,
+} from "./platform/mesh.ts";
 import { StoreMood } from "./platform/store_stand_in.ts";
 import { UpstreamMood } from "./platform/upstream_stand_in.ts";
 
@@ -184,6 +190,36 @@
   await mesh.waitReady(host);
 }, 20_000);
 
+test("a stop answers what came while the process was held up", async () => {
+  const [host] = mesh.hosts as [MeshHost];
+  const socket = connect(CALLER_PORT, host.ip);
+  let seen = "";
+  socket.on("data", (data) => seen += data);
+  socket.on("error", (error) => seen += error.message);
+  const send = (id: string) =>
+    socket.write(
+      "GET /read/1 HTTP/1.1\r\nhost: shop\r\n" +
+        `x-vanillarock-attempt-id: ${id}\r\n` +
+        "x-vanillarock-timeout-ms: 2000\r\n\r\n",
+    );
+  send("before-the-stop");
+  await expect.poll(() => seen).toContain("HTTP/1.1 200");
+  seen = "";
+  const ended = new Promise((resolve) => host.process.once("exit", resolve));
+  host.process.kill("SIGTERM");
+  // Shortly before it would leave.
+  await pause(2_350);
+  host.process.kill("SIGSTOP");
+  send("during-the-pause");
+  await pause(500);
+  host.process.kill("SIGCONT");
+  expect(await ended).toBe(0);
+  expect(seen).toContain("HTTP/1.1 200");
+  socket.destroy();
+  mesh.startDaemon(host);
+  await mesh.waitReady(host);
+}, 20_000);
+
 test("a reload while the process starts does not end it", async () => {
   const [, , host] = mesh.hosts as [MeshHost, MeshHost, MeshHost];
   const ended = new Promise((resolve) => host.process.once("exit", resolve));
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -9,8 +9,8 @@
 import { startStore, type StoreStandIn } from "./store_stand_in.ts";
 import { startUpstream, type UpstreamStandIn } from "./upstream_stand_in.ts";
 
-/** Ports of every daemon; hosts differ by their loopback address. */
-const CALLER_PORT = 18_304;
+/** Where daemons take callers; ports of every daemon, as hosts differ by their loopback address. */
+export const CALLER_PORT = 18_304;
 const PEER_PORT = 18_300;
 const READY_PORT = 18_302;
 const UPSTREAM_PORT = 18_301;
