Observability: what upstreams state about themselves is read, reported and logged

Change: the protocol of the platform's upstreams reads both; the guard keeps them (upstream_notices.ts), its replies carry them in a header of their own, which older daemons ignore, and gateways keep them by incarnation (known_notices.ts). Lines upstream_noticed and host_notice, two gauges. Nothing obeys them yet.

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -48,6 +48,7 @@
 import { createRetryPolicy } from "./retry_policy.ts";
 import { hasUntriedHost } from "./retry_rules.ts";
 import { createSettleQueries } from "./settle_queries.ts";
+import { createKnownNotices } from "./known_notices.ts";
 import { createLoadTable } from "./load_table.ts";
 import { createUsableHosts } from "./usable_hosts.ts";
 import {
@@ -78,6 +79,10 @@
   const counters = createCounters();
   const loads = createLoadTable(host);
   const chooser = createChooser(host, { ...options.chooser, loads });
+  const notices = createKnownNotices(host, {
+    leavingMs: options.leavingMs ?? 0,
+    onNotice: options.onNotice,
+  });
   const placement = createPlacement(host, {
     failureDomain: options.chooser.failureDomain,
     maxNonQueueingAttempts: options.maxNonQueueingAttempts ?? 0,
@@ -114,7 +119,7 @@
       (handlers[msg.kind] as (m: GatewayMessage) => GatewayAction[])(msg),
     receiveReport: (report) => {
       usableHosts.recordMessage(report.host);
-      loads.recordReport(report);
+      notices.recordReport(report, loads.recordReport(report));
     },
     getNextWake: wakes.getNext,
     getOpenCount: open.getCount,
@@ -125,6 +130,7 @@
       findStaleHosts(options.getCandidates(service), { loads, ageMs }),
     getLoad: loads.get,
     forgetHost: loads.forget,
+    forgetNotices: notices.forget,
     counters,
   };
 
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -2,6 +2,7 @@
 
 import type { ChooserOptions } from "./choice.ts";
 import type { Counters } from "./counters.ts";
+import type { NoticeListener } from "./known_notices.ts";
 import type { LoadEntry } from "./load_table.ts";
 import type { HostStatusListener } from "./usable_hosts.ts";
 import type {
@@ -59,6 +60,10 @@
   readonly retryAllowance?: RetryAllowance;
   /** Called when the status of a host changes. */
   readonly onHostStatus?: HostStatusListener;
+  /** Time for which a leaving upstream still serves what no other host takes, in ms; 0 by default. */
+  readonly leavingMs?: Millis;
+  /** Called when an upstream's statements about itself change. */
+  readonly onNotice?: NoticeListener;
   /** True retries an idempotent request after a failure response of its upstream. */
   readonly retriesFailureResponses?: boolean;
 }
@@ -98,6 +103,8 @@
   /** Load of a host as known to this gateway. */
   getLoad(host: HostId): LoadEntry;
   forgetHost(host: HostId): void;
+  /** Forgets what an upstream stated before it started again under the same instance. */
+  forgetNotices(instance: string): void;
   readonly counters: Counters;
 }
 
@@ -153,6 +160,8 @@
   isLinkLost?: boolean;
   /** True if it ended before its upstream was involved; set only with non-queueing attempts enabled. */
   neverReachedUpstream?: boolean;
+  /** True if its guard refused it because of the upstream's limit on requests. */
+  isOverLimit?: boolean;
 }
 
 /** A request that is open in a gateway. */
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -40,6 +40,7 @@
   type Ticket,
   type Verdict,
 } from "./types.ts";
+import { createUpstreamNotices } from "./upstream_notices.ts";
 import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
 
@@ -78,6 +79,7 @@
       isFirstComeFirstServed: options.isFirstComeFirstServed ?? false,
     })
     : createUrgencyQueue<Entry>(host, { capacity: options.queueCapacity });
+  const notices = createUpstreamNotices(host);
   const estimates = createGuardEstimates(host, options, { queue });
   const { getUsableSlots, getSlowdown, getStartDelayMs, getRetryAfter } =
     estimates;
@@ -112,12 +114,21 @@
     [GuardMessageKind.UpstreamResponded]: upstreamResponded,
     [GuardMessageKind.UpstreamFailed]: upstreamFailed,
     [GuardMessageKind.Drain]: drain,
+    [GuardMessageKind.Noticed]: ({ notice, source }) => {
+      notices.record(notice, source);
+      return [];
+    },
+    [GuardMessageKind.UpstreamRestarted]: () => {
+      notices.forget();
+      return [];
+    },
     [GuardMessageKind.Tick]: tick,
   };
   return {
     handle,
     issueKeys,
     getReport,
+    getNotice: notices.get,
     getNextWake: wakes.getNext,
     isDraining: () => draining,
     getOpenCount: () => openCount,
@@ -141,6 +152,7 @@
   function getReport(): LoadReport {
     reportCount += 1;
     const failureShare = failures.get();
+    const notice = notices.get();
     return {
       host: options.self,
       incarnation: options.incarnation,
@@ -153,6 +165,7 @@
       ageMs: host.now() - startedAt,
       ...(options.upstream && { slowdown: getSlowdown() }),
       ...(failureShare >= MIN_REPORTED_FAILURE_SHARE && { failureShare }),
+      ...(notice && { notice }),
     };
   }
 
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -10,6 +10,7 @@
   LoadReport,
   Millis,
   ServiceName,
+  UpstreamNotice,
 } from "./types.ts";
 
 /** State of an upstream, from the load that it reports to the daemon on its host. */
@@ -47,6 +48,8 @@
   /** Time after which a grant that was not used expires, in ms. */
   readonly grantTtlMs: Millis;
   readonly keyCapacity: number;
+  /** Time for which a leaving upstream still serves what no other host takes, in ms; 0 by default. */
+  readonly leavingMs?: Millis;
   getWeight(account: AccountName): number;
   readonly isFirstComeFirstServed?: boolean;
   /** State of the upstream; absent if it reports none. */
@@ -61,6 +64,8 @@
   /** Issues idempotency keys in advance; returns none while draining. */
   issueKeys(account: AccountName, count: number): string[];
   getReport(): LoadReport;
+  /** What the upstream states about itself, if anything. */
+  getNotice(): UpstreamNotice | undefined;
   /** Time at which the next Tick is due, in ms; undefined if none is. */
   getNextWake(): Millis | undefined;
   isDraining(): boolean;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -76,6 +76,8 @@
   readonly isLastChoice?: boolean;
   /** Incarnation of the upstream that the request is meant for. */
   readonly instance?: string;
+  /** Limit of that incarnation as the gateway knows it, in requests per second. */
+  readonly limitPerS?: number;
 }
 
 /** A response small enough to be stored with its key. */
@@ -88,6 +90,33 @@
   readonly headers?: Readonly<Record<string, string | string[]>>;
 }
 
+/** What an upstream states about itself in its responses. */
+export interface UpstreamNotice {
+  /** Incarnation that states it. */
+  readonly instance: string;
+  /** True if it is about to leave and must get no more requests. */
+  readonly isLeaving: boolean;
+  /** Requests per second that it accepts from all hosts together, if it states a limit. */
+  readonly limitPerS?: number;
+}
+
+/** The statements of one response. */
+export interface ResponseNotice {
+  /** Requests per second that the upstream accepts from all hosts together. */
+  readonly limitPerS?: number;
+  readonly isLeaving: boolean;
+  /** True if the response states any limit that is in force. */
+  readonly isComplete: boolean;
+}
+
+/** Where a response came from. */
+export interface NoticeSource {
+  /** Incarnation that responded. */
+  readonly instance: string;
+  /** Time at which its request was sent, in ms. */
+  readonly sentAt: Millis;
+}
+
 /** Load of an upstream as measured by its guard; sent with every guard message. */
 export interface LoadReport {
   readonly host: HostId;
@@ -107,6 +136,10 @@
   readonly slowdown?: number;
   /** Share of the upstream's recent responses that were failures, if there were any. */
   readonly failureShare?: number;
+  /** What the upstream states about itself, if anything. */
+  readonly notice?: UpstreamNotice;
+  /** Time until the upstream's limit allows another request, in ms, if it states a limit. */
+  readonly startsInMs?: Millis;
 }
 
 /** A host that may serve a service, as known to this daemon. */
@@ -136,6 +169,10 @@
   UpstreamResponded = "upstream-answered",
   UpstreamFailed = "upstream-failed",
   Drain = "drain",
+  /** A response of the upstream states something about the upstream, or nothing. */
+  Noticed = "noticed",
+  /** The upstream started again under the same instance. */
+  UpstreamRestarted = "upstream-restarted",
   Tick = "tick",
 }
 
@@ -174,6 +211,12 @@
     /** Time at which the daemon stops, in ms; until then it is a last choice. Absent if it is none. */
     stopsAt?: Millis;
   }
+  | {
+    kind: GuardMessageKind.Noticed;
+    notice: ResponseNotice;
+    source: NoticeSource;
+  }
+  | { kind: GuardMessageKind.UpstreamRestarted }
   | { kind: GuardMessageKind.Tick };
 
 /** Kinds of actions that a guard requests from its driver. */
@@ -319,6 +362,8 @@
     /** True if all hosts of the service are draining. */
     isLastChoice?: boolean;
     instance?: string;
+    /** Limit that the upstream has stated, in requests per second. */
+    limitPerS?: number;
   }
   | {
     kind: GatewayActionKind.Run;
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -179,6 +179,7 @@
       inFlight: report.inFlight,
       queued: report.queued,
       slowdown: report.slowdown,
+      startsInMs: report.startsInMs,
     };
   }
 
@@ -412,7 +413,7 @@
 function createHead(request: GatewayRequest, action: SendAction): RequestHead {
   const { account, service, repeatability, key, priority, route } =
     request.arrival;
-  const { timeoutMs, mayQueue, isLastChoice, instance } = action;
+  const { timeoutMs, mayQueue, isLastChoice, instance, limitPerS } = action;
   const spentMs = request.arrival.timeoutMs - timeoutMs;
   const objectiveMs = request.arrival.objectiveMs;
   return {
@@ -430,6 +431,7 @@
     ...(mayQueue !== undefined && { mayQueue }),
     ...(isLastChoice && { isLastChoice }),
     ...(instance !== undefined && { instance }),
+    ...(limitPerS !== undefined && { limitPerS }),
   };
 }
 
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -18,9 +18,11 @@
   GuardMessageKind,
   type KeptResponse,
   type Millis,
+  type NoticeSource,
   type OfKind,
   Repeatability,
   type RequestHead,
+  type ResponseNotice,
   type Ticket,
   type Verdict,
 } from "../core/types.ts";
@@ -74,6 +76,10 @@
   readonly guard: Guard;
   /** Starts queued requests that may start now. */
   wake(): void;
+  /** Records what a response states about the upstream itself. */
+  recordNotice(notice: ResponseNotice, source: NoticeSource): void;
+  /** Forgets what the upstream stated before it started again under the same instance. */
+  forgetNotices(): void;
   /**
    * Refuses new requests, except as the last choice those that end before
    * `stopsAt` (ms by the core's clock); resolves once none is open.
@@ -138,10 +144,27 @@
     replaceConnections: () => {},
     probe: () => Promise.resolve(0),
     wake: () => dispatch({ kind: GuardMessageKind.Tick }),
+    recordNotice,
+    forgetNotices: () => dispatch({ kind: GuardMessageKind.UpstreamRestarted }),
     drain,
     close,
   };
 
+  /** Logs the statements if they change what is known. */
+  function recordNotice(notice: ResponseNotice, source: NoticeSource): void {
+    const before = guard.getNotice();
+    dispatch({ kind: GuardMessageKind.Noticed, notice, source });
+    const known = guard.getNotice();
+    const isChanged = known?.limitPerS !== before?.limitPerS ||
+      known?.isLeaving !== before?.isLeaving;
+    if (!isChanged) return;
+    logger.info("upstream_noticed", {
+      instance: source.instance,
+      limitPerS: known?.limitPerS,
+      isLeaving: known?.isLeaving ?? false,
+    });
+  }
+
   function logRefusal(ticket: Ticket, verdict: Verdict): void {
     const { inFlight, queued, slowdown, slots } = guard.getReport();
     logger.info("guard_refused", {
@@ -153,6 +176,7 @@
       queued,
       slots,
       slowdown,
+      limitPerS: guard.getNotice()?.limitPerS,
     });
   }
 
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -13,6 +13,7 @@
 import { streamBody } from "../link/stream_body.ts";
 import {
   decodeHead,
+  encodeNotice,
   encodeReport,
   encodeVerdict,
   Header,
@@ -218,8 +219,11 @@
   /** The load report and, if the peer's message contained its revisions, those in force here. */
   function createHeaders(req: IncomingMessage): Record<string, string> {
     const hasRevisions = req.headers[Header.Revisions] !== undefined;
+    const report = guard.guard.getReport();
+    const notice = encodeNotice(report);
     return {
-      [Header.Report]: encodeReport(guard.guard.getReport()),
+      [Header.Report]: encodeReport(report),
+      ...(notice !== undefined && { [Header.Notice]: notice }),
       ...(hasRevisions && { [Header.Revisions]: options.getRevisions() }),
     };
   }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -143,6 +143,7 @@
       upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
     hasWaiting: () => guardTask.guard.getReport().queued > 0,
     onReading: () => guardTask.wake(),
+    onNotice: (notice, source) => guardTask.recordNotice(notice, source),
   });
   const guardTask: GuardTask = createGuardTask(clock, {
     host,
@@ -153,6 +154,7 @@
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       onLoad: watch.recordLoad,
+      onNotice: (notice, source) => guardTask.recordNotice(notice, source),
     }),
     beforeAdmission: watch.refresh,
     onUpstreamResponse: ({ route = "", waitedMs, tookMs }) => {
@@ -167,6 +169,7 @@
       queueCapacity: QUEUE_CAPACITY,
       grantTtlMs: GRANT_TTL_MS,
       keyCapacity: KEY_CAPACITY,
+      leavingMs: bounds.drainMs,
       getWeight: () => 1,
       upstream: watch,
     },
@@ -213,8 +216,11 @@
         crossDomainMs: CROSS_DOMAIN_MS,
       },
       getCandidates: upstreams.getCandidates,
+      leavingMs: bounds.drainMs,
       onHostStatus: (status, { host: peer, instance }) =>
         logger.info(`host_${status}`, { peer, instance }),
+      onNotice: (peer, notice) =>
+        logger.info("host_notice", { peer, ...notice }),
       getLimits: () => ({
         retryBudget: 0,
         hedgeBudget: 0,
@@ -350,6 +356,12 @@
     const isGone = change === UpstreamChange.Gone ||
       change === UpstreamChange.Restarted;
     if (isGone) gatewayTask.gateway.forgetHost(splitAddress(it.address).host);
+    if (change === UpstreamChange.Restarted) forgetNotices(it);
+  }
+
+  function forgetNotices({ instance, address }: ListedUpstream): void {
+    gatewayTask.gateway.forgetNotices(instance);
+    if (address === settings.upstreamAddress) guardTask.forgetNotices();
   }
 
   function handleReadiness(...[req, res]: Parameters<RequestListener>): void {
@@ -376,7 +388,8 @@
   }
 
   function getGauges(): Gauge[] {
-    const { inFlight, queued, slots, slowdown } = guardTask.guard.getReport();
+    const { inFlight, queued, slots, slowdown, notice } = guardTask.guard
+      .getReport();
     return [
       gauge(
         "requests_open",
@@ -391,6 +404,16 @@
         "Work time by its usual one.",
         slowdown ?? 1,
       ),
+      gauge(
+        "upstream_limit_per_second",
+        "Limit that the upstream states; -1 for none.",
+        notice?.limitPerS ?? -1,
+      ),
+      gauge(
+        "upstream_leaving",
+        "1 if the upstream states that it leaves.",
+        notice?.isLeaving ? 1 : 0,
+      ),
       gauge("upstreams_listed", "Upstreams that are listed.", upstreams.size()),
       gauge("config_version", "Version in force.", routes?.config.version ?? 0),
       gauge("store_in_touch", "1 while in touch.", store.isReachable() ? 1 : 0),
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -3,12 +3,13 @@
  * noisy neighbours change its speed within a tenth of a second.
  */
 
+import type { IncomingHttpHeaders } from "node:http";
 import { Client } from "undici";
 import type { Counters } from "../core/counters.ts";
 import type { UpstreamView } from "../core/guard_types.ts";
 import { createSlotLimit } from "../core/slot_limit.ts";
 import { createSlowPeriods, SLOW_FACTOR } from "../core/slow_periods.ts";
-import type { Millis } from "../core/types.ts";
+import type { Millis, NoticeSource, ResponseNotice } from "../core/types.ts";
 import type {
   UpstreamLoad,
   UpstreamProtocol,
@@ -40,6 +41,8 @@
   hasWaiting(): boolean;
   /** Called after each reading. */
   onReading(): void;
+  /** Receives what a health check states about the upstream itself. */
+  onNotice(notice: ResponseNotice, source: NoticeSource): void;
 }
 
 /** The load of one upstream. */
@@ -100,11 +103,13 @@
 
   async function probe(path: string): Promise<void> {
     counters.add("upstream_probed");
+    const sentAt = clock.now();
     try {
       const res = await client.request({ method: "GET", path });
       await res.body.dump();
       instance = options.protocol.readInstance(res.headers);
       instanceReadAt = clock.now();
+      reportNotice(res.headers, sentAt);
       const reported = options.protocol.readLoad(res.headers);
       if (reported !== undefined) recordLoad(reported);
     } catch (error) {
@@ -113,6 +118,13 @@
     }
   }
 
+  /** Health checks need not state a limit that is in force. */
+  function reportNotice(headers: IncomingHttpHeaders, sentAt: Millis): void {
+    if (instance === undefined) return;
+    const notice = options.protocol.readNotice(headers);
+    options.onNotice({ ...notice, isComplete: false }, { instance, sentAt });
+  }
+
   function recordLoad(reported: UpstreamLoad): void {
     load = reported;
     readAt = clock.now();
--- a/src/link/http_headers.ts
+++ b/src/link/http_headers.ts
@@ -23,6 +23,7 @@
   Header.Head,
   Header.Grant,
   Header.Report,
+  Header.Notice,
   Header.VerdictJson,
   Header.Revisions,
   Header.From,
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -22,6 +22,7 @@
   ReplyKind,
 } from "./types.ts";
 import {
+  decodeNotice,
   decodeReport,
   decodeVerdict,
   encodeHead,
@@ -278,16 +279,27 @@
 
   function reportMetadata(headers: IncomingHttpHeaders): void {
     const revisions = getHeader(headers, Header.Revisions);
-    const text = getHeader(headers, Header.Report);
-    const decoded = text === undefined
-      ? undefined
-      : decodeReport(text, options.peer);
-    if (decoded?.err) options.onLinkError(`malformed report: ${decoded.val}`);
+    const report = tryReadReport(headers);
     options.onReplyMetadata({
-      ...(decoded?.ok && { report: decoded.val }),
+      ...(report !== undefined && { report }),
       ...(revisions !== undefined && { revisions }),
     });
   }
+
+  function tryReadReport(headers: IncomingHttpHeaders): LoadReport | undefined {
+    const text = getHeader(headers, Header.Report);
+    if (text === undefined) return undefined;
+    const report = decodeReport(text, options.peer);
+    if (report.err) {
+      options.onLinkError(`malformed report: ${report.val}`);
+      return undefined;
+    }
+    const noticeText = getHeader(headers, Header.Notice);
+    if (noticeText === undefined) return report.val;
+    const notice = decodeNotice(noticeText);
+    if (notice.err) options.onLinkError(`malformed notice: ${notice.val}`);
+    return notice.ok ? { ...report.val, ...notice.val } : report.val;
+  }
 }
 
 function toFailure(error: unknown): GuardReply {
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -23,6 +23,8 @@
   Head = "vanillarock-head",
   Grant = "vanillarock-grant",
   Report = "vanillarock-report",
+  /** What the sender's upstream states about itself; absent if it states nothing. */
+  Notice = "vanillarock-notice",
   VerdictJson = "vanillarock-verdict-json",
   /** Digest of the sender's revisions in force. */
   Revisions = "vanillarock-revisions",
@@ -72,6 +74,7 @@
   mayQueue: z.boolean().optional(),
   isLastChoice: z.boolean().optional(),
   instance: z.string().optional(),
+  limitPerS: z.number().min(0).optional(),
 });
 
 const verdictSchema = z.object({
@@ -83,6 +86,8 @@
 /** Fields of a load report in their order on the wire. */
 const REPORT_PATTERN =
   /^([0-9a-f]{8}) (\d+) (\d+) (\d+) (\d+) (\d+) ([01]) (\d+)(?: (\d+))?(?: f(\d+))?$/;
+/** Instance, leaving, and with a limit: requests per second and ms until the next turn. */
+const NOTICE_PATTERN = /^(\S+) ([01])(?: (\d+(?:\.\d+)?) (\d+))?$/;
 /** Service times are sent in tenths of a ms. */
 const SERVICE_TIME_SCALE = 10;
 /** Slowdowns are sent in hundredths. */
@@ -192,3 +197,32 @@
       { failureShare: Number(failureShare) / FAILURE_SCALE }),
   });
 }
+
+/** Encodes what the upstream of a report states about itself; undefined if it states nothing. */
+export function encodeNotice(
+  { notice, startsInMs = 0 }: LoadReport,
+): string | undefined {
+  if (notice === undefined) return undefined;
+  const { instance, isLeaving, limitPerS } = notice;
+  const limit = limitPerS === undefined
+    ? []
+    : [limitPerS, Math.ceil(startsInMs)];
+  return [instance, isLeaving ? 1 : 0, ...limit].join(" ");
+}
+
+/** Decodes the part of a load report that a notice contains, or returns what is wrong with it. */
+export function decodeNotice(
+  text: string,
+): Result<Pick<LoadReport, "notice" | "startsInMs">, string> {
+  const match = NOTICE_PATTERN.exec(text);
+  if (match === null) return new Err("not a notice");
+  const [, instance, leaving, limit, startsInMs] = match;
+  return new Ok({
+    notice: {
+      instance: instance!,
+      isLeaving: leaving === "1",
+      ...(limit !== undefined && { limitPerS: Number(limit) }),
+    },
+    ...(startsInMs !== undefined && { startsInMs: Number(startsInMs) }),
+  });
+}
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -8,7 +8,12 @@
 } from "node:http";
 import { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
-import { Execution } from "../core/types.ts";
+import {
+  Execution,
+  type Millis,
+  type NoticeSource,
+  type ResponseNotice,
+} from "../core/types.ts";
 import type { Clock } from "../daemon/clock.ts";
 import type { ForwardRequest, StreamedResponse } from "../link/types.ts";
 import { splitAddress } from "../link/address.ts";
@@ -48,6 +53,8 @@
   readonly protocol: UpstreamProtocol;
   /** Receives the load that responses report. */
   onLoad?(load: UpstreamLoad): void;
+  /** Receives what a response states about the upstream itself, or that it states nothing. */
+  onNotice?(notice: ResponseNotice, source: NoticeSource): void;
 }
 
 /** Sends requests to one upstream. */
@@ -72,13 +79,15 @@
     request: ForwardRequest,
     call: UpstreamCall,
   ): Promise<UpstreamResult> {
+    const sentAt = options.clock.now();
     try {
       const res = await sendRequest(request, call);
-      return await handleResponse(request, {
+      const response = {
         status: res.statusCode!,
         headers: res.headers,
         body: res,
-      });
+      };
+      return await handleResponse(request, response, { call, sentAt });
     } catch (error) {
       return { failure: toFailure(error) };
     }
@@ -145,10 +154,12 @@
   async function handleResponse(
     request: ForwardRequest,
     response: StreamedResponse,
+    sent: { call: UpstreamCall; sentAt: Millis },
   ): Promise<UpstreamResult> {
     const load = protocol.readLoad(response.headers);
     if (load !== undefined) options.onLoad?.(load);
     const responseClass = protocol.classify(request, response);
+    reportNotice(response, responseClass, sent);
     if (responseClass !== ResponseClass.Valid) {
       return discard(response, responseClass);
     }
@@ -156,8 +167,27 @@
       ? await bufferResponse(response)
       : { response };
   }
+
+  function reportNotice(
+    { headers }: StreamedResponse,
+    responseClass: ResponseClass,
+    { call, sentAt }: { call: UpstreamCall; sentAt: Millis },
+  ): void {
+    if (responseClass === ResponseClass.WrongInstance) return;
+    const notice = protocol.readNotice(headers);
+    const isComplete = notice.isComplete &&
+      COMPLETE_CLASSES.has(responseClass);
+    const source = { instance: call.instance ?? "", sentAt };
+    options.onNotice?.({ ...notice, isComplete }, source);
+  }
 }
 
+/** Classes of responses with all headers of the upstream; others may lack some. */
+const COMPLETE_CLASSES = new Set([
+  ResponseClass.Valid,
+  ResponseClass.NotExecuted,
+]);
+
 /** The connection was not established, so nothing was sent. */
 class ConnectError extends Error {}
 
--- a/src/upstream/upstream_protocol.ts
+++ b/src/upstream/upstream_protocol.ts
@@ -4,7 +4,7 @@
  */
 
 import type { IncomingHttpHeaders } from "node:http";
-import type { Millis } from "../core/types.ts";
+import type { Millis, ResponseNotice } from "../core/types.ts";
 import { getHeader } from "../link/http_headers.ts";
 import type { ForwardRequest } from "../link/types.ts";
 import { Header } from "../link/wire.ts";
@@ -58,6 +58,8 @@
   readInstance(headers: IncomingHttpHeaders): string | undefined;
   /** Load reported by a response, or undefined. */
   readLoad(headers: IncomingHttpHeaders): UpstreamLoad | undefined;
+  /** What a response states about the upstream itself. */
+  readNotice(headers: IncomingHttpHeaders): ResponseNotice;
   /**
    * True if responses, except large ones, are buffered until complete, so that
    * truncation is detected.
@@ -76,6 +78,7 @@
     classify: classifyResponse,
     readInstance: () => undefined,
     readLoad: () => undefined,
+    readNotice: () => ({ isLeaving: false, isComplete: true }),
     buffersResponses: false,
   };
 
--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -25,6 +25,29 @@
   bounds: { stableS: 3, drainS: 2.5, configS: 2, graceS: 6, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 64, new: 1 }
 `;
 
+test.each([
+  [{}, { isLeaving: false, isComplete: true }],
+  [{ "server-limit": "12.6" }, {
+    isLeaving: false,
+    isComplete: true,
+    limitPerS: 12.6,
+  }],
+  [{ "server-limit": "0", "server-leaving": "1" }, {
+    isLeaving: true,
+    isComplete: true,
+    limitPerS: 0,
+  }],
+  [{ "x-vanillarock-server-limit": "3" }, {
+    isLeaving: false,
+    isComplete: true,
+    limitPerS: 3,
+  }],
+  [{ "server-limit": "many" }, { isLeaving: false, isComplete: false }],
+  [{ "server-limit": "-2" }, { isLeaving: false, isComplete: false }],
+])("what a response states about its upstream: %o", (headers, expected) => {
+  expect(platformUpstreams.readNotice(headers)).toEqual(expected);
+});
+
 test("settings are decoded, and fields that are not known are ignored", () => {
   const settings = decodeSettings(SETTINGS, "local.yaml").unwrap();
   expect(settings).toMatchObject({
