--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -42,6 +42,14 @@
   readonly body: Buffer;
 }
 
+/** A request that arrived, whether it ran or not. */
+export interface Arrival {
+  readonly id: string;
+  readonly instance: string;
+  /** Monotonic time, in ms. */
+  readonly at: number;
+}
+
 /** An upstream in this process. */
 export interface UpstreamStandIn {
   readonly address: string;
@@ -51,6 +59,8 @@
   readonly runs: Run[];
   /** Number of requests that arrived, including those that did not run. */
   arrivals: number;
+  /** The same with their time. */
+  readonly arrived: Arrival[];
   /** Headers of the requests that arrived. */
   readonly heard: IncomingMessage["headers"][];
   /** Bytes of the bodies that arrived. */
@@ -62,6 +72,10 @@
   workMs: number;
   slowdownPercent: number;
   slots: number;
+  /** Requests per second that its responses state as its limit; none by default. */
+  limitPerS?: number | undefined;
+  /** True states in its responses that it is leaving. */
+  isLeaving: boolean;
   /** Idle time in ms, after which a connection is reset on its next request. */
   maxIdleMs: number;
   createBody(id: string): string;
@@ -93,6 +107,7 @@
     ran: [],
     runs: [],
     arrivals: 0,
+    arrived: [],
     heard: [],
     bodies: [],
     cancelled: [],
@@ -101,6 +116,7 @@
     workMs: 1,
     slowdownPercent: 100,
     slots: 10,
+    isLeaving: false,
     maxIdleMs: Infinity,
     createBody: () => BODY,
     cut: () => server.closeAllConnections(),
@@ -111,6 +127,14 @@
   };
   return standIn;
 
+  /** Health checks state nothing, so that only responses to requests can show it. */
+  function setNotices(res: ServerResponse): void {
+    const { limitPerS, isLeaving } = standIn;
+    if (limitPerS === undefined) res.removeHeader("server-limit");
+    else res.setHeader("server-limit", String(limitPerS));
+    if (isLeaving) res.setHeader("server-leaving", "1");
+  }
+
   async function serve(
     req: IncomingMessage,
     res: ServerResponse,
@@ -126,6 +150,7 @@
       res.writeHead(200).end();
       return;
     }
+    setNotices(res);
     standIn.heard.push(req.headers);
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
@@ -133,6 +158,8 @@
     const body = Buffer.concat(chunks);
     standIn.bodies.push(body);
     const id = String(req.headers["x-vanillarock-attempt-id"]);
+    const { instance } = standIn;
+    standIn.arrived.push({ id, instance, at: performance.now() });
     res.setHeader("x-vanillarock-attempt-id", id);
     const expected = req.headers["x-vanillarock-expect-instance"];
     if (expected !== undefined && expected !== standIn.instance) {
@@ -158,6 +185,7 @@
     });
     await new Promise((resolve) => setTimeout(resolve, standIn.workMs));
     running -= 1;
+    setNotices(res);
     responders[standIn.mode](res, id, standIn.createBody(id));
   }
 }
