Guard: starts no more requests than its upstream's limit allows

Change: the guard is the only way to its upstream and so counts starts of all hosts (request_rate.ts, no I/O): grants and submissions, first tries, retries, hedges and calls alike. What doesn't fit waits in the queue if it still ends in time, else is refused as not run with the time of the next start (over_upstream_limit), and is tried at other hosts first. Reports state the limit and when a gateway's turn comes, so that 14 gateways don't all ask at once. A guard that restarts adopts the limit that gateways name to it. Why it works: whatever gateways know, start or forget, each request passes the guard; only a guard without a memory can exceed the limit, and gateways that were told give it back.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -21,6 +21,8 @@
   readonly busySlots: number;
   /** Requests that would be served before this one. */
   readonly ahead: number;
+  /** Time until the upstream's limit on requests allows this one, in ms; 0 if it allows it now. */
+  readonly rateWaitMs: Millis;
   /** Mean time of one request, in ms. */
   readonly serviceMs: Millis;
   /** Time for which a queued request is not started, in ms; 0 to start at once. */
@@ -66,23 +68,27 @@
  * slow, its guard refuses non-queueing requests, which can still try another
  * host. Load pattern "overload": a queue longer than the objective makes every
  * response late, so work that would start too late is refused on arrival
- * instead of at its deadline.
+ * instead of at its deadline. Load pattern "an upstream in need": the wait for
+ * a start that its limit allows counts like the wait for a slot.
  */
 export function decideAdmission(
   state: AdmissionState,
   request: AdmissionRequest,
 ): AdmissionDecision {
-  const waitMs = getExpectedWait(state);
+  const slotWaitMs = getExpectedWait(state);
+  const waitMs = Math.max(slotWaitMs, state.rateWaitMs);
+  const isRateBound = state.rateWaitMs > slotWaitMs;
   const startsNow = waitMs === 0;
   if (!request.mayQueue && (!startsNow || isTooSlow(state, request))) {
-    return { admission: Admission.Refuse, reason: "no_room_now", waitMs };
+    const reason = isRateBound ? "over_upstream_limit" : "no_room_now";
+    return { admission: Admission.Refuse, reason, waitMs };
   }
   if (startsNow) return { admission: Admission.Start, waitMs };
   const endsLate = waitMs + request.workMs > request.timeoutMs;
   if (endsLate || waitMs > getQueueWaitLimit(request)) {
     return {
       admission: Admission.Refuse,
-      reason: "deadline_too_short",
+      reason: isRateBound ? "over_upstream_limit" : "deadline_too_short",
       waitMs,
     };
   }
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -183,6 +183,13 @@
     503,
     "another incarnation runs at the host than was meant",
   ),
+  over_upstream_limit: row(
+    1030,
+    Refusal,
+    "over_upstream_limit",
+    503,
+    "the upstream's limit on requests allows none in time",
+  ),
   no_upstream: row(
     2001,
     Refusal,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -156,7 +156,7 @@
     if (placed === undefined) {
       // No final verdict while another attempt is open.
       const mayEnd = !isHedge && !request.attempts.some(isOpen);
-      return mayEnd ? [finish(request, "no_upstream")] : [];
+      return mayEnd ? [finishUnplaced(request)] : [];
     }
     const { candidate, mayQueue, isLastChoice } = placed;
     const reserves = mustReserve(request.arrival);
@@ -174,6 +174,7 @@
       timers.scheduleAccept(request, attempt);
       timers.scheduleHedge(request, attempt);
     }
+    const limitPerS = notices.tryGetLimit(candidate);
     return [{
       kind: reserves ? GatewayActionKind.Reserve : GatewayActionKind.Submit,
       id: request.arrival.id,
@@ -184,9 +185,22 @@
       ...(isLastChoice && { isLastChoice }),
       ...(candidate.instance !== undefined &&
         { instance: candidate.instance }),
+      ...(limitPerS !== undefined && { limitPerS }),
     }];
   }
 
+  /** Ends a request that no host is left for. */
+  function finishUnplaced(request: PendingRequest): GatewayAction {
+    const isOverLimit = request.attempts.at(-1)?.isOverLimit === true;
+    return isOverLimit
+      ? finish(
+        request,
+        "over_upstream_limit",
+        request.lastVerdict?.retryAfterMs,
+      )
+      : finish(request, "no_upstream");
+  }
+
   function onAccepted(
     msg: OfKind<GatewayMessage, GatewayMessageKind.Accepted>,
   ): GatewayAction[] {
@@ -238,6 +252,8 @@
     if (isUpstreamFailure(msg.verdict)) loads.recordResult(attempt.host, false);
     attempt.neverReachedUpstream = usesNonQueueing &&
       isGuardRefusal(msg.verdict);
+    attempt.isOverLimit =
+      msg.verdict.diagnostic === Diagnostics.over_upstream_limit;
     loads.recordEnd(attempt.host);
     endWithVerdict(request, attempt, msg.verdict);
     return retryOrFinish(request);
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -40,6 +40,7 @@
   type Ticket,
   type Verdict,
 } from "./types.ts";
+import { createRequestRate } from "./request_rate.ts";
 import { createUpstreamNotices } from "./upstream_notices.ts";
 import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
@@ -59,6 +60,8 @@
   Diagnostics.answer_mismatch,
   Diagnostics.answer_garbled,
 ]);
+/** Stands for no ticket in the queue of wakes. */
+const RATE_WAKE: Ticket = "";
 /** Time for which finished tickets are kept to detect duplicate messages, in ms. */
 const TICKET_RETENTION_MS = 10_000;
 
@@ -80,7 +83,8 @@
     })
     : createUrgencyQueue<Entry>(host, { capacity: options.queueCapacity });
   const notices = createUpstreamNotices(host);
-  const estimates = createGuardEstimates(host, options, { queue });
+  const rate = createRequestRate(host);
+  const estimates = createGuardEstimates(host, options, { queue, rate });
   const { getUsableSlots, getSlowdown, getStartDelayMs, getRetryAfter } =
     estimates;
   const { getSlotsFor, getMaxSlots } = estimates;
@@ -100,6 +104,8 @@
   let draining = false;
   /** Time until which a draining guard accepts work as the last choice, in ms. */
   let stopsAt: Millis = -Infinity;
+  /** Time at which queued requests are tried again because of the limit, in ms. */
+  let rateWakeAt: Millis = -Infinity;
   let grantCount = 0;
   let reportCount = 0;
   let openCount = 0;
@@ -116,11 +122,11 @@
     [GuardMessageKind.Drain]: drain,
     [GuardMessageKind.Noticed]: ({ notice, source }) => {
       notices.record(notice, source);
-      return [];
+      return applyLimit();
     },
     [GuardMessageKind.UpstreamRestarted]: () => {
       notices.forget();
-      return [];
+      return applyLimit();
     },
     [GuardMessageKind.Tick]: tick,
   };
@@ -140,6 +146,7 @@
     const handler = handlers[msg.kind] as (m: GuardMessage) => GuardAction[];
     const actions = handler(msg);
     actions.push(...fillSlots());
+    wakeForRate();
     Debug.assert(busySlots <= options.slots, "slots are never overcommitted");
     return actions;
   }
@@ -153,6 +160,7 @@
     reportCount += 1;
     const failureShare = failures.get();
     const notice = notices.get();
+    const startsInMs = rate.tryGetTurnMs();
     return {
       host: options.self,
       incarnation: options.incarnation,
@@ -166,9 +174,23 @@
       ...(options.upstream && { slowdown: getSlowdown() }),
       ...(failureShare >= MIN_REPORTED_FAILURE_SHARE && { failureShare }),
       ...(notice && { notice }),
+      ...(startsInMs !== undefined && { startsInMs }),
     };
   }
 
+  function applyLimit(): GuardAction[] {
+    rate.setLimit(notices.get()?.limitPerS);
+    return [];
+  }
+
+  /** Queued requests may wait for nothing but the limit. */
+  function wakeForRate(): void {
+    const waitMs = queue.size() === 0 ? 0 : rate.getWaitMs(0);
+    if (waitMs === 0 || rateWakeAt > host.now()) return;
+    rateWakeAt = host.now() + waitMs;
+    wakes.add(rateWakeAt, RATE_WAKE);
+  }
+
   function admit(
     ticket: Ticket,
     head: RequestHead,
@@ -195,6 +217,7 @@
     openCount += 1;
     if (head.service !== options.service) return [refuse(entry, "wrong_host")];
     if (isReplaced(head)) return [refuse(entry, "instance_replaced")];
+    adoptLimit(head);
     if (head.key !== undefined) {
       const verdict = checkKey(keys, { ...head, key: head.key });
       if (verdict !== undefined) return [applyKeyVerdict(entry, verdict)];
@@ -203,6 +226,12 @@
     return enqueue(entry);
   }
 
+  function adoptLimit({ limitPerS, instance }: RequestHead): void {
+    if (limitPerS === undefined || instance === undefined) return;
+    notices.adoptLimit(limitPerS, instance);
+    rate.setLimit(notices.get()?.limitPerS);
+  }
+
   /** True if the request names an incarnation other than the current one. */
   function isReplaced({ instance }: RequestHead): boolean {
     const known = options.upstream?.getInstance();
@@ -246,7 +275,7 @@
     const holder = findWaiting(entries.values(), record);
     if (holder === undefined) return undefined;
     if (holder.state === EntryState.Queued) queue.remove(holder);
-    if (holder.state === EntryState.Granted) freeSlot();
+    if (holder.state === EntryState.Granted) freeUnusedSlot();
     return [refuse(holder, "key_sealed")];
   }
 
@@ -279,6 +308,7 @@
     }
     const decision = estimates.decide(entry, busySlots);
     if (decision.admission === Admission.Refuse) {
+      if (decision.reason === "over_upstream_limit") rate.defer();
       return [refuse(entry, decision.reason, NotRun, getRetryAfter())];
     }
     if (decision.admission === Admission.Start) return [assignSlot(entry)];
@@ -292,7 +322,7 @@
 
   function fillSlots(): GuardAction[] {
     const actions: GuardAction[] = [];
-    while (busySlots < getMaxSlots()) {
+    while (busySlots < getMaxSlots() && rate.getWaitMs(0) === 0) {
       const entry = queue.pop((item) =>
         getStartDelayMs(item) === 0 && busySlots < getSlotsFor(item.head)
       );
@@ -305,6 +335,7 @@
   /** Assigns a free slot to the entry. */
   function assignSlot(entry: Entry): GuardAction {
     busySlots += 1;
+    rate.acquire();
     return entry.isReservation ? grant(entry) : start(entry);
   }
 
@@ -380,7 +411,7 @@
     const entry = entries.get(ticket);
     if (entry === undefined) return [];
     if (entry.state === EntryState.Queued) queue.remove(entry);
-    if (entry.state === EntryState.Granted) freeSlot();
+    if (entry.state === EntryState.Granted) freeUnusedSlot();
     if (!isWaiting(entry)) return [];
     sealRecord(entry);
     counters.add("released");
@@ -491,7 +522,7 @@
   }
 
   function revokeGrant(entry: Entry, name: DiagnosticName): GuardAction {
-    freeSlot();
+    freeUnusedSlot();
     return refuse(entry, name);
   }
 
@@ -533,6 +564,12 @@
     wakes.add(entry.forgetAt, entry.ticket);
   }
 
+  /** Frees the slot of a request that did not reach the upstream. */
+  function freeUnusedSlot(): void {
+    freeSlot();
+    rate.release();
+  }
+
   function freeSlot(): void {
     busySlots -= 1;
     Debug.assert(busySlots >= 0, "no slot is freed twice");
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -4,6 +4,7 @@
 import type { AdmissionQueue } from "./fair_queue.ts";
 import type { Entry } from "./guard_entry.ts";
 import type { GuardOptions } from "./guard_types.ts";
+import type { RequestRate } from "./request_rate.ts";
 import { createServiceTimes } from "./service_times.ts";
 import { SLOW_FACTOR } from "./slow_periods.ts";
 import type { CoreHost, Millis, RequestHead } from "./types.ts";
@@ -44,7 +45,10 @@
 export function createGuardEstimates(
   host: CoreHost,
   options: GuardOptions,
-  { queue }: { queue: AdmissionQueue<Entry> },
+  { queue, rate }: {
+    queue: AdmissionQueue<Entry>;
+    rate: Pick<RequestRate, "getWaitMs">;
+  },
 ): GuardEstimates {
   const times = createServiceTimes(
     options.upstream === undefined ? INITIAL_SERVICE_TIME_MS : undefined,
@@ -131,10 +135,12 @@
     const factor = startDelayMs > 0
       ? getBaseSlowdown()
       : Math.max(1, getSlowdown());
+    const ahead = queue.getAheadOf?.(entry) ?? queue.getAhead(entry.account);
     return decideAdmission({
       usableSlots: getSlotsFor(entry.head),
       busySlots,
-      ahead: queue.getAheadOf?.(entry) ?? queue.getAhead(entry.account),
+      ahead,
+      rateWaitMs: rate.getWaitMs(ahead),
       serviceMs: (times.tryGetMean() ?? getDefaultWorkMs(entry.head)) * factor,
       startDelayMs,
       slowdown: getSlowdown(),
@@ -149,7 +155,8 @@
 
   function getRetryAfter(): Millis {
     const drainMs = getMeanMs() * (1 + queue.size() / getUsableSlots());
-    const base = Math.max(MIN_RETRY_AFTER_MS, drainMs);
+    const rateWaitMs = rate.getWaitMs(queue.size());
+    const base = Math.max(MIN_RETRY_AFTER_MS, drainMs, rateWaitMs);
     return Math.ceil(base * (1 + host.random()));
   }
 }
--- a/src/core/load_table.ts
+++ b/src/core/load_table.ts
@@ -47,6 +47,8 @@
   recordEnd(host: HostId, latencyMs?: Millis): void;
   /** Age of the newest report, in ms; Infinity if there is none. */
   getAge(entry: LoadEntry): Millis;
+  /** Time until the upstream's limit allows a request of this gateway, in ms; 0 without a limit. */
+  getTurnMs(entry: LoadEntry): Millis;
   /** Share of failures, from this gateway's attempts and from what the guard reported of all. */
   getFailureShare(entry: LoadEntry): number;
   /** Mean service time at the upstream, in ms; Infinity if unknown. */
@@ -69,6 +71,8 @@
     getFailureShare,
     getServiceMs: (id) => get(id).report?.serviceMs ?? Infinity,
     getAge: (entry) => host.now() - entry.reportedAt,
+    getTurnMs: ({ report, reportedAt }) =>
+      Math.max(0, reportedAt + (report?.startsInMs ?? 0) - host.now()),
     getExpectedLoad,
     forget: (id) => void entries.delete(id),
     size: () => entries.size,
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -46,6 +46,7 @@
 /** Refusals of a guard before its upstream was involved. */
 const GUARD_REFUSALS = new Set([
   Diagnostics.no_room_now,
+  Diagnostics.over_upstream_limit,
   Diagnostics.draining,
   Diagnostics.queue_full,
   Diagnostics.deadline_too_short,
@@ -58,6 +59,7 @@
 
 /** Reasons for the end of an attempt that don't depend on load. */
 const NOT_LOAD_RELATED = new Set([
+  Diagnostics.over_upstream_limit,
   Diagnostics.draining,
   Diagnostics.wrong_host,
   Diagnostics.instance_replaced,
@@ -242,6 +244,7 @@
   function mayStartNow({ host }: Candidate): boolean {
     const entry = loads.get(host);
     const { report } = entry;
+    if (loads.getTurnMs(entry) > 0) return false;
     if (report === undefined || loads.getAge(entry) > LOAD_REPORT_MAX_AGE_MS) {
       return true;
     }
@@ -254,8 +257,12 @@
     request: PendingRequest,
     pool: readonly Candidate[],
   ): PlacementTarget | undefined {
-    const inDomain = pool.filter(isInOwnDomain);
-    const candidate = tryChoose(staysInDomain(request, pool) ? inDomain : pool);
+    const overLimit = getHosts(
+      request.attempts.filter((a) => a.isOverLimit && a.mayQueue),
+    );
+    const open = pool.filter((c) => !overLimit.has(c.host));
+    const inDomain = open.filter(isInOwnDomain);
+    const candidate = tryChoose(staysInDomain(request, open) ? inDomain : open);
     return candidate && { candidate, mayQueue: true };
   }
 
--- a/test/fleet_load_test.ts
+++ b/test/fleet_load_test.ts
@@ -128,3 +128,46 @@
   // Sent evenly, a sixth would fail: half of those at one host of three.
   expect(outcome!.failed / outcome!.arrived).toBeLessThan(1 / 6 / 2);
 });
+
+test.each([0, 0.5, 5, 12.6])(
+  "an upstream in need: at most %f requests a second start there, and the others serve the rest",
+  (limitPerS) => {
+    const { boards, orders } = replayFleetLoad({
+      services: {
+        boards: {
+          hosts: 5,
+          slots: 12,
+          perSecond: 157,
+          workMs: 90,
+          limitPerS,
+          objectiveMs: 300,
+          timeoutMs: 800,
+        },
+        orders: {
+          hosts: 9,
+          slots: 12,
+          perSecond: 43,
+          workMs: 120,
+          objectiveMs: 400,
+          timeoutMs: 1_000,
+          calls: { service: "boards", times: 1 },
+        },
+      },
+      noise: { share: 0, factor: 1, periodMs: 1_000 },
+      seconds: 20,
+    });
+    const spanMs = 4_000;
+    const statedAt = boards!.firstHostStarts[0]! + 3_000;
+    const starts = boards!.firstHostStarts.filter((at) => at >= statedAt);
+    const most = Math.max(
+      0,
+      ...starts.map((from) =>
+        starts.filter((at) => at >= from && at < from + spanMs).length
+      ),
+    );
+    // The limit itself with the burst that it allows, below the platform's bound.
+    expect(most).toBeLessThanOrEqual(limitPerS * spanMs / 1_000 * 1.25 + 2);
+    expect(getShareInTime(boards!)).toBeGreaterThan(0.98);
+    expect(getShareInTime(orders!)).toBeGreaterThan(0.98);
+  },
+);
--- a/test/notices_test.ts
+++ b/test/notices_test.ts
@@ -1,9 +1,25 @@
 /** Statements of upstreams about themselves, as their guards and the gateways know them. */
 
 import { expect, test } from "vitest";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { createGuard } from "../src/core/guard.ts";
+import type { GuardOptions } from "../src/core/guard_types.ts";
 import { createKnownNotices } from "../src/core/known_notices.ts";
-import type { LoadReport, UpstreamNotice } from "../src/core/types.ts";
+import {
+  Execution,
+  type GatewayAction,
+  GatewayActionKind,
+  GatewayMessageKind,
+  GuardActionKind,
+  GuardMessageKind,
+  type LoadReport,
+  Repeatability,
+  type RequestHead,
+  type ResponseNotice,
+  type UpstreamNotice,
+} from "../src/core/types.ts";
 import { createUpstreamNotices } from "../src/core/upstream_notices.ts";
+import { createTestGateway, sendArrival } from "../src/lab/test_gateway.ts";
 import { decodeNotice, encodeNotice } from "../src/link/wire.ts";
 import { createTestHost } from "./support/core_host.ts";
 
@@ -110,3 +126,165 @@
   expect(decodeNotice("i-1 2").err).toBe(true);
   expect(encodeNotice(REPORT)).toBeUndefined();
 });
+
+const INSTANCE = "i";
+const HEAD: RequestHead = {
+  account: "all",
+  service: "shop",
+  repeatability: Repeatability.Idempotent,
+  fingerprint: "",
+  timeoutMs: 5_000,
+  instance: INSTANCE,
+};
+
+/** A guard of an upstream with more slots than requests, and its host. */
+function createTestGuard(options: Partial<GuardOptions> = {}) {
+  const host = createTestHost();
+  const guard = createGuard(host, {
+    self: "a",
+    service: "shop",
+    incarnation: "a#1",
+    slots: 100,
+    queueCapacity: 100,
+    grantTtlMs: 1_000,
+    keyCapacity: 16,
+    getWeight: () => 1,
+    ...options,
+  });
+  let count = 0;
+  return { host, guard, state, submit, reserve };
+
+  function state(notice: Partial<ResponseNotice>) {
+    return guard.handle({
+      kind: GuardMessageKind.Noticed,
+      notice: { ...NOTHING, ...notice },
+      source: { instance: INSTANCE, sentAt: host.now() },
+    });
+  }
+
+  function submit(head: Partial<RequestHead> = {}) {
+    return send(GuardMessageKind.Submit, head);
+  }
+
+  function reserve(head: Partial<RequestHead> = {}) {
+    return send(GuardMessageKind.Reserve, head);
+  }
+
+  function send(
+    kind: GuardMessageKind.Submit | GuardMessageKind.Reserve,
+    head: Partial<RequestHead>,
+  ) {
+    count += 1;
+    const ticket = String(count);
+    return guard.handle({ kind, ticket, head: { ...HEAD, ...head } });
+  }
+}
+
+test("under a limit a request that may not queue is refused, and its gateway gets a turn", () => {
+  const { host, guard, state, submit } = createTestGuard();
+  state({ limitPerS: 2 });
+  const refused = submit({ mayQueue: false });
+  expect(refused).toMatchObject([{
+    kind: GuardActionKind.Refuse,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.over_upstream_limit,
+    },
+  }]);
+  expect(guard.getReport().startsInMs).toBe(500);
+  submit({ mayQueue: false });
+  expect(guard.getReport().startsInMs).toBe(1_000);
+  host.advance(500);
+  expect(submit({ mayQueue: false })).toMatchObject([
+    { kind: GuardActionKind.Start },
+  ]);
+});
+
+test("queued requests start at the rate of the limit, by ticks alone", () => {
+  const { host, guard, state, submit } = createTestGuard();
+  state({ limitPerS: 2 });
+  for (let i = 0; i < 5; i++) submit();
+  const startedAt: number[] = [];
+  for (let i = 0; i < 100; i++) {
+    const at = guard.getNextWake()!;
+    if (at > 2_500) break;
+    host.advance(Math.max(0, at - host.now()));
+    const started = guard.handle({ kind: GuardMessageKind.Tick });
+    startedAt.push(...started.map(() => host.now()));
+  }
+  expect(startedAt).toEqual([500, 1_000, 1_500, 2_000, 2_500]);
+});
+
+test("a grant counts as a start, and one that is released gives it back", () => {
+  const { host, guard, state, reserve } = createTestGuard();
+  state({ limitPerS: 2 });
+  host.advance(500);
+  expect(reserve({ mayQueue: false })).toMatchObject([
+    { kind: GuardActionKind.Grant },
+  ]);
+  expect(reserve({ mayQueue: false })).toMatchObject([
+    { kind: GuardActionKind.Refuse },
+  ]);
+  guard.handle({ kind: GuardMessageKind.Release, ticket: "1" });
+  expect(reserve({ mayQueue: false })).toMatchObject([
+    { kind: GuardActionKind.Grant },
+  ]);
+});
+
+test("a guard that restarted starts no more than the limit that a gateway names", () => {
+  const { host, guard, submit } = createTestGuard();
+  const kinds = [];
+  for (let i = 0; i < 50; i++) {
+    for (const { kind } of submit({ limitPerS: 0.5, mayQueue: false })) {
+      kinds.push(kind);
+    }
+    host.advance(40);
+  }
+  expect(kinds.filter((k) => k === GuardActionKind.Start)).toHaveLength(0);
+  expect(guard.getNotice()?.limitPerS).toBe(0.5);
+});
+
+test("a request that waits too long for the limit of one upstream is tried at another", () => {
+  const gateway = createTestGateway(createTestHost(), {
+    maxNonQueueingAttempts: 1,
+    getCandidates: () => [
+      { host: "a", failureDomain: "east", instance: "i" },
+      { host: "b", failureDomain: "west", instance: "j" },
+    ],
+  });
+  const tried = (actions: GatewayAction[]) =>
+    actions.flatMap((a) => a.kind === GatewayActionKind.Submit ? [a.to] : []);
+  const refuse = (attempt: number) =>
+    gateway.handle({
+      kind: GatewayMessageKind.Refused,
+      id: "r",
+      attempt,
+      verdict: {
+        execution: Execution.NotRun,
+        diagnostic: Diagnostics.over_upstream_limit,
+        retryAfterMs: 700,
+      },
+    });
+  expect(tried(sendArrival(gateway, "r"))).toEqual(["a"]);
+  const queued = [...tried(refuse(1)), ...tried(refuse(2))].sort();
+  expect(queued).toEqual(["a", "b"]);
+  // Both hosts refused it in their queues: the caller gets the guard's time to come back.
+  expect(refuse(3)).toMatchObject([{
+    kind: GatewayActionKind.Finish,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.over_upstream_limit,
+      retryAfterMs: 700,
+    },
+  }]);
+});
+
+test("a gateway names the limit that it knows to the guard", () => {
+  const gateway = createTestGateway(createTestHost(), {
+    getCandidates: () => [CANDIDATE],
+  });
+  const notice = { instance: "i", isLeaving: false, limitPerS: 3 };
+  gateway.receiveReport({ ...REPORT, notice });
+  gateway.receiveReport({ ...REPORT, incarnation: "a#2" });
+  expect(sendArrival(gateway, "r")).toMatchObject([{ to: "a", limitPerS: 3 }]);
+});
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -165,6 +165,7 @@
     usableSlots: 4,
     busySlots: 4,
     ahead: 0,
+    rateWaitMs: 0,
     serviceMs: 100,
     startDelayMs: 0,
     slowdown: 1,
