Leaving upstreams get no new work once their responses say so

Callers of a leaving upstream would lose their requests when it exits: the store's list may not say that it leaves, or may not reach a daemon. Change: the guard refuses new work for the incarnation that said so (upstream_leaving, not run), but serves as the last choice what ends before drainS. Gateways keep it by incarnation from any report: what a guard reports later doesn't revoke it, a new start under the same id (born) does. After drainS a gateway doesn't use it even as the last choice. Why it works: the statement binds both ends, so that a restart, freeze or cut of one of them leaves the other.

--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -183,6 +183,13 @@
     503,
     "another incarnation runs at the host than was meant",
   ),
+  upstream_leaving: row(
+    1029,
+    Refusal,
+    "upstream_leaving",
+    503,
+    "the upstream states that it is leaving",
+  ),
   over_upstream_limit: row(
     1030,
     Refusal,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -88,6 +88,7 @@
     maxNonQueueingAttempts: options.maxNonQueueingAttempts ?? 0,
     chooser,
     loads,
+    notices,
   });
   const usableHosts = createUsableHosts(host, { ...options, counters });
   const usesNonQueueing = (options.maxNonQueueingAttempts ?? 0) > 0;
@@ -540,6 +541,7 @@
   }
 
   function getCandidatesOf(request: PendingRequest): readonly Candidate[] {
-    return usableHosts.filter(options.getCandidates(request.arrival.service));
+    const listed = options.getCandidates(request.arrival.service);
+    return notices.filter(usableHosts.filter(listed));
   }
 }
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -303,9 +303,10 @@
   }
 
   function enqueue(entry: Entry): GuardAction[] {
-    if (draining && !mayEndBeforeStop(entry)) {
+    if (draining && !mayEndBefore(entry, stopsAt)) {
       return [refuse(entry, "draining")];
     }
+    if (isLeft(entry)) return [refuse(entry, "upstream_leaving")];
     const decision = estimates.decide(entry, busySlots);
     if (decision.admission === Admission.Refuse) {
       if (decision.reason === "over_upstream_limit") rate.defer();
@@ -478,9 +479,16 @@
     return actions;
   }
 
-  /** True if no other host serves the request and it ends before the daemon stops. */
-  function mayEndBeforeStop({ head, deadline }: Entry): boolean {
-    return head.isLastChoice === true && deadline <= stopsAt;
+  /** True if the upstream is leaving and the request is not to be started there. */
+  function isLeft(entry: Entry): boolean {
+    const since = notices.tryGetLeavingSince(entry.head.instance);
+    return since !== undefined &&
+      !mayEndBefore(entry, since + (options.leavingMs ?? 0));
+  }
+
+  /** True if no other host serves the request and it ends by a time in ms. */
+  function mayEndBefore({ head, deadline }: Entry, endsAt: Millis): boolean {
+    return head.isLastChoice === true && deadline <= endsAt;
   }
 
   function tick(): GuardAction[] {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -12,6 +12,7 @@
 import { Diagnostics } from "./diagnostics.ts";
 import type { Attempt, PendingRequest } from "./gateway_types.ts";
 import { tryParseKey } from "./key_table.ts";
+import type { KnownNotices } from "./known_notices.ts";
 import type { LoadTable } from "./load_table.ts";
 import { SLOW_FACTOR } from "./slow_periods.ts";
 import type {
@@ -47,6 +48,7 @@
 const GUARD_REFUSALS = new Set([
   Diagnostics.no_room_now,
   Diagnostics.over_upstream_limit,
+  Diagnostics.upstream_leaving,
   Diagnostics.draining,
   Diagnostics.queue_full,
   Diagnostics.deadline_too_short,
@@ -60,6 +62,7 @@
 /** Reasons for the end of an attempt that don't depend on load. */
 const NOT_LOAD_RELATED = new Set([
   Diagnostics.over_upstream_limit,
+  Diagnostics.upstream_leaving,
   Diagnostics.draining,
   Diagnostics.wrong_host,
   Diagnostics.instance_replaced,
@@ -72,7 +75,7 @@
 export interface PlacementTarget {
   readonly candidate: Candidate;
   readonly mayQueue: boolean;
-  /** True if all candidates are draining. */
+  /** True if all candidates are draining or their upstreams leaving. */
   readonly isLastChoice?: boolean;
 }
 
@@ -96,6 +99,7 @@
   readonly maxNonQueueingAttempts: number;
   readonly chooser: Chooser;
   readonly loads: LoadTable;
+  readonly notices: Pick<KnownNotices, "isLeaving">;
 }
 
 /** True if a guard refused a request before its upstream was involved. */
@@ -128,7 +132,7 @@
   host: Pick<CoreHost, "now">,
   options: PlacementOptions,
 ): Placement {
-  const { chooser, loads } = options;
+  const { chooser, loads, notices } = options;
   return { tryPlace, hasLastChoice };
 
   function tryPlace(
@@ -281,8 +285,9 @@
   }
 
   /** With non-queueing attempts only a recent report counts: the host may have restarted. */
-  function isDraining({ host }: Candidate): boolean {
-    const entry = loads.get(host);
+  function isDraining(candidate: Candidate): boolean {
+    if (notices.isLeaving(candidate)) return true;
+    const entry = loads.get(candidate.host);
     if (entry.report?.draining !== true) return false;
     return options.maxNonQueueingAttempts === 0 ||
       loads.getAge(entry) < DRAINING_REPORT_MAX_AGE_MS;
--- a/src/core/retry_rules.ts
+++ b/src/core/retry_rules.ts
@@ -4,7 +4,7 @@
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import type { PendingRequest } from "./gateway_types.ts";
 import { countRuns } from "./placement.ts";
-import type { Candidate, Millis } from "./types.ts";
+import type { Candidate, Millis, Verdict } from "./types.ts";
 
 /** Conditions of a retry that the request itself doesn't hold. */
 export interface RetryContext {
@@ -30,13 +30,16 @@
   const isExhausted = countRuns(request) >= context.maxRuns ||
     request.retriesLeft <= 0;
   if (isExhausted || !context.hasUntriedHost) return "last";
-  // A draining guard refused before its upstream was involved, so no budget is needed.
-  if (request.lastVerdict?.diagnostic === Diagnostics.draining) {
-    return undefined;
-  }
+  // Such a guard refused before its upstream was involved, so no budget is needed.
+  if (isDraining(request.lastVerdict)) return undefined;
   return context.tryAcquireRetry() ? undefined : "retry_budget_empty";
 }
 
+function isDraining(verdict: Verdict | undefined): boolean {
+  return verdict?.diagnostic === Diagnostics.draining ||
+    verdict?.diagnostic === Diagnostics.upstream_leaving;
+}
+
 /** True if some candidate has not been tried. */
 export function hasUntriedHost(
   request: PendingRequest,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -193,7 +193,7 @@
     guarantee: "a leaving upstream gets no new work",
     file: "src/core/guard.ts",
     edits: [{
-      find: "if (draining && !mayEndBeforeStop(entry)) {",
+      find: "if (draining && !mayEndBefore(entry, stopsAt)) {",
       replace: "if (draining && entry.deadline < -Infinity) {",
     }],
     testFile: FAULTS_TEST,
@@ -418,7 +418,7 @@
     guarantee: "every planned stop is graceful",
     file: "src/core/guard.ts",
     edits: [{
-      find: "return head.isLastChoice === true && deadline <= stopsAt;",
+      find: "return head.isLastChoice === true && deadline <= endsAt;",
       replace: "return head.isLastChoice === true && deadline <= -Infinity;",
     }],
     testFile: OVERLOAD_TEST,
@@ -494,4 +494,24 @@
     }],
     testFile: NOTICES_TEST,
   },
+  {
+    name: "leaving_is_final",
+    guarantee: "a leaving upstream gets no new work",
+    file: "src/core/known_notices.ts",
+    edits: [{
+      find: "return instance !== undefined && leavingSince.has(instance);",
+      replace: "return instance === '' && leavingSince.has(instance);",
+    }],
+    testFile: NOTICES_TEST,
+  },
+  {
+    name: "leaving_at_the_guard",
+    guarantee: "a leaving upstream gets no new work",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: 'if (isLeft(entry)) return [refuse(entry, "upstream_leaving")];',
+      replace: "",
+    }],
+    testFile: NOTICES_TEST,
+  },
 ];
--- a/test/notices_mesh_test.ts
+++ b/test/notices_mesh_test.ts
@@ -13,7 +13,7 @@
 const LIMIT_SPAN_MS = 4_000;
 
 let fleet: Deployment;
-/** Hosts whose callers got a response that states a limit; only these are bound by it. */
+/** Hosts that passed on a statement of an upstream; only these are bound by it. */
 const toldHosts = new Set<DeploymentHost>();
 
 const WORK_MS = 20;
@@ -26,6 +26,7 @@
 });
 afterAll(() => fleet.close());
 afterEach(() => {
+  toldHosts.clear();
   for (const { upstream } of fleet.hosts) {
     upstream.limitPerS = undefined;
     upstream.workMs = WORK_MS;
@@ -53,7 +54,8 @@
       : {};
     const call = fleet.call(host, { id: `${name}-${i}`, ...req });
     calls.push(call.then((res) => {
-      if (res.headers["server-limit"] !== undefined) toldHosts.add(host);
+      const { "server-limit": limit, "server-leaving": leaving } = res.headers;
+      if (limit !== undefined || leaving !== undefined) toldHosts.add(host);
       return res.status;
     }, () => 0));
   }
@@ -120,6 +122,54 @@
   );
 }, 20_000);
 
+/** `drainS` of the platform, in ms: the last requests reach a leaving upstream then. */
+const DRAIN_MS = 2_000;
+
+test(
+  "an upstream that states that it is leaving gets no request from a host that passed this on",
+  async () => {
+    const host = fleet.hosts.at(-1)!;
+    // Responses to all that run at the time state it; the store's list doesn't.
+    for (const { upstream } of fleet.hosts) upstream.workMs = 100;
+    const load = sendLoad("leaving", { perSecond: 90, ms: 1_000 + DRAIN_MS });
+    await pause(500);
+    host.upstream.isLeaving = true;
+    await load;
+    const leftAt = performance.now();
+    const statuses = await sendLoad("left", { perSecond: 90, ms: 1_000 });
+    expect(countArrivals(host, leftAt)).toBe(0);
+    expect(statuses.filter((s) => s !== 200)).toEqual([]);
+    // A daemon beside it that restarts has to be told by those that know.
+    const others = [...toldHosts].filter((it) => it !== host);
+    expect(others.length).toBeGreaterThan(0);
+    const exited = new Promise((resolve) => host.process.once("exit", resolve));
+    host.process.kill("SIGKILL");
+    await exited;
+    fleet.startDaemon(host);
+    await fleet.waitUntilReady(host);
+    const restartedAt = performance.now();
+    for (let i = 0; i < 40; i++) {
+      await fleet.call(others[i % others.length]!, { id: `restarted-${i}` });
+    }
+    expect(countArrivals(host, restartedAt)).toBe(0);
+  },
+  20_000,
+);
+
+test(
+  "an upstream that started again under its id is used although it was leaving",
+  async () => {
+    const host = fleet.hosts.at(-1)!;
+    host.upstream.isLeaving = false;
+    fleet.list(host, {}, { born: Date.now() });
+    await sendLoad("born", { perSecond: 90, ms: 1_000 });
+    const usedAt = performance.now();
+    await sendLoad("again", { perSecond: 90, ms: 1_000 });
+    expect(countArrivals(host, usedAt)).toBeGreaterThan(0);
+  },
+  20_000,
+);
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
 }
--- a/test/notices_test.ts
+++ b/test/notices_test.ts
@@ -288,3 +288,64 @@
   gateway.receiveReport({ ...REPORT, incarnation: "a#2" });
   expect(sendArrival(gateway, "r")).toMatchObject([{ to: "a", limitPerS: 3 }]);
 });
+
+test("a leaving upstream serves only what no other host takes and what ends while it stays", () => {
+  const { host, state, submit } = createTestGuard({ leavingMs: 2_000 });
+  const started = [{ kind: GuardActionKind.Start }];
+  const refused = [{
+    kind: GuardActionKind.Refuse,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.upstream_leaving,
+    },
+  }];
+  state({ isLeaving: true });
+  expect(submit()).toMatchObject(refused);
+  expect(submit({ isLastChoice: true, timeoutMs: 800 })).toMatchObject(started);
+  host.advance(1_201);
+  expect(submit({ isLastChoice: true, timeoutMs: 800 })).toMatchObject(refused);
+  // The statement is about one incarnation.
+  expect(submit({ instance: "j" })).toMatchObject(started);
+});
+
+test("a gateway sends nothing to a leaving upstream, whatever its guard reports later", () => {
+  const host = createTestHost();
+  const other = { host: "b", failureDomain: "west", instance: "j" };
+  const candidates = [CANDIDATE, other];
+  const gateway = createTestGateway(host, {
+    leavingMs: 2_000,
+    getCandidates: () => candidates,
+  });
+  const getTarget = (id: string) => sendArrival(gateway, id)[0];
+  gateway.receiveReport({
+    ...REPORT,
+    notice: { instance: "i", isLeaving: true },
+  });
+  gateway.receiveReport({ ...REPORT, incarnation: "a#2" });
+  for (let i = 0; i < 20; i++) {
+    expect(getTarget(`r${i}`)).toMatchObject({ to: "b" });
+    host.advance(100);
+  }
+  candidates.pop();
+  // The only upstream left has been leaving for longer than it stays.
+  expect(getTarget("late")).toMatchObject({
+    kind: GatewayActionKind.Finish,
+    verdict: { diagnostic: Diagnostics.no_upstream },
+  });
+  gateway.forgetNotices("i");
+  expect(getTarget("again")).toMatchObject({ to: "a" });
+});
+
+test("a leaving upstream is the last choice while it stays", () => {
+  const gateway = createTestGateway(createTestHost(), {
+    leavingMs: 2_000,
+    getCandidates: () => [CANDIDATE],
+  });
+  gateway.receiveReport({
+    ...REPORT,
+    notice: { instance: "i", isLeaving: true },
+  });
+  expect(sendArrival(gateway, "r")).toMatchObject([
+    { to: "a", isLastChoice: true },
+  ]);
+});
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -5,6 +5,7 @@
 import { ChoicePolicy, createChooser } from "../src/core/choice.ts";
 import { Diagnostics } from "../src/core/diagnostics.ts";
 import { createLineBudget } from "../src/core/line_budget.ts";
+import { createKnownNotices } from "../src/core/known_notices.ts";
 import { createLoadTable } from "../src/core/load_table.ts";
 import { addAttempt, createPendingRequest } from "../src/core/attempts.ts";
 import { createPlacement, mayTryNextHost } from "../src/core/placement.ts";
@@ -359,6 +360,7 @@
     maxNonQueueingAttempts,
     chooser,
     loads,
+    notices: createKnownNotices(host, { leavingMs: 0 }),
   });
 }
 
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -82,7 +82,11 @@
   /** Publishes a configuration. */
   publish(version: number, change?: Partial<RouteOptions>): void;
   /** Writes the store entry of a host's upstream. */
-  list(host: DeploymentHost, change?: Record<string, unknown>): void;
+  list(
+    host: DeploymentHost,
+    status?: Record<string, unknown>,
+    change?: Record<string, unknown>,
+  ): void;
   call(host: DeploymentHost, req: CallerRequest): Promise<CallerResponse>;
   /** Closes all callers' connections, open requests included. */
   closeCallerConnections(): void;
@@ -239,6 +243,7 @@
 
   function list(
     host: DeploymentHost,
+    status: Record<string, unknown> = {},
     change: Record<string, unknown> = {},
   ): void {
     store.put(`servers/${host.upstream.instance}`, {
@@ -249,7 +254,8 @@
         zone: host.zone,
         slots: host.upstream.slots,
       },
-      status: { state: "ready", seq: 1, coldLeftS: 0, ...change },
+      status: { state: "ready", seq: 1, coldLeftS: 0, ...status },
+      ...change,
     });
   }
 
