Store: revisions count only together with the store's era

Callers were sent to upstreams that were draining, and daemons missed a change, after the store had come back from an older copy. Cause: a daemon went on from a revision that names other changes now, and took the copy's entries as news. The class: a position without what it belongs to. Ready entries of upstreams that drained or left before are withheld until dropped, or 30 s (departures.ts).

--- a/src/core/change_log.ts
+++ b/src/core/change_log.ts
@@ -12,18 +12,23 @@
 
 /** Entries up to a revision of the store. */
 export interface StoreBatch {
+  /** Changes when the store has lost acknowledged changes; revisions of two eras can't be compared. */
+  readonly era: number;
   readonly revision: number;
   readonly entries: readonly StoreEntry[];
 }
 
+/** A revision and the era that it belongs to. */
+export type StorePosition = Omit<StoreBatch, "entries">;
+
 /** The newest entries by key. */
 export interface ChangeLog {
   /** Replaces the log by the whole content of the store. */
   restart(batch: StoreBatch): void;
   /** Applies the changes up to the batch's revision. */
   apply(batch: StoreBatch): void;
-  /** Changes after a revision; undefined if the log does not reach back that far. */
-  tryGetSince(revision: number): StoreBatch | undefined;
+  /** Changes after a revision; undefined if the log does not reach back that far or is of another era. */
+  tryGetSince(position: StorePosition): StoreBatch | undefined;
 }
 
 /** An entry and the revision of its last change. */
@@ -49,6 +54,7 @@
   const kept = new Map<string, LoggedEntry>();
   let removed = 0;
   let completeSince = Infinity;
+  let era = 0;
   let revision = -Infinity;
   return { restart, apply, tryGetSince };
 
@@ -56,6 +62,7 @@
     kept.clear();
     removed = 0;
     completeSince = batch.revision;
+    era = batch.era;
     revision = -Infinity;
     apply(batch);
   }
@@ -83,12 +90,12 @@
     }
   }
 
-  function tryGetSince(after: number): StoreBatch | undefined {
-    if (after < completeSince) return undefined;
+  function tryGetSince(after: StorePosition): StoreBatch | undefined {
+    if (after.era !== era || after.revision < completeSince) return undefined;
     const entries = [...kept.values()]
-      .filter((logged) => logged.revision > after)
+      .filter((logged) => logged.revision > after.revision)
       .map((logged) => logged.entry);
-    return { revision, entries };
+    return { era, revision, entries };
   }
 }
 
--- /dev/null
+++ b/src/core/departures.ts
@@ -0,0 +1,77 @@
+/**
+ * Upstreams that drain or were removed from the list. If the list comes back
+ * from an older copy, it may show them as ready again: an upstream never returns
+ * from draining, so that entry is outdated. It is withheld until the list drops
+ * it, or until a live upstream must have shown that it is one.
+ */
+
+import { type ListedUpstream, ListedUpstreamState } from "./routing_types.ts";
+import type { CoreHost, Millis } from "./types.ts";
+
+/**
+ * Time after a rollback for which entries count as outdated, in ms: the list
+ * drops the entry of a silent upstream after three heartbeats, well before.
+ */
+const WITHHOLD_MS = 30_000;
+/** Time for which a departure is kept, in ms; a copy of the list is some seconds old. */
+const RETENTION_MS = 60_000;
+
+/** Departures of upstreams. */
+export interface Departures {
+  /** Records that an upstream drains or was removed. */
+  record(upstream: ListedUpstream): void;
+  /** Forgets an upstream that was listed as ready later. */
+  forget(instance: string): void;
+  /** Records that the list came back from an older copy. */
+  markRolledBack(): void;
+  /** True if an entry is from before the departure of its upstream. */
+  isOutdated(upstream: ListedUpstream): boolean;
+  /** Time until which outdated entries are withheld, in ms. */
+  getWithheldUntil(): Millis;
+}
+
+interface Departure {
+  readonly bornAt: number | undefined;
+  readonly at: Millis;
+  /** True once the list has come back from an older copy since. */
+  mayBeLost: boolean;
+}
+
+/** Creates an empty set. */
+export function createDepartures(host: Pick<CoreHost, "now">): Departures {
+  const departures = new Map<string, Departure>();
+  let rolledBackAt: Millis = -Infinity;
+  return {
+    record,
+    forget: (instance) => void departures.delete(instance),
+    markRolledBack,
+    isOutdated,
+    getWithheldUntil,
+  };
+
+  function record({ instance, bornAt }: ListedUpstream): void {
+    const now = host.now();
+    for (const [id, { at }] of departures) {
+      if (now - at <= RETENTION_MS) break;
+      departures.delete(id);
+    }
+    // Keeps the order of time.
+    departures.delete(instance);
+    departures.set(instance, { bornAt, at: now, mayBeLost: false });
+  }
+
+  function markRolledBack(): void {
+    rolledBackAt = host.now();
+    for (const departure of departures.values()) departure.mayBeLost = true;
+  }
+
+  function isOutdated({ instance, bornAt, state }: ListedUpstream): boolean {
+    const departure = departures.get(instance);
+    return departure?.mayBeLost === true && host.now() < getWithheldUntil() &&
+      state === ListedUpstreamState.Ready && departure.bornAt === bornAt;
+  }
+
+  function getWithheldUntil(): Millis {
+    return rolledBackAt + WITHHOLD_MS;
+  }
+}
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -2,9 +2,12 @@
  * Known upstreams, from a list that may be unavailable for a while. An outage of
  * the list by itself drops no upstream. A removal from the list is final, except
  * that a ready entry that disappears during an outage or within `lapseGraceMs`
- * after it may return until the grace period ends.
+ * after it may return until the grace period ends. The same holds after the list
+ * came back from an older copy, which lacks the newest upstreams and may still
+ * contain some that have left.
  */
 
+import { createDepartures } from "./departures.ts";
 import type { DomainHost } from "./reading_plan.ts";
 import { type ListedUpstream, ListedUpstreamState } from "./routing_types.ts";
 import type { Candidate, CoreHost, HostId, Millis } from "./types.ts";
@@ -18,6 +21,8 @@
   Lapsed = "lapsed",
   /** Removed for good. */
   Gone = "gone",
+  /** Listed as ready by an older copy of the list, although it has left since. */
+  Outdated = "outdated",
 }
 
 /** Settings of the list. */
@@ -39,6 +44,8 @@
   markLost(): void;
   /** Records that the list is available again. */
   markRegained(): void;
+  /** Records that the list came back from an older copy; `replaceAll` with it follows. */
+  markRolledBack(): void;
   getCandidates(service: string): readonly Candidate[];
   /** The newest upstream at an address, including a draining one. */
   tryGetAt(address: string): ListedUpstream | undefined;
@@ -64,6 +71,9 @@
 ): UpstreamList {
   const entries = new Map<string, Entry>();
   const candidates = new Map<string, Candidate[]>();
+  const departures = createDepartures(host);
+  /** Outdated entries by instance. */
+  const withheld = new Map<string, ListedUpstream>();
   let isLost = false;
   let regainedAt = -Infinity;
   let lastOrder = 0;
@@ -74,6 +84,7 @@
     replaceAll,
     markLost,
     markRegained,
+    markRolledBack,
     getCandidates,
     tryGetAt,
     countHosts,
@@ -82,6 +93,11 @@
   };
 
   function put(upstream: ListedUpstream): void {
+    if (departures.isOutdated(upstream)) return withhold(upstream);
+    const isReady = upstream.state === ListedUpstreamState.Ready;
+    if (isReady) departures.forget(upstream.instance);
+    else departures.record(upstream);
+    withheld.delete(upstream.instance);
     candidates.clear();
     const known = entries.get(upstream.instance);
     if (known === undefined) {
@@ -95,14 +111,23 @@
       if (before.bornAt !== upstream.bornAt) {
         options.onChange(UpstreamChange.Restarted, upstream);
       }
-      const drains = upstream.state === ListedUpstreamState.Draining;
-      if (drains && before.state !== upstream.state) {
+      if (!isReady && before.state !== upstream.state) {
         options.onChange(UpstreamChange.Draining, upstream);
       }
     }
   }
 
+  /** Keeps what is known of the upstream; if it was removed, it stays so. */
+  function withhold(upstream: ListedUpstream): void {
+    if (!withheld.has(upstream.instance)) {
+      options.onChange(UpstreamChange.Outdated, upstream);
+    }
+    withheld.set(upstream.instance, upstream);
+  }
+
   function remove(instance: string): void {
+    // The list no longer has the outdated entry: a later one is current.
+    if (withheld.delete(instance)) departures.forget(instance);
     const entry = entries.get(instance);
     if (entry === undefined) return;
     candidates.clear();
@@ -134,8 +159,14 @@
     regainedAt = host.now();
   }
 
+  function markRolledBack(): void {
+    regainedAt = host.now();
+    departures.markRolledBack();
+  }
+
   function getCandidates(service: string): readonly Candidate[] {
     if (host.now() >= nextGoneAt) dropLapsed();
+    if (withheld.size > 0) releaseWithheld();
     let known = candidates.get(service);
     if (known === undefined) {
       known = findCandidates(service);
@@ -144,6 +175,12 @@
     return known;
   }
 
+  /** An upstream that is still listed by then is alive. */
+  function releaseWithheld(): void {
+    if (host.now() < departures.getWithheldUntil()) return;
+    for (const upstream of [...withheld.values()]) put(upstream);
+  }
+
   function findCandidates(service: string): Candidate[] {
     const byHost = new Map<HostId, Entry>();
     for (const entry of entries.values()) {
@@ -204,6 +241,7 @@
 
   function drop(entry: Entry): void {
     entries.delete(entry.upstream.instance);
+    departures.record(entry.upstream);
     options.onChange(UpstreamChange.Gone, entry.upstream);
   }
 
--- a/src/daemon/change_follower.ts
+++ b/src/daemon/change_follower.ts
@@ -4,6 +4,7 @@
 import { createInterface } from "node:readline";
 import { z } from "zod";
 import type { Millis } from "../core/types.ts";
+import type { StorePosition } from "../core/change_log.ts";
 import { Header, Step } from "../link/wire.ts";
 import type { RelayedBatch } from "./change_relay.ts";
 import { decodeJson } from "../settings/json.ts";
@@ -21,6 +22,7 @@
 const TIMEOUT_PER_HOP_MS = 200;
 
 const batchSchema = z.object({
+  era: z.int().default(0),
   revision: z.int(),
   hops: z.int().min(0),
   isLarge: z.boolean().default(false),
@@ -32,7 +34,7 @@
   /** IP address and port of the daemon that is followed. */
   readonly address: string;
   /** Revision after which changes are requested. */
-  readonly after: number;
+  readonly after: StorePosition;
   onBatch(batch: RelayedBatch): void;
   /** Called once, with the reason for the end. */
   onEnd(reason: string): void;
@@ -49,7 +51,11 @@
   let hasEnded = false;
   const req = request(`http://${address}/`, {
     agent: false,
-    headers: { [Header.Step]: Step.Follow, [Header.After]: String(after) },
+    headers: {
+      [Header.Step]: Step.Follow,
+      [Header.After]: String(after.revision),
+      [Header.Era]: String(after.era),
+    },
   }, read);
   req.on("error", (error) => end(error.message));
   req.end();
--- a/src/daemon/change_relay.ts
+++ b/src/daemon/change_relay.ts
@@ -5,7 +5,11 @@
  */
 
 import type { ServerResponse } from "node:http";
-import { createChangeLog, type StoreBatch } from "../core/change_log.ts";
+import {
+  createChangeLog,
+  type StoreBatch,
+  type StorePosition,
+} from "../core/change_log.ts";
 import type { Counters } from "../core/counters.ts";
 import type { CoreHost, Millis } from "../core/types.ts";
 
@@ -37,9 +41,9 @@
   /**
    * Streams the changes after a revision and all later ones to a follower.
    * Responds with 503 if the store's last response is too old or the log does
-   * not reach back to the revision.
+   * not reach back to the revision, or is of another era.
    */
-  attach(after: number, outgoing: ServerResponse): void;
+  attach(after: StorePosition, outgoing: ServerResponse): void;
   /** Disconnects all followers, so that they try another source; refuses new ones until the next batch. */
   release(): void;
   /** Disconnects all followers and refuses new ones. */
@@ -74,7 +78,7 @@
     for (const follower of followers) send(follower, line);
   }
 
-  function attach(after: number, outgoing: ServerResponse): void {
+  function attach(after: StorePosition, outgoing: ServerResponse): void {
     const isCurrent = host.now() - respondedAt <= MAX_RESPONSE_AGE_MS;
     const missed = isCurrent && !isClosed ? log.tryGetSince(after) : undefined;
     if (missed === undefined) {
@@ -109,10 +113,10 @@
   }
 }
 
-function encode({ revision, hops, entries }: RelayedBatch): string {
+function encode({ era, revision, hops, entries }: RelayedBatch): string {
   const chars = entries.reduce((sum, e) => sum + (e.text?.length ?? 0), 0);
   const line = chars > MAX_RELAYED_CHARS
-    ? { revision, hops, entries: [], isLarge: true }
-    : { revision, hops, entries };
+    ? { era, revision, hops, entries: [], isLarge: true }
+    : { era, revision, hops, entries };
   return `${JSON.stringify(line)}\n`;
 }
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -2,6 +2,7 @@
 
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { StorePosition } from "../core/change_log.ts";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import { Execution, type HostId, type Verdict } from "../core/types.ts";
 import { getForwardHeaders, getHeader } from "../link/http_headers.ts";
@@ -31,7 +32,7 @@
   onRevisions(from: HostId, revisions: string): void;
   onMalformed(diagnostic: Diagnostic, message: string): void;
   /** Streams the store's changes after a revision; absent if this daemon relays none. */
-  follow?(after: number, outgoing: ServerResponse): void;
+  follow?(after: StorePosition, outgoing: ServerResponse): void;
 }
 
 interface PeerMessage {
@@ -130,14 +131,17 @@
   }
 
   function follow(msg: PeerMessage): void {
-    const after = Number(getHeader(msg.incoming.headers, Header.After));
-    if (options.follow === undefined || !Number.isInteger(after)) {
+    const { headers } = msg.incoming;
+    const revision = Number(getHeader(headers, Header.After));
+    const era = Number(getHeader(headers, Header.Era) ?? 0);
+    const isValid = Number.isInteger(revision) && Number.isInteger(era);
+    if (options.follow === undefined || !isValid) {
       return refuseMalformed(
         msg.outgoing,
         "follow without a revision, or changes are not relayed here",
       );
     }
-    options.follow(after, msg.outgoing);
+    options.follow({ era, revision }, msg.outgoing);
   }
 
   function readHead(msg: PeerMessage) {
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -242,6 +242,7 @@
     onChange: applyChange,
     onLost: upstreams.markLost,
     onRegained: upstreams.markRegained,
+    onRolledBack: upstreams.markRolledBack,
   });
   logger.info("starting", { incarnation, service: settings.service });
   const ingress = await listen(
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -2,7 +2,8 @@
  * Follows a read-only key-value store: reads a snapshot, then watches for
  * changes, either at the store or through another daemon that reads it. While
  * the store is unresponsive, fails calls or has dropped its history, its last
- * known content stays in force.
+ * known content stays in force. If the store comes back from an older copy, the
+ * task reads it again from the start: its revisions name other changes then.
  */
 
 import type { Result } from "neverthrow";
@@ -10,6 +11,7 @@
   dropSuperseded,
   type StoreBatch,
   type StoreEntry,
+  type StorePosition,
 } from "../core/change_log.ts";
 import type { Counters } from "../core/counters.ts";
 import { type ReadingPlan, ReadingRank } from "../core/reading_plan.ts";
@@ -47,7 +49,7 @@
 export interface StoreReader {
   /** Reads all entries that a daemon follows, the oldest first. */
   readAll(): Promise<Result<StoreBatch, StoreError>>;
-  /** Waits up to `waitMs` for changes after a revision; empty if there are none. */
+  /** Waits up to `waitMs` for changes after a revision of the current era; empty if there are none. */
   watch(after: number, waitMs: Millis): Promise<Result<StoreBatch, StoreError>>;
   /** Decodes an entry, which may contain several changes. */
   decode(entry: StoreEntry): readonly StoreChange[];
@@ -77,6 +79,8 @@
   onChange(change: StoreChange): void;
   onLost(): void;
   onRegained(): void;
+  /** Called before the first snapshot of another era of the store. */
+  onRolledBack(): void;
 }
 
 /** Keeps a daemon's view of the store up to date. */
@@ -114,7 +118,10 @@
   const { reader, relay, counters, logger } = options;
   const avoidedUntil = new Map<HostId, Millis>();
   let isClosed = false;
-  let revision: number | undefined;
+  /** The last known position; undefined until a snapshot is read. */
+  let position: StorePosition | undefined;
+  /** Era of the last snapshot. */
+  let era: number | undefined;
   let failures = 0;
   let lostAt: Millis | undefined;
   let timer: NodeJS.Timeout | undefined;
@@ -126,19 +133,19 @@
   return { start: readNext, isReachable: () => failures === 0, close };
 
   function readNext(): void {
-    if (revision === undefined) return void readAll();
+    if (position === undefined) return void readAll();
     const plan = options.getPlan();
     if (mustReadStore) {
       mustReadStore = false;
       largeReadAt = host.now();
-      return void watch(revision, plan);
+      return void watch(position, plan);
     }
     const mustFollow = plan.rank !== ReadingRank.Root || failures > 0;
     const source = mustFollow
       ? plan.sources.find((it) => !isAvoided(it))
       : undefined;
-    if (source === undefined) void watch(revision, plan);
-    else follow(source, revision);
+    if (source === undefined) void watch(position, plan);
+    else follow(source, position);
   }
 
   async function readAll(): Promise<void> {
@@ -149,25 +156,44 @@
     const { value } = result;
     relay.restart(value);
     markReachable();
-    revision = value.revision;
+    if (era !== undefined && era !== value.era) markRolledBack(era, value);
+    era = value.era;
+    position = { era, revision: value.revision };
     options.onSnapshot(value.entries.flatMap(reader.decode));
     schedule(BATCH_DELAY_MS);
   }
 
-  async function watch(after: number, plan: ReadingPlan): Promise<void> {
+  function markRolledBack(before: number, { era, revision }: StoreBatch): void {
+    counters.add("store_rolled_back");
+    logger.warn("store_rolled_back", { before, era, revision });
+    options.onRolledBack();
+  }
+
+  async function watch(
+    after: StorePosition,
+    plan: ReadingPlan,
+  ): Promise<void> {
     counters.add("store_watch");
     const waitMs = plan.isShared ? SHARED_WATCH_MS : options.waitMs;
     const result = await reader.watch(
-      after,
+      after.revision,
       failures === 0 ? waitMs : OUTAGE_WATCH_MS,
     );
     if (isClosed) return;
     if (result.isErr()) return handleFailure(result.error);
     const { entries } = result.value;
+    if (result.value.era !== after.era) return startOver();
     applyBatch({ ...result.value, hops: 0 });
     schedule(entries.length > 0 ? getBatchDelay(plan, entries) : 0);
   }
 
+  /** Reads everything again: changes since the last known position are not known. */
+  function startOver(): void {
+    relay.release();
+    position = undefined;
+    schedule(0);
+  }
+
   /** After a start of the whole fleet, entries join one by one and would wake each daemon for each. */
   function getBatchDelay(
     { isShared }: ReadingPlan,
@@ -179,7 +205,7 @@
     return isWaitingForMore ? options.readGapMs : BATCH_DELAY_MS;
   }
 
-  function follow(source: HostId, after: number): void {
+  function follow(source: HostId, after: StorePosition): void {
     counters.add("source_asked");
     let hasReceived = false;
     subscription = followSource({
@@ -190,7 +216,13 @@
         // A source that is as far from the store may be following this daemon.
         const isNearer = batch.hops < Math.max(rank, 1);
         if (!isNearer) return subscription?.close();
-        if (!hasReceived) logger.info("source_followed", { source, after });
+        if (batch.era !== after.era) {
+          if (batch.era > after.era) position = undefined;
+          return subscription?.close();
+        }
+        if (!hasReceived) {
+          logger.info("source_followed", { source, after: after.revision });
+        }
         hasReceived = true;
         if (batch.isLarge) {
           mustReadStore = true;
@@ -201,6 +233,7 @@
       },
       onEnd: (reason) => {
         if (isClosed) return;
+        if (position === undefined) return startOver();
         if (mustReadStore) {
           counters.add("source_left_to_read");
           return schedule(
@@ -227,8 +260,8 @@
   function applyBatch(batch: RelayedBatch): void {
     markReachable();
     // A new source may lag behind the previous one.
-    if (revision !== undefined && batch.revision < revision) return;
-    revision = batch.revision;
+    if (position !== undefined && batch.revision < position.revision) return;
+    position = { era: batch.era, revision: batch.revision };
     relay.publish(batch);
     for (const change of dropSuperseded(batch.entries).flatMap(reader.decode)) {
       options.onChange(change);
@@ -240,6 +273,7 @@
     if (lostAt === undefined) return;
     const outageMs = Math.round(host.now() - lostAt);
     lostAt = undefined;
+    const revision = position?.revision;
     logger.info("store_regained", { outageMs, revision });
     options.onRegained();
   }
@@ -248,10 +282,10 @@
     const { call, message, isHistoryGone } = error;
     relay.release();
     counters.add(isHistoryGone ? "store_history_gone" : "store_failed");
+    const revision = position?.revision;
     if (isHistoryGone) {
       logger.warn("store_history_gone", { call, revision });
-      revision = undefined;
-      return schedule(0);
+      return startOver();
     }
     failures += 1;
     if (lostAt === undefined) {
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -26,6 +26,7 @@
 const FLEET_LOAD_TEST = "test/fleet_load_test.ts";
 const READING_TEST = "test/reading_test.ts";
 const NOTICES_TEST = "test/notices_test.ts";
+const ROUTING_TEST = "test/routing_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -514,4 +515,15 @@
     }],
     testFile: NOTICES_TEST,
   },
+  {
+    name: "older_copy_of_the_list",
+    guarantee: "a leaving upstream gets no new work",
+    file: "src/core/departures.ts",
+    edits: [{
+      find:
+        "for (const departure of departures.values()) departure.mayBeLost = true;",
+      replace: "",
+    }],
+    testFile: ROUTING_TEST,
+  },
 ];
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -31,6 +31,8 @@
   From = "vanillarock-from",
   /** Store revision after which changes are requested. */
   After = "vanillarock-after",
+  /** Era of that revision. */
+  Era = "vanillarock-era",
   /** Hostname in the caller's request. */
   Hostname = "vanillarock-hostname",
   /** Marks a response whose end is given only by the end of its connection. */
--- a/test/sharing_test.ts
+++ b/test/sharing_test.ts
@@ -7,6 +7,7 @@
   type DeploymentHost,
   startDeployment,
 } from "./platform/mesh.ts";
+import { StoreMode } from "./platform/store_stand_in.ts";
 
 /** Enough for daemons to share reading, in two failure domains. */
 const HOSTS = 20;
@@ -108,6 +109,27 @@
   await waitUntilInForce(fleet.hosts);
 });
 
+test(
+  "a change is in force in time at all daemons after the store came back older",
+  async () => {
+    publish();
+    await pause(1_000);
+    fleet.store.setMode(StoreMode.Reset);
+    fleet.store.rollBack(1_200);
+    // The daemons have seen these revisions, with other content.
+    publish();
+    for (let i = 0; i < 5; i++) fleet.store.put(`other/${i}`, i);
+    await pause(300);
+    fleet.store.setMode(StoreMode.Serving);
+    await waitUntilInForce(fleet.hosts);
+    const followers = fleet.hosts.filter(isFollower);
+    for (const { lines } of followers) {
+      expect(lines.some((l) => l.includes("store_rolled_back"))).toBe(true);
+    }
+  },
+  10_000,
+);
+
 test("a change is in force in time when the root is killed", async () => {
   const [root] = getRanked([ReadingRank.Root]);
   root!.process.kill("SIGKILL");
