Soak: limits, leaving upstreams and a store that comes back older

Two faults of each kind a seed, drawn after all others so that earlier seeds keep their plans; two new guarantees, with the platform's own bounds, checked from what callers were told and what upstreams got. An older copy doesn't excuse work at an upstream that was listed as draining 2 s before.

--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -18,8 +18,11 @@
   Reset = "reset",
 }
 
-/** Writes that a store lost, by key; a value is undefined if its key was removed. */
-export type LostWrites = ReadonlyMap<string, string | undefined>;
+/** A loss of writes. */
+export interface Rollback {
+  /** Writes again what was lost, except keys that were written since. */
+  writeAgain(): void;
+}
 
 /** A store in this process. */
 export interface StoreStandIn {
@@ -34,8 +37,8 @@
   setMode(mode: StoreMode): void;
   /** Drops the history; watches of earlier revisions get 410. */
   compact(): void;
-  /** Goes back to the content of a time in ms ago, in a new era; returns what was lost. */
-  rollBack(ageMs: number): LostWrites;
+  /** Goes back to the content of a time in ms ago, in a new era. */
+  rollBack(ageMs: number): Rollback;
   close(): Promise<void>;
 }
 
@@ -87,10 +90,7 @@
     calls,
     put: (key, value) => putText(key, JSON.stringify(value)),
     putText,
-    remove: (key) => {
-      items.delete(key);
-      append({ key, deleted: true });
-    },
+    remove,
     setMode: (next) => {
       mode = next;
       for (const entry of [...pendingWatches]) {
@@ -116,12 +116,12 @@
     append({ key, value });
   }
 
-  function rollBack(ageMs: number): LostWrites {
-    const since = performance.now() - ageMs;
+  function rollBack(ageMs: number): Rollback {
+    const rolledBackAt = performance.now();
+    const since = rolledBackAt - ageMs;
     const lost = new Map<string, string | undefined>();
     for (const { key } of changes.filter((c) => c.at >= since)) {
-      const value = items.get(key)?.value;
-      lost.set(key, value && Buffer.from(value, "base64").toString());
+      lost.set(key, items.get(key)?.value);
     }
     changes = changes.filter((c) => c.at < since);
     items.clear();
@@ -132,7 +132,23 @@
     era += 1;
     revision = changes.at(-1)?.rev ?? 1;
     events = events.filter((e) => e.rev <= revision);
-    return lost;
+    return { writeAgain };
+
+    function writeAgain(): void {
+      const writtenSince = new Set(
+        changes.filter((c) => c.at > rolledBackAt).map((c) => c.key),
+      );
+      for (const [key, value] of lost) {
+        if (writtenSince.has(key)) continue;
+        if (value === undefined) remove(key);
+        else append({ key, value });
+      }
+    }
+  }
+
+  function remove(key: string): void {
+    items.delete(key);
+    append({ key, deleted: true });
   }
 
   function append(change: Pick<Item, "key" | "value" | "deleted">): void {
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -85,6 +85,8 @@
 }
 
 const BODY = "the upstream's answer";
+/** Header of all responses to requests, for tests only. */
+export const INSTANCE_HEADER = "x-test-instance";
 
 /** Starts an upstream on a loopback address; port 0 selects a free one. */
 export async function startUpstream(
@@ -129,7 +131,8 @@
 
   /** Health checks state nothing, so that only responses to requests can show it. */
   function setNotices(res: ServerResponse): void {
-    const { limitPerS, isLeaving } = standIn;
+    const { limitPerS, isLeaving, instance } = standIn;
+    res.setHeader(INSTANCE_HEADER, instance);
     if (limitPerS === undefined) res.removeHeader("server-limit");
     else res.setHeader("server-limit", String(limitPerS));
     if (isLeaving) res.setHeader("server-leaving", "1");
--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -5,9 +5,11 @@
 import {
   CallKind,
   type CallRecord,
+  type Departure,
   FaultKind,
   Guarantee,
   type History,
+  type LimitSpan,
   type RunRecord,
   type Violation,
 } from "./types.ts";
@@ -29,6 +31,13 @@
  */
 const RETRY_RATIO = 0.2;
 const RETRY_SLACK = 60;
+/** Span in which requests are counted against a limit, in ms. */
+const LIMIT_SPAN_MS = 4_000;
+/** Time from passing on a limit until it binds a host, in ms. */
+const LIMIT_KNOWN_MS = 500;
+/** What a limit allows in a span: a multiple of it, and some requests more. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -46,6 +55,18 @@
   FaultKind.Killed,
   FaultKind.Stopped,
 ]);
+/** Faults after which a daemon no longer knows, or has not seen, what time has passed. */
+const RESTARTS_AND_FREEZES = new Set([
+  FaultKind.Paused,
+  FaultKind.Killed,
+  FaultKind.Stopped,
+]);
+/** Faults that excuse a host from the limits that it was told. */
+const EXCUSES_FROM_LIMITS = new Set([
+  ...RESTARTS_AND_FREEZES,
+  FaultKind.PeersUnresponsive,
+  FaultKind.PeersDropReplies,
+]);
 /** Faults that affect every host. */
 const FLEET_FAULTS = new Set([FaultKind.StoreBusy, FaultKind.StoreCompacted]);
 const HARMLESS_TO_CALLS = new Set([
@@ -98,6 +119,7 @@
       const left = history.departures.find((d) => d.instance === run.instance);
       const call = calls.get(run.id);
       if (left === undefined || run.at <= left.at + DRAIN_MS) return false;
+      if (wasLost(history, left)) return false;
       return call !== undefined && !isDisturbed(history, call, run.at);
     }).map((r) => `${r.id} ran at ${r.instance}`);
   },
@@ -115,12 +137,98 @@
     unexpectedExits.map((e) => `host ${e.host}: ${e.lines.join(" | ")}`),
   [Guarantee.RetriesBounded]: ({ calls, arrivals }) => {
     const most = calls.length * (1 + RETRY_RATIO) + RETRY_SLACK;
-    return arrivals > most
-      ? [`${arrivals} arrivals for ${calls.length} requests`]
+    return arrivals.length > most
+      ? [`${arrivals.length} arrivals for ${calls.length} requests`]
       : [];
   },
+  [Guarantee.LimitKept]: (history) =>
+    history.limits.flatMap((limit) => {
+      const { instance, limitPerS } = limit;
+      const allowed = LIMIT_FACTOR * limitPerS * LIMIT_SPAN_MS / 1_000 +
+        LIMIT_SLACK;
+      const most = countMostInSpan(findBoundArrivals(history, limit));
+      return most > allowed
+        ? [`${instance} got ${most} of ${limitPerS} a second in 4 s`]
+        : [];
+    }),
+  [Guarantee.NothingAfterLeaving]: (history) => {
+    const calls = new Map(history.calls.map((c) => [c.id, c]));
+    const told = findTold(history.calls, (c) => c.statesLeaving === true);
+    return history.arrivals.filter(({ id, instance }) => {
+      const call = calls.get(id);
+      const toldAt = call && told.get(`${call.host} ${instance}`);
+      return toldAt !== undefined && call!.sentAt > toldAt + DRAIN_MS &&
+        !hasFault(history, call!, RESTARTS_AND_FREEZES, toldAt);
+    }).map((a) => `${a.id} reached ${a.instance}`);
+  },
 };
 
+/** Time at which each host first passed on a response of an instance, by host and instance. */
+function findTold(
+  calls: readonly CallRecord[],
+  states: (call: CallRecord) => boolean,
+): Map<string, number> {
+  const told = new Map<string, number>();
+  for (const call of calls) {
+    if (!states(call)) continue;
+    const key = `${call.host} ${call.instance}`;
+    told.set(key, Math.min(told.get(key) ?? Infinity, call.endedAt!));
+  }
+  return told;
+}
+
+/** Times of the arrivals that a limit binds, unless another one overlaps it. */
+function findBoundArrivals(history: History, limit: LimitSpan): number[] {
+  const { instance, from, until } = limit;
+  const isOverlapped = history.limits.some((other) =>
+    other !== limit && other.instance === instance &&
+    other.from < until && other.until > from
+  );
+  if (isOverlapped) return [];
+  const calls = new Map(history.calls.map((c) => [c.id, c]));
+  const told = findTold(
+    history.calls.filter((c) => c.sentAt > from - RECOVERY_MS),
+    (c) => c.statesLimit === true && c.instance === instance,
+  );
+  const namedAt = Math.min(...told.values());
+  return history.arrivals.filter((a) => {
+    const call = calls.get(a.id);
+    const toldAt = call && told.get(`${call.host} ${instance}`);
+    return a.instance === instance && a.at >= namedAt + RECOVERY_MS &&
+      a.at <= until && toldAt !== undefined &&
+      a.at >= toldAt + LIMIT_KNOWN_MS &&
+      !hasFault(history, call!, EXCUSES_FROM_LIMITS, toldAt);
+  }).map((a) => a.at);
+}
+
+function countMostInSpan(times: readonly number[]): number {
+  const counts = times.map((from) =>
+    times.filter((at) => at >= from && at < from + LIMIT_SPAN_MS).length
+  );
+  return Math.max(0, ...counts);
+}
+
+/** True if one of the faults affected the caller's host since a time in ms, until the request ended. */
+function hasFault(
+  { injected }: History,
+  call: CallRecord,
+  kinds: ReadonlySet<FaultKind>,
+  since: number,
+): boolean {
+  return injected.some((f) =>
+    kinds.has(f.kind) && f.host === call.host && f.until >= since &&
+    f.from <= (call.endedAt ?? Infinity)
+  );
+}
+
+/** True if the store lost a departure before all daemons had to know it. */
+function wasLost({ injected }: History, left: Departure): boolean {
+  return injected.some((f) =>
+    f.kind === FaultKind.StoreRolledBack && f.until >= left.at &&
+    f.from <= left.at + DRAIN_MS
+  );
+}
+
 /** Body of an upstream's response to a request. */
 export function createResponseBody(id: string): string {
   return `the answer to ${id}`;
--- a/test/soak/inject.ts
+++ b/test/soak/inject.ts
@@ -9,6 +9,7 @@
   type Fault,
   FaultKind,
   type InjectedFault,
+  type LimitSpan,
   type UnexpectedExit,
 } from "./types.ts";
 
@@ -27,6 +28,14 @@
 const GRACE_MS = 6_000;
 /** Shortest time for which an upstream serves after it was listed as draining, in ms. */
 const DEPARTURE_MS = 2_500;
+/** Age of the oldest copy that the store comes back from, in ms. */
+const MAX_COPY_AGE_MS = 4_000;
+/** Longest time until writers have written again what the store lost, in ms; shorter than the 2 s of the platform. */
+const MAX_REWRITE_MS = 1_500;
+/** Highest limit that an upstream states, in requests per second; it gets about 27 without one. */
+const MAX_LIMIT_PER_S = 8;
+/** Time for which an upstream states a limit, in ms: `stableS`, and a span of 4 s in which it is checked. */
+const LIMIT_MS = 7_500;
 /** Longest wait for a daemon to become ready, in ms; long, as other faults may delay it. */
 const START_TIMEOUT_MS = 8_000;
 /** Boot time of Node.js, in ms; until then a program cannot handle a signal. */
@@ -50,6 +59,7 @@
 export interface Injector {
   readonly injected: readonly InjectedFault[];
   readonly departures: readonly Departure[];
+  readonly limits: readonly LimitSpan[];
   readonly unexpectedExits: readonly UnexpectedExit[];
   /** Injects a fault; resolves once it is over. */
   inject(fault: Fault): Promise<void>;
@@ -74,6 +84,7 @@
 export function createInjector(deployment: Deployment): Injector {
   const injected: InjectedFault[] = [];
   const departures: Departure[] = [];
+  const limits: LimitSpan[] = [];
   const unexpectedExits: UnexpectedExit[] = [];
   /** Processes that a fault ends, with the delay until their restart in ms. */
   const restartDelays = new WeakMap<object, number>();
@@ -178,11 +189,40 @@
       publish();
       return Promise.resolve();
     },
+    [FaultKind.StoreRolledBack]: async (fault) => {
+      const { store } = deployment;
+      store.setMode(StoreMode.Reset);
+      const rollback = store.rollBack(fault.strength * MAX_COPY_AGE_MS);
+      await pause(fault.durationMs / 4);
+      store.setMode(StoreMode.Serving);
+      await pause(fault.strength * MAX_REWRITE_MS);
+      rollback.writeAgain();
+    },
+    [FaultKind.UpstreamLimited]: async (fault) => {
+      const { upstream } = getHost(fault);
+      const { instance } = upstream;
+      const limitPerS = Math.round(10 * fault.strength * MAX_LIMIT_PER_S) / 10;
+      const from = performance.now();
+      upstream.limitPerS = limitPerS;
+      await pause(LIMIT_MS);
+      const until = performance.now();
+      limits.push({ instance, limitPerS, from, until });
+      upstream.limitPerS = undefined;
+    },
+    [FaultKind.UpstreamLeaving]: async (fault) => {
+      const host = getHost(fault);
+      const { instance } = host.upstream;
+      host.upstream.isLeaving = true;
+      await pause(DEPARTURE_MS + fault.durationMs);
+      host.upstream.isLeaving = false;
+      if (host.upstream.instance === instance) replaceUpstream(host, instance);
+    },
   };
   for (const index of deployment.hosts.keys()) watchProcess(index);
   return {
     injected,
     departures,
+    limits,
     unexpectedExits,
     inject,
     publish,
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -14,6 +14,14 @@
  */
 const SERIES_SHARE = 0.35;
 
+/** Kinds that are drawn after all others, so that plans of earlier seeds keep their faults. */
+const ADDED_KINDS = new Set([
+  FaultKind.StoreRolledBack,
+  FaultKind.UpstreamLimited,
+  FaultKind.UpstreamLeaving,
+]);
+const COUNT_PER_ADDED_KIND = 2;
+
 /** Creates a seeded generator of random numbers from 0 to 1. */
 export function createRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
@@ -23,7 +31,7 @@
 /** Draws the plan of a seed, sorted by start. */
 export function drawPlan(seed: number, hosts: number): Fault[] {
   const random = createRandom(seed);
-  const kinds = Object.values(FaultKind);
+  const kinds = Object.values(FaultKind).filter((k) => !ADDED_KINDS.has(k));
   const faults: Fault[] = [];
   for (let i = 0; i < FAULT_COUNT; i++) {
     const before = faults.at(-1);
@@ -38,5 +46,17 @@
       strength: random(),
     });
   }
+  for (const kind of ADDED_KINDS) {
+    for (let i = 0; i < COUNT_PER_ADDED_KIND; i++) {
+      faults.push({
+        at: random() * FAULT_WINDOW_MS,
+        durationMs: MIN_DURATION_MS +
+          random() * (MAX_DURATION_MS - MIN_DURATION_MS),
+        kind,
+        host: Math.floor(random() * hosts),
+        strength: random(),
+      });
+    }
+  }
   return faults.sort((a, b) => a.at - b.at);
 }
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -4,6 +4,7 @@
  */
 
 import { type Deployment, startDeployment } from "../platform/mesh.ts";
+import { INSTANCE_HEADER } from "../platform/upstream_stand_in.ts";
 import { createResponseBody, findViolations } from "./find_violations.ts";
 import { createInjector, getAddedPrefix, pause, WORK_MS } from "./inject.ts";
 import { createRandom, drawPlan, FAULT_WINDOW_MS } from "./plan.ts";
@@ -112,10 +113,8 @@
           body: body.toString(),
         }))
       ).filter((r) => !r.id.startsWith("final")),
-      arrivals: deployment.hosts.reduce(
-        (sum, h) => sum + h.upstream.arrivals,
-        0,
-      ),
+      arrivals: deployment.hosts.flatMap((h) => h.upstream.arrived),
+      limits: injector.limits,
       injected: injector.injected,
       departures: injector.departures,
       unexpectedExits: injector.unexpectedExits,
@@ -166,6 +165,10 @@
       );
       call.status = res.status;
       call.text = res.text;
+      const instance = res.headers[INSTANCE_HEADER];
+      if (typeof instance === "string") call.instance = instance;
+      call.statesLimit = res.headers["server-limit"] !== undefined;
+      call.statesLeaving = res.headers["server-leaving"] !== undefined;
       call.isSigned =
         res.headers["x-vanillarock-response-signature"] !== undefined;
     } catch (error) {
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -36,6 +36,12 @@
   UpstreamResetsIdle = "upstream-forgetful",
   /** A configuration is published. */
   Published = "published",
+  /** The store is away for a moment and comes back from an older copy. */
+  StoreRolledBack = "store-rolled-back",
+  /** The upstream states a limit on its requests in its responses. */
+  UpstreamLimited = "upstream-limited",
+  /** The upstream states in its responses that it is leaving, then is replaced. */
+  UpstreamLeaving = "upstream-leaving",
 }
 
 /** One fault of a plan. */
@@ -70,6 +76,12 @@
   isSigned?: boolean;
   /** Error that ended the request without a response. */
   error?: string;
+  /** Instance of the upstream that responded. */
+  instance?: string;
+  /** True if the response states a limit of that upstream. */
+  statesLimit?: boolean;
+  /** True if the response states that the upstream is leaving. */
+  statesLeaving?: boolean;
 }
 
 /** A run as observed by its upstream. */
@@ -94,6 +106,21 @@
   readonly at: number;
 }
 
+/** A request that reached an upstream, whether it ran or not. */
+export interface ArrivalRecord {
+  readonly id: string;
+  readonly instance: string;
+  readonly at: number;
+}
+
+/** A span in which the upstream of a host stated a limit. */
+export interface LimitSpan {
+  readonly instance: string;
+  readonly limitPerS: number;
+  readonly from: number;
+  readonly until: number;
+}
+
 /** The exit of a process that no fault ended. */
 export interface UnexpectedExit {
   readonly host: number;
@@ -116,7 +143,8 @@
 export interface History {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
-  readonly arrivals: number;
+  readonly arrivals: readonly ArrivalRecord[];
+  readonly limits: readonly LimitSpan[];
   readonly injected: readonly InjectedFault[];
   readonly departures: readonly Departure[];
   readonly unexpectedExits: readonly UnexpectedExit[];
@@ -136,6 +164,9 @@
   Recovers = "after the faults requests are served again",
   StaysUp = "no daemon ends by itself",
   RetriesBounded = "retries stay within the shared budget",
+  LimitKept = "an upstream gets no more than the limit that it states",
+  NothingAfterLeaving =
+    "an upstream gets no request from a host that passed on that it is leaving",
 }
 
 /** A violation of a guarantee. */
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -67,7 +67,8 @@
 const validHistory: History = {
   calls: [read, order],
   runs,
-  arrivals: 2,
+  arrivals: runs,
+  limits: [],
   injected: [{ ...EARLIER_FAULT, kind: FaultKind.Killed }],
   departures: [],
   unexpectedExits: [],
@@ -100,7 +101,27 @@
   [Guarantee.StaysUp]: {
     unexpectedExits: [{ host: 0, at: 5, lines: ["crashed"] }],
   },
-  [Guarantee.RetriesBounded]: { arrivals: 63 },
+  [Guarantee.RetriesBounded]: {
+    arrivals: Array.from({ length: 63 }, () => runs[0]!),
+  },
+  [Guarantee.LimitKept]: {
+    calls: [{ ...read, instance: "i", statesLimit: true }, order],
+    // 3 s after the limit was first passed on; 11 of 1 a second are allowed.
+    arrivals: Array.from(
+      { length: 12 },
+      (_, i) => ({ id: "r", instance: "i", at: 3_100 + i }),
+    ),
+    limits: [{ instance: "i", limitPerS: 1, from: 0, until: 7_500 }],
+    runs: [],
+  },
+  [Guarantee.NothingAfterLeaving]: {
+    calls: [
+      { ...read, instance: "i", statesLeaving: true },
+      { ...order, sentAt: 2_051, endedAt: 2_100 },
+    ],
+    arrivals: [{ id: "o", instance: "i", at: 2_060 }],
+    runs: [],
+  },
 };
 
 test("a history without violations passes all checks", () => {
--- a/test/store_era_test.ts
+++ b/test/store_era_test.ts
@@ -6,7 +6,7 @@
   type DeploymentHost,
   startDeployment,
 } from "./platform/mesh.ts";
-import { type LostWrites, StoreMode } from "./platform/store_stand_in.ts";
+import { type Rollback, StoreMode } from "./platform/store_stand_in.ts";
 
 /** Longer than a batch of changes takes to reach all daemons, in ms. */
 const KNOWN_MS = 1_000;
@@ -27,20 +27,13 @@
 async function rollBack(
   ageMs: number,
   whileAway: () => void = () => {},
-): Promise<LostWrites> {
+): Promise<Rollback> {
   fleet.store.setMode(StoreMode.Reset);
-  const lost = fleet.store.rollBack(ageMs);
+  const rollback = fleet.store.rollBack(ageMs);
   whileAway();
   await pause(300);
   fleet.store.setMode(StoreMode.Serving);
-  return lost;
-}
-
-function writeAgain(lost: LostWrites): void {
-  for (const [key, text] of lost) {
-    if (text === undefined) fleet.store.remove(key);
-    else fleet.store.putText(key, text);
-  }
+  return rollback;
 }
 
 async function sendReads(name: string, ms: number): Promise<number[]> {
@@ -97,9 +90,9 @@
     fleet.list(host, { state: "draining", seq: 2 });
     await pause(KNOWN_MS);
     const before = host.upstream.arrivals;
-    const lost = await rollBack(AGE_MS);
+    const rollback = await rollBack(AGE_MS);
     const statuses = await sendReads("draining", REWRITE_MS);
-    writeAgain(lost);
+    rollback.writeAgain();
     expect(host.upstream.arrivals - before).toBe(0);
     expect(statuses.filter((s) => s !== 200)).toEqual([]);
     await pause(KNOWN_MS);
@@ -117,9 +110,9 @@
     fleet.list(host);
     await pause(KNOWN_MS);
     const before = host.upstream.arrivals;
-    const lost = await rollBack(AGE_MS);
+    const rollback = await rollBack(AGE_MS);
     const statuses = await sendReads("replaced", REWRITE_MS);
-    writeAgain(lost);
+    rollback.writeAgain();
     // Requests for the incarnation that left would be refused with 421.
     const arrived = host.upstream.arrivals - before;
     const ran = host.upstream.runs.filter((r) => r.id.startsWith("replaced"));
