--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -125,7 +125,7 @@
         const lost = world.getHosts()
           .filter((h) => h.failureDomain === "Beşiktaş").map((h) => h.host);
         at(world, 2_500, () => lost.forEach(world.vanish));
-        at(world, 4_500, () => lost.forEach(world.restart));
+        at(world, 4_500, () => lost.forEach((h) => world.restart(h)));
       },
     },
   ),
--- a/src/lab/fault_schedule.ts
+++ b/src/lab/fault_schedule.ts
@@ -137,13 +137,17 @@
   return world.issueKeys(home, account, { count: 1 })[0];
 }
 
-function pickHost(world: World): HostId {
+/** Returns a random host. */
+export function pickHost(world: World): HostId {
   const hosts = world.getHosts();
   return hosts[Math.floor(world.loop.random() * hosts.length)]!.host;
 }
 
 /** Injects one kind of fault at a host and schedules its end, if it has one. */
-type InjectFault = (schedule: ScheduleRun, host: HostId) => void;
+type InjectFault = (
+  schedule: Pick<ScheduleRun, "world">,
+  host: HostId,
+) => void;
 
 const FAULT_KINDS: readonly InjectFault[] = [
   ({ world }, host) => {
@@ -197,7 +201,8 @@
   ({ world }, host) => world.publishList({ [host]: ListedState.Leaving }),
 ];
 
-function injectFault(schedule: ScheduleRun): void {
+/** Injects a fault of a random kind at a random host. */
+export function injectFault(schedule: Pick<ScheduleRun, "world">): void {
   const { world } = schedule;
   const pick = Math.floor(world.loop.random() * FAULT_KINDS.length);
   FAULT_KINDS[pick]!(schedule, pickHost(world));
@@ -214,7 +219,7 @@
 }
 
 /** Ends all faults so that every call can finish. */
-function healAll(world: World): void {
+export function healAll(world: World): void {
   world.network.heal();
   world.network.faults.lossShare = 0;
   world.network.faults.duplicatedShare = 0;
--- a/src/lab/lab_gateway.ts
+++ b/src/lab/lab_gateway.ts
@@ -126,7 +126,7 @@
       GatewayActionKind.Reserve | GatewayActionKind.Submit
     >,
   ): void {
-    const { id, attempt, timeoutMs } = action;
+    const { id, attempt, timeoutMs, instance, limitPerS } = action;
     const { call, pendingAttempts } = calls.get(id)!;
     const { account, service, repeatability, key } = call;
     pendingAttempts.set(attempt, action.to);
@@ -143,6 +143,8 @@
         ...(key !== undefined && { key }),
         fingerprint: call.operation,
         timeoutMs,
+        ...(instance !== undefined && { instance }),
+        ...(limitPerS !== undefined && { limitPerS }),
       },
     });
   }
@@ -303,6 +305,7 @@
       reason: "answered",
       responseCallId: response.call,
       status: response.status,
+      ...(response.notice && { notice: response.notice }),
       ...(key !== undefined && { key }),
     });
     port.loop.schedule(port.loop.now(), () => {
--- a/src/lab/lab_guard.ts
+++ b/src/lab/lab_guard.ts
@@ -11,9 +11,11 @@
   GuardActionKind,
   type GuardMessage,
   GuardMessageKind,
+  type Incarnation,
   type Millis,
   type OfKind,
   Repeatability,
+  type UpstreamNotice,
 } from "../core/types.ts";
 import { formatGuardMessage, formatReply } from "./format.ts";
 import type { NodePort } from "./node.ts";
@@ -27,6 +29,9 @@
   readonly call: LabCall;
   readonly key: string;
   readonly isAtMostOnce: boolean;
+  /** Incarnation of the daemon that took the call. */
+  readonly gateway: Incarnation;
+  readonly startedAt: Millis;
   readonly deadline: Millis;
   /** Retries left for the calls that this request makes in turn. */
   readonly retriesLeft: number;
@@ -37,10 +42,10 @@
 export interface LabGuard {
   readonly guard: Guard;
   receiveRequest(payload: OfKind<LabPayload, "ask">): void;
-  /** Handles the upstream's response to a request. */
-  finishWork(work: LabWork, status: number): void;
-  /** Handles a request that ended without a response. */
-  failWork(work: LabWork, execution: Execution): void;
+  /** Handles the upstream's response to a request and what it states about the upstream. */
+  finishWork(work: LabWork, status: number, notice: UpstreamNotice): void;
+  /** Handles a request that ended without a result; a refusal states something about the upstream. */
+  failWork(work: LabWork, execution: Execution, notice?: UpstreamNotice): void;
   drain(): void;
 }
 
@@ -138,6 +143,8 @@
       call,
       key,
       isAtMostOnce: call.repeatability === Repeatability.AtMostOnce,
+      gateway: replyTo.incarnation,
+      startedAt: port.loop.now(),
       deadline,
       retriesLeft: Math.max(
         0,
@@ -156,8 +163,13 @@
     work.isCancelled = true;
   }
 
-  function finishWork(work: LabWork, status: number): void {
+  function finishWork(
+    work: LabWork,
+    status: number,
+    notice: UpstreamNotice,
+  ): void {
     if (work.isCancelled || !options.isAlive()) return;
+    recordNotice(work, notice);
     const { ticket, call } = work;
     const body = Buffer.from(call.id).toString("base64");
     const kept = { status, contentType: "text/plain", body };
@@ -167,11 +179,27 @@
       status,
       ...(work.isAtMostOnce && { kept }),
     });
-    reply(ticket, { kind: "answer", status, call: call.id });
+    reply(ticket, { kind: "answer", status, call: call.id, notice });
   }
 
-  function failWork(work: LabWork, execution: Execution): void {
+  function recordNotice(
+    { startedAt }: LabWork,
+    { instance, ...notice }: UpstreamNotice,
+  ): void {
+    dispatch({
+      kind: GuardMessageKind.Noticed,
+      notice: { ...notice, isComplete: true },
+      source: { instance, sentAt: startedAt },
+    });
+  }
+
+  function failWork(
+    work: LabWork,
+    execution: Execution,
+    notice?: UpstreamNotice,
+  ): void {
     if (work.isCancelled || !options.isAlive()) return;
+    if (notice !== undefined) recordNotice(work, notice);
     const isRefusal = execution === Execution.NotRun;
     dispatch({
       kind: GuardMessageKind.UpstreamFailed,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -26,6 +26,7 @@
 const FLEET_LOAD_TEST = "test/fleet_load_test.ts";
 const READING_TEST = "test/reading_test.ts";
 const NOTICES_TEST = "test/notices_test.ts";
+const NOTICE_SCHEDULE_TEST = "test/notice_schedule_test.ts";
 const ROUTING_TEST = "test/routing_test.ts";
 
 /** All mutations. */
@@ -526,4 +527,14 @@
     }],
     testFile: ROUTING_TEST,
   },
+  {
+    name: "leaving_at_both_ends",
+    guarantee: "a leaving upstream gets no new work",
+    file: "src/core/upstream_notices.ts",
+    edits: [{
+      find: "if (notice.isLeaving) leavingSince ??= host.now();",
+      replace: "",
+    }],
+    testFile: NOTICE_SCHEDULE_TEST,
+  },
 ];
--- a/src/lab/node.ts
+++ b/src/lab/node.ts
@@ -20,6 +20,8 @@
 import type { LabEnvelope, LabHost, LabOptions, LabPayload } from "./types.ts";
 
 const GRANT_TTL_MS = 500;
+/** Time for which a leaving upstream is still a last choice, in ms. */
+export const LEAVING_MS = 1_000;
 const RESERVE_TIMEOUT_MS = 100;
 const UNRESPONSIVE_AFTER_MS = 400;
 const MAX_ATTEMPTS = 4;
@@ -35,6 +37,8 @@
   send(envelope: LabEnvelope): void;
   /** Replaces unresponsive connections between two hosts by new ones. */
   reconnect(from: HostId, to: HostId): void;
+  /** Incarnation of a host's upstream, as a list of upstreams would name it. */
+  getInstance(host: HostId): string;
   /** Starts a request at the node's upstream. */
   execute(node: LabNode, work: LabWork): void;
   record(line: string): void;
@@ -116,7 +120,12 @@
         crossDomainMs: 2 * lab.latency.crossDomainMs,
         ignoresFailureDomains: !policy.prefersOwnDomain,
       },
-      getCandidates: membership.getCandidates,
+      leavingMs: LEAVING_MS,
+      getCandidates: (service) =>
+        membership.getCandidates(service).map((candidate) => ({
+          ...candidate,
+          instance: port.getInstance(candidate.host),
+        })),
       getLimits: () => ({
         retryBudget: 0.1,
         hedgeBudget: policy.hedgeBudget,
@@ -139,6 +148,7 @@
       queueCapacity: lab.queueCapacity ?? DEFAULT_QUEUE_CAPACITY,
       grantTtlMs: GRANT_TTL_MS,
       keyCapacity: lab.keyCapacity ?? DEFAULT_KEY_CAPACITY,
+      leavingMs: LEAVING_MS,
       getWeight: lab.getWeight ?? (() => 1),
       isFirstComeFirstServed: !policy.isFair,
       refusesEarly: policy.refusesEarly,
--- a/src/lab/types.ts
+++ b/src/lab/types.ts
@@ -17,6 +17,7 @@
   Repeatability,
   ServiceName,
   Ticket,
+  UpstreamNotice,
   Verdict,
 } from "../core/types.ts";
 
@@ -99,6 +100,8 @@
   readonly status?: number;
   readonly key?: string;
   readonly retryAfterMs?: Millis;
+  /** What the response states about the upstream that sent it. */
+  readonly notice?: UpstreamNotice;
   readonly latencyMs: Millis;
 }
 
@@ -110,6 +113,10 @@
   readonly host: HostId;
   readonly at: Millis;
   readonly isAtMostOnce: boolean;
+  /** Incarnation of the upstream. */
+  readonly instance: string;
+  /** Incarnation of the daemon that took the call. */
+  readonly gateway: Incarnation;
   /** Time at which the host announced that it drains, if it did before this execution. */
   readonly drainingSince?: Millis;
 }
@@ -126,7 +133,7 @@
 export type LabReply =
   | { kind: "granted"; grant: string; key: string }
   | { kind: "refused"; verdict: Verdict; grant?: string }
-  | { kind: "answer"; status: number; call: string };
+  | { kind: "answer"; status: number; call: string; notice?: UpstreamNotice };
 
 /** Payload of a message between hosts. */
 export type LabPayload =
--- a/src/lab/upstream_model.ts
+++ b/src/lab/upstream_model.ts
@@ -1,6 +1,6 @@
-/** Simulated upstream: service times, cold starts, slow requests and load shedding. */
+/** Simulated upstream: service times, cold starts, slow requests, load shedding and statements about itself. */
 
-import type { HostId, Millis } from "../core/types.ts";
+import type { HostId, Millis, UpstreamNotice } from "../core/types.ts";
 import type { EventLoop } from "./event_loop.ts";
 
 /** Behaviour of a simulated upstream; can be changed during a run. */
@@ -17,6 +17,10 @@
   failsFast: boolean;
   /** Time after a start in which service times are multiplied by COLD_FACTOR, in ms. */
   coldMs: Millis;
+  /** Requests per second that its responses state as its limit; Infinity for none. */
+  limitPerS: number;
+  /** True states in its responses that it is leaving. */
+  isLeaving: boolean;
 }
 
 /** A simulated upstream. */
@@ -27,8 +31,11 @@
   sampleServiceMs(): Millis;
   /** Draws whether a request is refused before it starts. */
   sampleShed(): boolean;
-  /** Restarts the cold period. */
+  /** Starts a new incarnation, which is cold and neither limited nor leaving. */
   restart(): void;
+  getInstance(): string;
+  /** What its responses state about it now. */
+  getNotice(): UpstreamNotice;
 }
 
 const TAIL_FACTOR = 10;
@@ -48,17 +55,42 @@
     shedShare: 0,
     failsFast: false,
     coldMs: 0,
+    limitPerS: Infinity,
+    isLeaving: false,
   };
   let startedAt = loop.now();
+  let startCount = 1;
   return {
     host: options.host,
     behaviour,
     sampleServiceMs,
     sampleShed: () =>
       behaviour.shedShare > 0 && loop.random() < behaviour.shedShare,
-    restart: () => void (startedAt = loop.now()),
+    restart,
+    getInstance,
+    getNotice,
   };
 
+  function restart(): void {
+    startedAt = loop.now();
+    startCount += 1;
+    behaviour.limitPerS = Infinity;
+    behaviour.isLeaving = false;
+  }
+
+  function getInstance(): string {
+    return `${options.host}~${startCount}`;
+  }
+
+  function getNotice(): UpstreamNotice {
+    const { limitPerS, isLeaving } = behaviour;
+    return {
+      instance: getInstance(),
+      isLeaving,
+      ...(limitPerS < Infinity && { limitPerS }),
+    };
+  }
+
   function sampleServiceMs(): Millis {
     const exponentialShare = -Math.log(1 - loop.random()) *
       (1 - MIN_SERVICE_SHARE);
--- a/src/lab/world.ts
+++ b/src/lab/world.ts
@@ -53,8 +53,8 @@
   kill(host: HostId): void;
   /** Stops the host without resetting connections; messages to it get no reply. */
   vanish(host: HostId): void;
-  /** Starts a new incarnation of a stopped daemon. */
-  restart(host: HostId): void;
+  /** Starts a new incarnation of a stopped daemon, and of its upstream unless that kept running. */
+  restart(host: HostId, options?: { keepsUpstream?: boolean }): void;
   /** Suspends the processes of a host; their events wait until it resumes. */
   pause(host: HostId): void;
   resume(host: HostId): void;
@@ -100,6 +100,7 @@
     loop,
     send,
     reconnect: network.reconnect,
+    getInstance: (id) => models.get(id)!.getInstance(),
     execute,
     record,
   };
@@ -200,10 +201,17 @@
     const { host } = node.place;
     const model = models.get(host)!;
     if (model.behaviour.failsFast) {
-      return after(FAIL_FAST_MS, () => node.guard.finishWork(work, HTTP_ERROR));
+      return after(
+        FAIL_FAST_MS,
+        () => node.guard.finishWork(work, HTTP_ERROR, model.getNotice()),
+      );
     }
     if (model.sampleShed()) {
-      return after(0, () => node.guard.failWork(work, Execution.NotRun));
+      const notice = model.getNotice();
+      return after(
+        0,
+        () => node.guard.failWork(work, Execution.NotRun, notice),
+      );
     }
     executions.push({
       call: work.call.id,
@@ -212,6 +220,8 @@
       host,
       at: loop.now(),
       isAtMostOnce: work.isAtMostOnce,
+      instance: model.getInstance(),
+      gateway: work.gateway,
       ...(node.drainingSince !== undefined && {
         drainingSince: node.drainingSince,
       }),
@@ -228,7 +238,7 @@
   function callChain(node: LabNode, work: LabWork): void {
     const [next, ...rest] = work.call.chain ?? [];
     if (next === undefined || !node.isAlive || work.isCancelled) {
-      return node.guard.finishWork(work, HTTP_OK);
+      return finish(HTTP_OK);
     }
     const child: LabCall = {
       ...work.call,
@@ -242,8 +252,13 @@
     node.gateway.call(child, (outcome) => {
       const isSuccess = outcome.execution === Execution.Ran &&
         outcome.status === HTTP_OK;
-      node.guard.finishWork(work, isSuccess ? HTTP_OK : HTTP_ERROR);
+      finish(isSuccess ? HTTP_OK : HTTP_ERROR);
     });
+
+    function finish(status: number): void {
+      const notice = models.get(node.place.host)!.getNotice();
+      node.guard.finishWork(work, status, notice);
+    }
   }
 
   function call(
@@ -304,11 +319,14 @@
     vanished.add(id);
   }
 
-  function restart(id: HostId): void {
+  function restart(
+    id: HostId,
+    { keepsUpstream = false }: { keepsUpstream?: boolean } = {},
+  ): void {
     if (getNode(id).isAlive) return;
     vanished.delete(id);
     record(`${id} starts again`);
-    models.get(id)!.restart();
+    if (!keepsUpstream) models.get(id)!.restart();
     const node = start(hosts.get(id)!);
     node.applyHosts(listed);
     const documents = platform.read();
