--- a/test/notices_mesh_test.ts
+++ b/test/notices_mesh_test.ts
@@ -11,6 +11,7 @@
 const STABLE_MS = 3_000;
 /** Span in which requests are counted against a limit, in ms. */
 const LIMIT_SPAN_MS = 4_000;
+const LOAD_MS = STABLE_MS + LIMIT_SPAN_MS;
 
 let fleet: Deployment;
 /** Hosts that passed on a statement of an upstream; only these are bound by it. */
@@ -73,13 +74,17 @@
   async () => {
     const [host] = fleet.hosts as [DeploymentHost];
     host.upstream.limitPerS = 5;
+    const probesBefore = host.upstream.probes;
     const statedAt = performance.now();
-    const statuses = await sendLoad("limited", { perSecond: 90, ms: 7_000 });
+    const statuses = await sendLoad("limited", { perSecond: 90, ms: LOAD_MS });
     const arrived = countArrivals(host, statedAt + STABLE_MS);
     expect(arrived).toBeLessThanOrEqual(getAllowed(5));
     // It accepts 5 a second, and the others have room for all that is left.
     expect(arrived).toBeGreaterThan(5 * LIMIT_SPAN_MS / 1_000 / 2);
     expect(statuses.filter((s) => s !== 200)).toEqual([]);
+    // It is spared health checks for requests that it doesn't take.
+    const probes = host.upstream.probes - probesBefore;
+    expect(probes).toBeLessThanOrEqual(getAllowed(5) * LOAD_MS / LIMIT_SPAN_MS);
   },
   20_000,
 );
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -61,6 +61,8 @@
   arrivals: number;
   /** The same with their time. */
   readonly arrived: Arrival[];
+  /** Number of health checks. */
+  probes: number;
   /** Headers of the requests that arrived. */
   readonly heard: IncomingMessage["headers"][];
   /** Bytes of the bodies that arrived. */
@@ -110,6 +112,7 @@
     runs: [],
     arrivals: 0,
     arrived: [],
+    probes: 0,
     heard: [],
     bodies: [],
     cancelled: [],
@@ -149,6 +152,7 @@
     const load = `${running},0,${standIn.slots},${standIn.slowdownPercent}`;
     res.setHeader("x-vanillarock-server-load", load);
     if (req.url === "/healthz") {
+      standIn.probes += 1;
       res.setHeader("x-vanillarock-instance-id", standIn.instance);
       res.writeHead(200).end();
       return;
