Soak: a later limit replaces an earlier one of the same upstream

The injector now ends a span when its upstream stops stating it; the check covers every span, also those that it had left out for overlapping.

--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -177,14 +177,9 @@
   return told;
 }
 
-/** Times of the arrivals that a limit binds, unless another one overlaps it. */
+/** Times of the arrivals that a limit binds. */
 function findBoundArrivals(history: History, limit: LimitSpan): number[] {
   const { instance, from, until } = limit;
-  const isOverlapped = history.limits.some((other) =>
-    other !== limit && other.instance === instance &&
-    other.from < until && other.until > from
-  );
-  if (isOverlapped) return [];
   const calls = new Map(history.calls.map((c) => [c.id, c]));
   const told = findTold(
     history.calls.filter((c) => c.sentAt > from - RECOVERY_MS),
@@ -194,8 +189,8 @@
   return history.arrivals.filter((a) => {
     const call = calls.get(a.id);
     const toldAt = call && told.get(`${call.host} ${instance}`);
-    return a.instance === instance && a.at >= namedAt + RECOVERY_MS &&
-      a.at <= until && toldAt !== undefined &&
+    return a.instance === instance && a.at >= from &&
+      a.at >= namedAt + RECOVERY_MS && a.at <= until && toldAt !== undefined &&
       a.at >= toldAt + LIMIT_KNOWN_MS &&
       !hasFault(history, call!, EXCUSES_FROM_LIMITS, toldAt);
   }).map((a) => a.at);
--- a/test/soak/inject.ts
+++ b/test/soak/inject.ts
@@ -85,6 +85,8 @@
   const injected: InjectedFault[] = [];
   const departures: Departure[] = [];
   const limits: LimitSpan[] = [];
+  /** The limit that each upstream states now; a later one replaces it. */
+  const limitsInForce = new Map<number, LimitSpan>();
   const unexpectedExits: UnexpectedExit[] = [];
   /** Processes that a fault ends, with the delay until their restart in ms. */
   const restartDelays = new WeakMap<object, number>();
@@ -203,11 +205,17 @@
       const { instance } = upstream;
       const limitPerS = Math.round(10 * fault.strength * MAX_LIMIT_PER_S) / 10;
       const from = performance.now();
+      const span = { instance, limitPerS, from, until: Infinity };
+      const before = limitsInForce.get(fault.host);
+      if (before !== undefined) before.until = from;
+      limits.push(span);
+      limitsInForce.set(fault.host, span);
       upstream.limitPerS = limitPerS;
       await pause(LIMIT_MS);
-      const until = performance.now();
-      limits.push({ instance, limitPerS, from, until });
+      if (limitsInForce.get(fault.host) !== span) return;
+      limitsInForce.delete(fault.host);
       upstream.limitPerS = undefined;
+      span.until = performance.now();
     },
     [FaultKind.UpstreamLeaving]: async (fault) => {
       const host = getHost(fault);
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -118,7 +118,7 @@
   readonly instance: string;
   readonly limitPerS: number;
   readonly from: number;
-  readonly until: number;
+  until: number;
 }
 
 /** The exit of a process that no fault ended. */
