List of upstreams: a second rollback brings back no upstream that the first one withheld

Callers would have been sent to an upstream that had left. Cause: once the store dropped the outdated entry again, its departure was forgotten, and a copy that was older still listed it as ready. The departure is kept, as of when the list dropped the entry.

--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -126,8 +126,12 @@
   }
 
   function remove(instance: string): void {
-    // The list no longer has the outdated entry: a later one is current.
-    if (withheld.delete(instance)) departures.forget(instance);
+    const outdated = withheld.get(instance);
+    if (outdated !== undefined) {
+      // An entry that is listed from now on is current, unless the list is rolled back again.
+      withheld.delete(instance);
+      departures.record(outdated);
+    }
     const entry = entries.get(instance);
     if (entry === undefined) return;
     candidates.clear();
--- a/test/routing_test.ts
+++ b/test/routing_test.ts
@@ -150,3 +150,15 @@
   list.put(READY);
   expect(getInstances()).toEqual(["i"]);
 });
+
+test("an entry dropped from one older copy is outdated in the next, older one", () => {
+  const { list, getInstances } = createTestList();
+  list.put(READY);
+  list.remove("i");
+  list.markRolledBack();
+  list.replaceAll([READY]);
+  list.remove("i");
+  list.markRolledBack();
+  list.replaceAll([READY]);
+  expect(getInstances()).toEqual([]);
+});
