Soak: reports how long its own process was held up

The daemons' own lines give the answers in time (tookMs at most 3 ms past the deadline); whether the rest was lost before a daemon read the request or in the soak's process, which holds callers, upstreams, relays and store, its reports did not say.

--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -55,7 +55,7 @@
   FaultKind.Killed,
   FaultKind.Stopped,
 ]);
-/** Faults after which a daemon no longer knows, or has not seen, what time has passed. */
+/** Faults that make a daemon forget what it was told, or that hold it up. */
 const RESTARTS_AND_FREEZES = new Set([
   FaultKind.Paused,
   FaultKind.Killed,
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -47,9 +47,11 @@
   process.exitCode = failed > 0 ? 1 : 0;
 }
 
-function print({ seed, violations, statuses, logs }: SoakReport): void {
+function print(
+  { seed, violations, statuses, heldUpMs, logs }: SoakReport,
+): void {
   const counts = Object.entries(statuses).map(([s, n]) => `${s}: ${n}`);
-  console.log(`seed ${seed}: ${counts.join(", ")}`);
+  console.log(`seed ${seed}: ${counts.join(", ")}, held up ${heldUpMs} ms`);
   for (const { guarantee, detail } of violations) {
     console.log(`  BROKEN ${guarantee}: ${detail}`);
   }
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -3,6 +3,7 @@
  * guarantees.
  */
 
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { type Deployment, startDeployment } from "../platform/mesh.ts";
 import { INSTANCE_HEADER } from "../platform/upstream_stand_in.ts";
 import { createResponseBody, findViolations } from "./find_violations.ts";
@@ -33,6 +34,8 @@
  */
 const QUIET_MS = 5_000;
 const FINAL_READS = 5;
+const DELAY_RESOLUTION_MS = 10;
+const NS_PER_MS = 1e6;
 
 const PATHS: Record<CallKind, string> = {
   [CallKind.Read]: "/read/1",
@@ -47,6 +50,8 @@
   readonly violations: readonly Violation[];
   /** Number of requests by status, `none` for those without a response. */
   readonly statuses: Readonly<Record<string, number>>;
+  /** Longest time for which the process of callers, upstreams and store was held up, in ms. */
+  readonly heldUpMs: number;
   /** Log lines of all daemons, by host. */
   readonly logs: ReadonlyMap<string, readonly string[]>;
 }
@@ -72,6 +77,8 @@
   deployment: Deployment,
   seed: number,
 ): Promise<SoakReport> {
+  const delays = monitorEventLoopDelay({ resolution: DELAY_RESOLUTION_MS });
+  delays.enable();
   const random = createRandom(seed + 1);
   const calls: CallRecord[] = [];
   let isOver = false;
@@ -89,6 +96,7 @@
   } finally {
     isOver = true;
     injector.finish();
+    delays.disable();
   }
 
   async function runPlan(): Promise<SoakReport> {
@@ -125,6 +133,7 @@
       plan,
       violations: findViolations(history),
       statuses: countStatuses(calls),
+      heldUpMs: Math.round(delays.max / NS_PER_MS),
       logs: new Map(deployment.hosts.map((h) => [h.ip, h.lines])),
     };
   }
