--- /dev/null
+++ b/test/departed_callers_test.ts
@@ -0,0 +1,115 @@
+/** Requests whose callers left while a daemon on their way was held up, with daemons as processes. */
+
+import { connect, type Socket } from "node:net";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import {
+  CALLER_PORT,
+  type Deployment,
+  type DeploymentHost,
+  startDeployment,
+} from "./platform/mesh.ts";
+
+/** Longer than the half second within which work for a departed caller has to stop. */
+const HELD_UP_MS = 700;
+const CALLERS = 12;
+
+let fleet: Deployment;
+beforeAll(async () => {
+  // The callers' host has no upstream of the service, so that two daemons are on the way.
+  fleet = await startDeployment(88, ["front", "shop"]);
+  fleet.publish(2, { service: "shop" });
+  const [front] = fleet.hosts as [DeploymentHost];
+  while ((await fleet.call(front, { id: "first" })).status !== 200) {
+    await pause(20);
+  }
+});
+afterAll(() => fleet.close());
+
+test.each([
+  ["GET /read/1", ""],
+  ["POST /order/1", "content-length: 1\r\n"],
+])(
+  "%s: a caller's daemon that was held up passes on nothing for callers that left",
+  async (line, headers) => {
+    const [front] = fleet.hosts as [DeploymentHost];
+    const before = countRuns();
+    const callers = await openCallers(front);
+    front.process.kill("SIGSTOP");
+    for (const [i, socket] of callers.entries()) {
+      sendRequest(socket, { line, headers, id: `late-${i}` });
+    }
+    await pause(50);
+    for (const socket of callers) socket.destroy();
+    await pause(HELD_UP_MS);
+    front.process.kill("SIGCONT");
+    await pause(500);
+    expect(countRuns() - before).toBe(0);
+  },
+  20_000,
+);
+
+test(
+  "an upstream's daemon that was held up starts nothing for callers that left",
+  async () => {
+    const [front, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
+    const before = countRuns();
+    const callers = await openCallers(front);
+    back.process.kill("SIGSTOP");
+    for (const [i, socket] of callers.entries()) {
+      sendRequest(socket, {
+        line: "GET /read/1",
+        headers: "",
+        id: `held-${i}`,
+      });
+    }
+    await pause(50);
+    for (const socket of callers) socket.destroy();
+    await pause(HELD_UP_MS);
+    back.process.kill("SIGCONT");
+    await pause(500);
+    expect(countRuns() - before).toBe(0);
+  },
+  20_000,
+);
+
+test("callers that stay are served by daemons that were held up", async () => {
+  for (const held of fleet.hosts) {
+    held.process.kill("SIGSTOP");
+    const calls = Array.from(
+      { length: CALLERS },
+      (_, i) => fleet.call(fleet.hosts[0]!, { id: `stays-${held.ip}-${i}` }),
+    );
+    await pause(HELD_UP_MS);
+    held.process.kill("SIGCONT");
+    const statuses = (await Promise.all(calls)).map((res) => res.status);
+    expect(statuses).toEqual(Array(CALLERS).fill(200));
+  }
+}, 20_000);
+
+function countRuns(): number {
+  return fleet.hosts.flatMap((h) => h.upstream.ran).length;
+}
+
+/** Opens connections that the daemon has accepted. */
+async function openCallers(host: DeploymentHost): Promise<Socket[]> {
+  const sockets = Array.from(
+    { length: CALLERS },
+    () => connect(CALLER_PORT, host.ip).on("error", () => {}),
+  );
+  await pause(100);
+  return sockets;
+}
+
+function sendRequest(
+  socket: Socket,
+  { line, headers, id }: { line: string; headers: string; id: string },
+): void {
+  socket.write(
+    `${line} HTTP/1.1\r\nhost: shop\r\nx-vanillarock-attempt-id: ${id}\r\n` +
+      `x-vanillarock-timeout-ms: 2000\r\n${headers}\r\n${headers && "x"}`,
+  );
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
