Guard: a slot that frees up starts no request whose time has passed

Callers saw nothing of it; upstreams worked for callers that had left. Cause: after a pause of the process, the message that frees a slot is handled before the tick that ends what is overdue in the queue, and the queue's first item starts whatever its time. Evidence: the test, 450 ms overdue and started; it failed before. Now what is overdue is refused as not run where it is taken from the queue, with the same verdict as by the tick. In the test the second verdict was expected from the next tick, it now comes at once.

--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -445,7 +445,12 @@
         mayCall(item.head)
       );
       if (entry === undefined) break;
-      actions.push(assignSlot(entry));
+      actions.push(
+        // After a pause of the process, messages come before the tick that ends what is overdue.
+        host.now() < entry.latestStart
+          ? assignSlot(entry)
+          : refuseOverdue(entry),
+      );
     }
     return actions;
   }
@@ -660,9 +665,7 @@
       case EntryState.Queued:
         if (now < entry.latestStart && !isOvertaken(entry, now)) return [];
         queue.remove(entry);
-        return [
-          refuse(entry, getQueueTimeoutReason(entry), NotRun, getRetryAfter()),
-        ];
+        return [refuseOverdue(entry)];
       case EntryState.Granted:
         return now < entry.grantExpires!
           ? []
@@ -675,8 +678,11 @@
     }
   }
 
-  function getQueueTimeoutReason({ head }: Entry): DiagnosticName {
-    return head.mayQueue === false ? "no_room_now" : "deadline_in_queue";
+  function refuseOverdue(entry: Entry): GuardAction {
+    const name = entry.head.mayQueue === false
+      ? "no_room_now"
+      : "deadline_in_queue";
+    return refuse(entry, name, NotRun, getRetryAfter());
   }
 
   /** True for work past its latest useful start while more requests wait than there are slots. */
