Guard task: a cancel during a reading of the upstream is kept

Callers that left had their requests run to the timeout. Cause: the task waits for a reading of the upstream's load (up to 40 ms, longer when the process is behind) before it listens for the cancel; the emitter tells only those who listen. Now the ticket is opened first; one that is cancelled meanwhile ends as not run.

--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -100,6 +100,8 @@
   /** Time by the task's clock at which the request times out, in ms. */
   deadline?: Millis;
   forward?: ForwardRequest;
+  /** True once the sender has cancelled the request to forward. */
+  isAborted?: boolean;
   signal?: EventEmitter;
 }
 
@@ -228,9 +230,14 @@
       onAccepted?: () => void;
     },
   ): Promise<GuardReply> {
-    await prepareAdmission(head);
     const state = openTicket(ticket, forward);
     if (state === undefined) return createGrantUsedReply();
+    await prepareAdmission(head);
+    // The guard doesn't know the ticket yet, so that a cancel means nothing to it.
+    if (state.isAborted) {
+      tickets.delete(ticket);
+      return createRefusal(Execution.NotRun, Diagnostics.cancelled);
+    }
     const reply = request(ticket, {
       kind: GuardMessageKind.Submit,
       ticket,
@@ -299,6 +306,7 @@
     state.forward = forward;
     tickets.set(ticket, state);
     forward.signal.once("abort", () => {
+      state.isAborted = true;
       dispatch({ kind: GuardMessageKind.Cancel, ticket });
     });
     return state;
