Daemons that were held up read their sockets before they pass requests on

Cause: a daemon with too little processor time reads a request and the close of its connection in different turns of the event loop, as they wait one behind the other in the socket; it sends the request on in between. That holds for the caller's daemon and, with the link's connection, for the upstream's. Now a timer shows that the process is late by 50 ms or more; what is sent to a guard or started at the upstream then waits for two more turns, which read the close, and ends as not run if its sender has gone or its time has passed. Nothing waits while the process is in time. The same in the gossip daemon, which shares both tasks.

--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -45,6 +45,8 @@
   readonly path: string;
   readonly headers: Record<string, string | string[]>;
   readonly body: Readable | Buffer | null;
+  /** True if the caller's connection has ended, which may show before `abandon` is called. */
+  isCallerGone?(): boolean;
 }
 
 /** What a caller gets: a response to stream, a kept response, or a verdict. */
@@ -70,6 +72,8 @@
   readonly host: CoreHost;
   readonly getLink: GetLink;
   readonly logger: Logger;
+  /** Awaited before a request is sent to a guard; undefined unless the process was held up. */
+  catchUp?(): Promise<void> | undefined;
   /** Called for each response that is delivered to a caller. */
   onDelivered?(delivery: Delivery): void;
   /** Called when an extra attempt has ended. */
@@ -98,6 +102,7 @@
   readonly signal: EventEmitter;
   readonly host: HostId;
   readonly startedAt: Millis;
+  isCancelled?: boolean;
   key?: string;
   response?: StreamedResponse;
   replay?: KeptResponse;
@@ -145,7 +150,10 @@
     [GatewayActionKind.Settle]: (action) => void settle(action),
     [GatewayActionKind.Release]: release,
     [GatewayActionKind.Cancel]: ({ id, attempt }) => {
-      exchanges.get(id)?.attempts.get(attempt)?.signal.emit("abort");
+      const io = exchanges.get(id)?.attempts.get(attempt);
+      if (io === undefined) return;
+      io.isCancelled = true;
+      io.signal.emit("abort");
     },
     [GatewayActionKind.Deliver]: deliver,
     [GatewayActionKind.Finish]: finish,
@@ -273,8 +281,10 @@
     io.key = action.key;
     const link = getLink(to);
     if (link === undefined) return reportLinkFailure(id, attempt, false);
-    const forward = createForward(exchange, io);
     const ticket = gateway.getTicket(id, attempt);
+    const caughtUp = catchUp(exchange, action);
+    if (caughtUp && !(await caughtUp)) return link.release(ticket);
+    const forward = createForward(exchange, io);
     onReply(id, attempt, await link.run(ticket, grant, { forward }));
   }
 
@@ -285,7 +295,12 @@
     const exchange = open(action);
     const link = getLink(to);
     if (link === undefined) return reportLinkFailure(id, attempt, false);
-    const head = createHead(exchange.request, action);
+    const caughtUp = catchUp(exchange, action);
+    if (caughtUp && !(await caughtUp)) return;
+    const head = createHead(exchange.request, {
+      ...action,
+      timeoutMs: exchange.deadline - clock.now(),
+    });
     const forward = createForward(exchange, exchange.attempts.get(attempt)!);
     const ticket = gateway.getTicket(id, attempt);
     const onAccepted = () =>
@@ -297,6 +312,24 @@
     );
   }
 
+  /**
+   * Resolves to whether the attempt is still to be sent; otherwise its caller has
+   * left or its time has passed while the process was held up, and the gateway
+   * ends it. Undefined unless the process was held up, and for the local guard,
+   * which checks the same before it passes the request on.
+   */
+  function catchUp(
+    exchange: Exchange,
+    { attempt, to }: { attempt: number; to: HostId },
+  ): Promise<boolean> | undefined {
+    if (to === options.gateway.self) return undefined;
+    return options.catchUp?.()?.then(() =>
+      exchange.attempts.get(attempt)?.isCancelled !== true &&
+      exchange.request.isCallerGone?.() !== true &&
+      clock.now() < exchange.deadline
+    );
+  }
+
   async function settle(
     action: OfKind<GatewayAction, GatewayActionKind.Settle>,
   ): Promise<void> {
@@ -442,6 +475,7 @@
       },
       body: request.body,
       signal: io.signal,
+      ...(request.isCallerGone && { isSenderGone: request.isCallerGone }),
     };
   }
 }
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -41,6 +41,7 @@
 import { createPeerApp } from "./peer_app.ts";
 import { createPlatformTask } from "./platform_task.ts";
 import { createProbeTask } from "./probe_task.ts";
+import { createSocketCatchUp } from "./socket_catch_up.ts";
 
 /** Attempts of one request at most, hedges and refused attempts included. */
 const MAX_ATTEMPTS = 4;
@@ -110,9 +111,12 @@
     onAccepted,
     onRejected,
   });
+  const catchUp = createSocketCatchUp(clock, { counters, logger });
+  lifecycle.add("catch-up", catchUp.close);
   const guardTask = createGuardTask(clock, {
     host,
     logger,
+    catchUp: catchUp.wait,
     upstream: createUpstreamClient({
       ...settings.upstream,
       clock,
@@ -147,6 +151,7 @@
     host,
     logger,
     getLink: links.get,
+    catchUp: catchUp.wait,
     gateway: {
       self: settings.host,
       incarnation,
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -58,6 +58,8 @@
   readonly beforeAdmission?: BeforeAdmission;
   /** Awaited before a grant is used, if a reading of the upstream is due; undefined if none is. */
   beforeRun?(): Promise<void> | undefined;
+  /** Awaited before a request is passed on to the upstream; undefined unless the process was held up. */
+  catchUp?(): Promise<void> | undefined;
   /** Called after each message to the guard. */
   afterMessage?(): void;
   /** Called for each response of the upstream. */
@@ -321,6 +323,13 @@
     const isAtMostOnce = state.head?.repeatability === Repeatability.AtMostOnce;
     const startedAt = clock.now();
     const { inFlight, queued, slowdown } = guard.getReport();
+    const caughtUp = options.catchUp?.();
+    if (caughtUp !== undefined) {
+      await caughtUp;
+      const isOverdue = clock.now() >= state.deadline!;
+      const isCancelled = state.isAborted || forward.isSenderGone?.();
+      if (isCancelled || isOverdue) return endUnsent(ticket, { isOverdue });
+    }
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(state.deadline! - clock.now())),
       isAtMostOnce,
@@ -356,6 +365,20 @@
     sendResponse(ticket, { ...response, body }, { isRecorded });
   }
 
+  /** Ends a request that is not to be started once the sockets were read. */
+  function endUnsent(
+    ticket: Ticket,
+    { isOverdue }: { isOverdue: boolean },
+  ): void {
+    onUpstreamFailure(ticket, {
+      execution: Execution.NotRun,
+      diagnostic: isOverdue
+        ? Diagnostics.upstream_timeout
+        : Diagnostics.cancelled,
+      message: "ended while the process was held up; not sent",
+    });
+  }
+
   function onUpstreamFailure(
     ticket: Ticket,
     failure: UpstreamFailure,
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -34,6 +34,7 @@
 } from "./ingress_admission.ts";
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
+import { hasEnded } from "./socket_catch_up.ts";
 import { hasBody, type KeptBody, tryKeepBody } from "./request_body.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
@@ -152,6 +153,7 @@
       path: incoming.url ?? "/",
       headers: dialect.createForwardHeaders(incoming.headers, options.origin),
       body,
+      isCallerGone: () => hasEnded(incoming.socket),
     });
     if ("verdict" in outcome) {
       requests.delete(req);
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -23,6 +23,7 @@
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
 import { hasBody } from "./request_body.ts";
+import { hasEnded } from "./socket_catch_up.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
 
@@ -248,6 +249,7 @@
     headers: getForwardHeaders(incoming.headers),
     body: hasBody(incoming) ? incoming : null,
     signal,
+    isSenderGone: () => hasEnded(incoming.socket),
   };
 }
 
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -44,6 +44,7 @@
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
+import { createSocketCatchUp } from "./socket_catch_up.ts";
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
 import { createPeerHandler } from "./peer_server.ts";
@@ -138,6 +139,8 @@
   const counters = createCounters();
   const latencies = createLatencyMetrics();
   const lifecycle = createLifecycle();
+  const catchUp = createSocketCatchUp(clock, { counters, logger });
+  lifecycle.add("catch-up", catchUp.close);
   const memory = createMemoryBudget({
     limitBytes: computeBufferLimit(settings.memoryMb),
     onStateChange: logBufferState,
@@ -218,6 +221,7 @@
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
     }),
     beforeAdmission: watch.refresh,
+    catchUp: catchUp.wait,
     beforeRun: () => coldStarts.isReadingDue() ? watch.refresh() : undefined,
     afterMessage: watch.pollWhileWaiting,
     onUpstreamResponse: ({ route = "", waitedMs, tookMs }) => {
@@ -259,6 +263,7 @@
     host,
     logger,
     getLink: links.get,
+    catchUp: catchUp.wait,
     isTransparent: true,
     onDelivered: ({ route = "", host, placingMs, attemptMs }) => {
       latencies.record(Phase.Placing, { route }, placingMs);
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -39,6 +39,7 @@
 const CALLED_SERVICES_TEST = "test/called_services_test.ts";
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
+const GUARD_TASK_TEST = "test/guard_task_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -953,6 +954,36 @@
     }],
     testFile: LARGE_RESPONSES_TEST,
   },
+  {
+    name: "cancels_during_readings_are_kept",
+    guarantee: "no work for departed callers",
+    file: "src/daemon/guard_task.ts",
+    edits: [{
+      find: "state.isAborted = true;",
+      replace: "state.isAborted = false;",
+    }],
+    testFile: GUARD_TASK_TEST,
+  },
+  {
+    name: "overdue_requests_are_not_started",
+    guarantee: "no work for departed callers",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "host.now() < entry.latestStart\n",
+      replace: "host.now() < Infinity\n",
+    }],
+    testFile: GUARD_TASK_TEST,
+  },
+  {
+    name: "sockets_are_read_before_a_start",
+    guarantee: "no work for departed callers",
+    file: "src/daemon/guard_task.ts",
+    edits: [{
+      find: "if (isCancelled || isOverdue) return endUnsent",
+      replace: "if (isOverdue) return endUnsent",
+    }],
+    testFile: GUARD_TASK_TEST,
+  },
   {
     name: "refusals_are_read_to_a_bound",
     guarantee: "bounded memory",
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -22,6 +22,8 @@
   readonly body: Readable | Buffer | null;
   /** Emits "abort" when the request is cancelled; cheaper than an AbortSignal. */
   readonly signal: EventEmitter;
+  /** True if the sender's connection has ended, which may show before "abort" is emitted. */
+  isSenderGone?(): boolean;
 }
 
 /** Kinds of a guard's reply. */
--- a/test/guard_task_test.ts
+++ b/test/guard_task_test.ts
@@ -15,8 +15,12 @@
 } from "../src/core/types.ts";
 import { createClock } from "../src/daemon/clock.ts";
 import { createCoreHost } from "../src/daemon/core_host.ts";
-import { createGuardTask, type GuardTask } from "../src/daemon/guard_task.ts";
-import { ReplyKind } from "../src/link/types.ts";
+import {
+  createGuardTask,
+  type GuardTask,
+  type GuardTaskOptions,
+} from "../src/daemon/guard_task.ts";
+import { type GuardReply, ReplyKind } from "../src/link/types.ts";
 import { createUpstreamClient } from "../src/upstream/upstream_client.ts";
 import {
   startUpstream,
@@ -57,14 +61,15 @@
   };
 }
 
-// It listened for the caller's leave only after the reading.
-test("a request whose caller leaves during a reading of the upstream is not started", async () => {
+/** Starts a task whose waits the test ends. */
+function startTask(
+  waits: Pick<GuardTaskOptions, "beforeAdmission" | "catchUp">,
+): GuardTask {
   const clock = createClock();
-  let endReading = () => {};
-  task = createGuardTask(clock, {
+  return task = createGuardTask(clock, {
+    ...waits,
     host: createCoreHost(clock),
     logger: { debug() {}, info() {}, warn() {}, error() {} },
-    beforeAdmission: () => new Promise((resolve) => endReading = resolve),
     upstream: createUpstreamClient({
       address: upstream.address,
       connections: 4,
@@ -74,21 +79,68 @@
     }),
     guard: createOptions(),
   });
-  const signal = new EventEmitter();
-  const reply = task.submit(TICKET, HEAD, {
-    forward: { method: "GET", path: "/", headers: {}, body: null, signal },
+}
+
+/** Submits a request that the sender cancels, or whose sender is only seen to be gone. */
+function submit(
+  sender: { signal?: EventEmitter; isSenderGone?: () => boolean },
+): Promise<GuardReply> {
+  return task!.submit(TICKET, HEAD, {
+    forward: {
+      method: "GET",
+      path: "/",
+      headers: {},
+      body: null,
+      signal: new EventEmitter(),
+      ...sender,
+    },
   });
-  signal.emit("abort");
-  endReading();
+}
+
+async function expectUnsent(reply: Promise<GuardReply>): Promise<void> {
   expect(await reply).toMatchObject({
     kind: ReplyKind.Refused,
     verdict: { execution: Execution.NotRun },
   });
   await new Promise((resolve) => setTimeout(resolve, 50));
   expect(upstream.arrivals).toBe(0);
-  expect(task.guard.getOpenCount()).toBe(0);
+  expect(task!.guard.getOpenCount()).toBe(0);
+}
+
+// The task listened for the cancel only after the reading.
+test("a request whose caller leaves during a reading of the upstream is not started", async () => {
+  let endReading = () => {};
+  startTask({
+    beforeAdmission: () => new Promise((resolve) => endReading = resolve),
+  });
+  const signal = new EventEmitter();
+  const reply = submit({ signal });
+  signal.emit("abort");
+  endReading();
+  await expectUnsent(reply);
 });
 
+test.each([
+  ["cancels", true],
+  ["is seen to be gone", false],
+])(
+  "a request whose sender %s is not sent once a process that was held up has read its sockets",
+  async (_, isCancelled) => {
+    let endCatchUp = () => {};
+    startTask({
+      catchUp: () => new Promise((resolve) => endCatchUp = resolve),
+    });
+    const signal = new EventEmitter();
+    let isGone = false;
+    const reply = submit({ signal, isSenderGone: () => isGone });
+    await new Promise((resolve) => setImmediate(resolve));
+    if (isCancelled) signal.emit("abort");
+    else isGone = true;
+    endCatchUp();
+    await expectUnsent(reply);
+  },
+);
+
 // Load pattern "held up": after a pause, a slot may be freed before timers are checked.
 test("a slot that frees up starts no request whose time passed in the queue", () => {
   const host = createTestHost();
