--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -58,6 +58,8 @@
   readonly beforeAdmission?: BeforeAdmission;
   /** Awaited before a grant is used, if a reading of the upstream is due; undefined if none is. */
   beforeRun?(): Promise<void> | undefined;
+  /** Awaited before a request is passed on to the upstream; undefined unless the process was held up. */
+  catchUp?(): Promise<void> | undefined;
   /** Called after each message to the guard. */
   afterMessage?(): void;
   /** Called for each response of the upstream. */
@@ -100,6 +102,8 @@
   /** Time by the task's clock at which the request times out, in ms. */
   deadline?: Millis;
   forward?: ForwardRequest;
+  /** True once the sender has cancelled the request to forward. */
+  isAborted?: boolean;
   signal?: EventEmitter;
 }
 
@@ -228,9 +232,14 @@
       onAccepted?: () => void;
     },
   ): Promise<GuardReply> {
-    await prepareAdmission(head);
     const state = openTicket(ticket, forward);
     if (state === undefined) return createGrantUsedReply();
+    await prepareAdmission(head);
+    // The guard doesn't know the ticket yet, so that a cancel means nothing to it.
+    if (state.isAborted) {
+      tickets.delete(ticket);
+      return createRefusal(Execution.NotRun, Diagnostics.cancelled);
+    }
     const reply = request(ticket, {
       kind: GuardMessageKind.Submit,
       ticket,
@@ -299,6 +308,7 @@
     state.forward = forward;
     tickets.set(ticket, state);
     forward.signal.once("abort", () => {
+      state.isAborted = true;
       dispatch({ kind: GuardMessageKind.Cancel, ticket });
     });
     return state;
@@ -313,6 +323,13 @@
     const isAtMostOnce = state.head?.repeatability === Repeatability.AtMostOnce;
     const startedAt = clock.now();
     const { inFlight, queued, slowdown } = guard.getReport();
+    const caughtUp = options.catchUp?.();
+    if (caughtUp !== undefined) {
+      await caughtUp;
+      const isOverdue = clock.now() >= state.deadline!;
+      const isCancelled = state.isAborted || forward.isSenderGone?.();
+      if (isCancelled || isOverdue) return endUnsent(ticket, { isOverdue });
+    }
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(state.deadline! - clock.now())),
       isAtMostOnce,
@@ -348,6 +365,20 @@
     sendResponse(ticket, { ...response, body }, { isRecorded });
   }
 
+  /** Ends a request that is not to be started once the sockets were read. */
+  function endUnsent(
+    ticket: Ticket,
+    { isOverdue }: { isOverdue: boolean },
+  ): void {
+    onUpstreamFailure(ticket, {
+      execution: Execution.NotRun,
+      diagnostic: isOverdue
+        ? Diagnostics.upstream_timeout
+        : Diagnostics.cancelled,
+      message: "ended while the process was held up; not sent",
+    });
+  }
+
   function onUpstreamFailure(
     ticket: Ticket,
     failure: UpstreamFailure,
