--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -140,6 +140,14 @@
   /** Idle time in ms, after which a connection is reset on its next request. */
   maxIdleMs: number;
   createBody(id: string): string;
+  /** True for a request, by its path and body, that ends this upstream some time after it began to run. */
+  isFatal(path: string, body: Buffer): boolean;
+  /** Time for which the upstream is down after such an end, in ms. */
+  downMs: number;
+  /** Number of these ends. */
+  ends: number;
+  /** Called when the upstream is back, as a new instance. */
+  onRestarted(): void;
   /** Resets all connections, as a process that is killed does. */
   cut(): void;
   close(): Promise<void>;
@@ -164,6 +172,7 @@
   );
   const { port } = server.address() as AddressInfo;
   let running = 0;
+  let isClosed = false;
   const respondedAt = new WeakMap<Socket, number>();
   const standIn: UpstreamStandIn = {
     address: `${ip}:${port}`,
@@ -189,14 +198,32 @@
     isLeaving: false,
     maxIdleMs: Infinity,
     createBody: () => BODY,
+    isFatal: () => false,
+    downMs: 1_000,
+    ends: 0,
+    onRestarted: () => {},
     cut: () => server.closeAllConnections(),
     close: async () => {
+      isClosed = true;
       server.closeAllConnections();
       await new Promise((resolve) => server.close(resolve));
     },
   };
   return standIn;
 
+  /** Ends as a process that crashes, and starts again as a new instance. */
+  function end(): void {
+    standIn.ends += 1;
+    standIn.instance = `${instance}.${standIn.ends}`;
+    running = 0;
+    server.close();
+    server.closeAllConnections();
+    setTimeout(() => {
+      if (isClosed) return;
+      server.listen({ port, host: ip }, () => standIn.onRestarted());
+    }, standIn.downMs);
+  }
+
   /** Health checks state nothing, so that only responses to requests can show it. */
   function setNotices(res: ServerResponse): void {
     const { limitPerS, isLeaving, instance } = standIn;
@@ -266,6 +293,8 @@
     });
     await new Promise((resolve) => setTimeout(resolve, standIn.workMs));
     running -= 1;
+    if (standIn.instance !== instance) return;
+    if (standIn.isFatal(req.url ?? "", body)) return end();
     setNotices(res);
     const mode = ENDLESS_MODES.find((m) => m === standIn.mode);
     if (mode !== undefined) sendEndless(res.socket!, mode, { standIn, id });
