Order of hosts: a module of its own

The order by a hash that the reading plan uses moves to host_order.ts, as who collects what is known of a request is chosen alike. No change of behaviour.

--- a/src/core/reading_plan.ts
+++ b/src/core/reading_plan.ts
@@ -5,7 +5,7 @@
  * from the list of upstreams, without an election.
  */
 
-import murmurhash from "murmurhash";
+import { orderByHash } from "./host_order.ts";
 import type { FailureDomainName, HostId } from "./types.ts";
 
 /** Sources of one daemon: the preferred one and a fallback. */
@@ -84,11 +84,3 @@
 ): HostId[] {
   return orderByHash(hosts.map((it) => it.host), purpose).slice(0, count);
 }
-
-/** Orders hosts by a hash, in the same order at every daemon. */
-function orderByHash(hosts: readonly HostId[], purpose: string): HostId[] {
-  return hosts
-    .map((host) => ({ host, hash: murmurhash.v3(`${host} ${purpose}`) }))
-    .sort((a, b) => a.hash - b.hash || (a.host < b.host ? -1 : 1))
-    .map((it) => it.host);
-}
