Requests that end upstreams are refused once they have ended three

A guard saw a lost connection, whether its upstream had ended or only the response was lost; a gateway kept nothing of a request beyond its end; the next request with the same path and body began anew, at any of 14 daemons. Now the guard tells an end (upstream_ended) from a lost response, gateways count ends by a signature of method, hostname, path and body, a success clears it for callers of its service, and daemons tell each other: three collectors what is observed, all hosts what is refused (docs/design/0016).

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -158,6 +158,7 @@
   return diagnostic === Diagnostics.upstream_refused ||
     diagnostic === Diagnostics.upstream_unreachable ||
     diagnostic === Diagnostics.upstream_lost ||
+    diagnostic === Diagnostics.upstream_ended ||
     diagnostic === Diagnostics.response_too_large;
 }
 
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -225,6 +225,13 @@
     502,
     "the upstream ended a response that its caller was slow to read",
   ),
+  upstream_ended: row(
+    1035,
+    Link,
+    "upstream_ended",
+    502,
+    "the upstream ended while it ran the request",
+  ),
   no_upstream: row(
     2001,
     Refusal,
@@ -289,6 +296,13 @@
     499,
     "the caller closed its connection",
   ),
+  request_quarantined: row(
+    2013,
+    Refusal,
+    "request_quarantined",
+    503,
+    "upstreams that ran this request have ended",
+  ),
   unknown_account: row(
     3001,
     Input,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -28,6 +28,7 @@
   type AttemptPlanner,
   createAttemptPlanner,
   type PlannedAttempt,
+  type PlannedRefusal,
 } from "./attempt_plan.ts";
 import { createResponseRecorder } from "./response_recorder.ts";
 import { createAttemptCost } from "./attempt_cost.ts";
@@ -177,7 +178,7 @@
     request: PendingRequest,
     isHedge: boolean,
   ): GatewayAction[] {
-    const plan = planner.plan(request);
+    const plan = planQuarantine(request) ?? planner.plan(request);
     if ("refusal" in plan) {
       // No final verdict while another attempt is open.
       const mayEnd = !isHedge && !request.attempts.some(isOpen);
@@ -197,8 +198,18 @@
     return [createSendAction(request, attempt, plan)];
   }
 
+  function planQuarantine(
+    { arrival }: PendingRequest,
+  ): PlannedRefusal | undefined {
+    const retryAfterMs = options.suspects?.tryGetQuarantineMs(arrival);
+    return retryAfterMs === undefined
+      ? undefined
+      : { refusal: "request_quarantined", retryAfterMs };
+  }
+
   /** Sends an extra attempt if one is due and allowed. */
   function sendExtra(request: PendingRequest): GatewayAction[] {
+    if (planQuarantine(request) !== undefined) return [];
     const target = extras?.tryStart(request, planner.getCandidates(request));
     if (target === undefined) return [];
     const { candidate } = target;
@@ -315,7 +326,8 @@
     if (isUpstreamFailure(msg.verdict)) loads.recordResult(attempt.host, false);
     attempt.neverReachedUpstream = usesNonQueueing &&
       isGuardRefusal(msg.verdict);
-    const { diagnostic, currentInstance } = msg.verdict;
+    const { diagnostic, currentInstance, end } = msg.verdict;
+    if (end !== undefined) options.suspects?.recordEnd(request.arrival, end);
     attempt.isOverLimit = diagnostic === Diagnostics.over_upstream_limit;
     attempt.isOutdated = diagnostic === Diagnostics.instance_replaced &&
       currentInstance !== undefined;
@@ -449,8 +461,12 @@
       extras?.settle(request);
       return [];
     }
-    if (!isFailure) extras?.recordResponse(request, attempt);
-    if (retries.mayReplaceResponse(request, msg.status)) {
+    if (!isFailure) {
+      extras?.recordResponse(request, attempt);
+      options.suspects?.recordSuccess(request.arrival);
+    }
+    const mayRetry = planQuarantine(request) === undefined;
+    if (mayRetry && retries.mayReplaceResponse(request, msg.status)) {
       endWithoutVerdict(request, attempt, {
         name: "answered_failure",
         mayHaveRun: true,
@@ -655,7 +671,10 @@
     });
     counters.add(`verdict_${verdict.execution}`);
     counters.add(`finished_${name}`);
-    options.onUnserved?.(arrival, request.deadline - arrival.timeoutMs);
+    // A request that is refused by itself shows nothing of its service.
+    if (name !== "request_quarantined") {
+      options.onUnserved?.(arrival, request.deadline - arrival.timeoutMs);
+    }
     return { kind: GatewayActionKind.Finish, id: arrival.id, verdict };
   }
 }
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -2,6 +2,7 @@
 
 import type { ChooserOptions } from "./choice.ts";
 import type { Counters } from "./counters.ts";
+import type { CrashSuspects } from "./crash_suspects.ts";
 import type { DecisionTrace } from "./exclusions.ts";
 import type { DecisionExplanation } from "./explain.ts";
 import type { ExtraEnd, ExtraStart, ExtraState } from "./extra_attempts.ts";
@@ -84,6 +85,11 @@
   readonly onDomainRefused?: (failureDomain: FailureDomainName) => void;
   /** True if the list has named an incarnation, also if it has left since; by default, if none is listed. */
   wasListed?(instance: string): boolean;
+  /** Requests that ended upstreams; absent if they are served like others. */
+  readonly suspects?: Pick<
+    CrashSuspects,
+    "tryGetQuarantineMs" | "recordEnd" | "recordSuccess"
+  >;
   /** True retries an idempotent request after a failure response of its upstream. */
   readonly retriesFailureResponses?: boolean;
 }
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -63,6 +63,7 @@
 const UPSTREAM_FAULTS = new Set<Diagnostic>([
   Diagnostics.upstream_unreachable,
   Diagnostics.upstream_lost,
+  Diagnostics.upstream_ended,
   Diagnostics.response_too_large,
   Diagnostics.answer_mismatch,
   Diagnostics.answer_garbled,
@@ -619,7 +620,8 @@
     const name = msg.diagnostic.reason as DiagnosticName;
     if (UPSTREAM_FAULTS.has(msg.diagnostic)) failures.record(false);
     const retryAfter = msg.execution === NotRun ? getRetryAfter() : undefined;
-    return [refuse(entry, name, msg.execution, retryAfter)];
+    const action = refuse(entry, name, msg.execution, retryAfter);
+    return [msg.end === undefined ? action : withEnd(action, msg.end)];
   }
 
   function drain(
@@ -705,7 +707,7 @@
     name: DiagnosticName,
     execution: Execution = NotRun,
     retryAfterMs?: Millis,
-  ): GuardAction {
+  ): OfKind<GuardAction, GuardActionKind.Refuse> {
     counters.add(name);
     if (execution === NotRun) sealRecord(entry);
     finish(entry);
@@ -760,4 +762,11 @@
   }
 }
 
+function withEnd(
+  action: OfKind<GuardAction, GuardActionKind.Refuse>,
+  end: string,
+): GuardAction {
+  return { ...action, verdict: { ...action.verdict, end } };
+}
+
 const { NotRun, MayHaveRun } = Execution;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -53,6 +53,8 @@
   readonly diagnostic: Diagnostic;
   /** Delay after which a retry may succeed, in ms. */
   readonly retryAfterMs?: Millis;
+  /** Names the end of the upstream that ran the request, alike for all requests that it ran. */
+  readonly end?: string;
   /** Incarnation of the guard's upstream, if the refused request named another one of the same service. */
   readonly currentInstance?: string;
 }
@@ -211,6 +213,8 @@
     ticket: Ticket;
     execution: Execution;
     diagnostic: Diagnostic;
+    /** Names the end of the upstream, if it ended. */
+    end?: string;
   }
   | {
     kind: GuardMessageKind.Drain;
@@ -294,6 +298,8 @@
   readonly route?: string;
   /** Size of the request's body in bytes, if known. */
   readonly bodyBytes?: number;
+  /** Digest of what identifies the request when it comes again: method, path and body. */
+  signature?(): string;
 }
 
 /** Messages to a gateway. */
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -42,6 +42,7 @@
 } from "../upstream/upstream_client.ts";
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
+import type { UpstreamEnds } from "./upstream_ends.ts";
 import { createWaker } from "./waker.ts";
 
 /** Largest response body that is stored with an idempotency key, in bytes. */
@@ -60,6 +61,8 @@
   beforeRun?(): Promise<void> | undefined;
   /** Awaited before a request is passed on to the upstream; undefined unless the process was held up. */
   catchUp?(): Promise<void> | undefined;
+  /** Tells ends of the upstream from lost responses; without it, none is recognized. */
+  readonly ends?: UpstreamEnds;
   /** Called after each message to the guard. */
   afterMessage?(): void;
   /** Called for each response of the upstream. */
@@ -335,7 +338,8 @@
       isAtMostOnce,
       ...(instance !== undefined && { instance }),
     });
-    if ("failure" in result) return onUpstreamFailure(ticket, result.failure);
+    if ("failure" in result) return await onLoss(ticket, result.failure);
+    options.ends?.recordResponse();
     const { response } = result;
     const tookMs = clock.now() - startedAt;
     const waitedMs = startedAt - state.receivedAt!;
@@ -379,9 +383,22 @@
     });
   }
 
+  async function onLoss(
+    ticket: Ticket,
+    failure: UpstreamFailure,
+  ): Promise<void> {
+    const end = failure.diagnostic === Diagnostics.upstream_lost
+      ? await options.ends?.tryGetEnd()
+      : undefined;
+    if (end === undefined) return onUpstreamFailure(ticket, failure);
+    const diagnostic = Diagnostics.upstream_ended;
+    onUpstreamFailure(ticket, { ...failure, diagnostic }, end);
+  }
+
   function onUpstreamFailure(
     ticket: Ticket,
     failure: UpstreamFailure,
+    end?: string,
   ): void {
     const { execution, diagnostic, message } = failure;
     logger.info("upstream_failed", {
@@ -390,9 +407,11 @@
       execution,
       reason: diagnostic.reason,
       message,
+      end,
     });
     const kind = GuardMessageKind.UpstreamFailed;
-    dispatch({ kind, ticket, execution, diagnostic });
+    const known = end === undefined ? {} : { end };
+    dispatch({ kind, ticket, execution, diagnostic, ...known });
     tickets.delete(ticket);
   }
 
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -68,13 +68,14 @@
   /** True if the body is kept for a retry. */
   readonly replayable: boolean;
   readonly bodyBytes: number;
+  readonly signature?: () => string;
 }
 
 /** Creates the arrival of an admitted request; draws its service. */
 export function createIngressArrival(
   host: Pick<CoreHost, "random">,
   route: PrefixRoute,
-  { id, spentMs, replayable, bodyBytes, ...terms }: IngressTerms,
+  { id, spentMs, replayable, bodyBytes, signature, ...terms }: IngressTerms,
 ): Arrival {
   const requestedMs = terms.timeoutMs ?? route.timeoutMs;
   const timeoutMs = Math.min(requestedMs, route.timeoutMs) - spentMs;
@@ -91,6 +92,7 @@
     priority: route.priority,
     route: route.name,
     bodyBytes,
+    ...(signature && { signature }),
   };
 }
 
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -34,6 +34,7 @@
 } from "./ingress_admission.ts";
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
+import { createSignature } from "./request_signature.ts";
 import { hasEnded } from "./socket_catch_up.ts";
 import { hasBody, type KeptBody, tryKeepBody } from "./request_body.ts";
 
@@ -122,6 +123,7 @@
       spentMs: host.now() - req.arrivedAt,
       replayable: kept !== undefined,
       bodyBytes,
+      signature: createSignature(incoming, buffered ?? null),
     });
     logger.info("accepted", {
       req: metadata.id,
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -22,7 +22,7 @@
   Step,
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
-import { hasBody } from "./request_body.ts";
+import { hasBody, readBody } from "./request_body.ts";
 import { hasEnded } from "./socket_catch_up.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
@@ -33,6 +33,8 @@
   getRevisions(): string;
   onRevisions(from: HostId, revisions: string): void;
   onMalformed(diagnostic: Diagnostic, message: string): void;
+  /** Handles another daemon's suspects; absent if this daemon exchanges none. */
+  receiveSuspects?(body: string): string | undefined;
   /** Streams the store's changes after a revision; absent if this daemon relays none. */
   follow?(after: StorePosition, outgoing: ServerResponse): void;
 }
@@ -59,6 +61,7 @@
     [Step.Keys]: issueKeys,
     [Step.Ping]: ({ outgoing }) => sendResponse(outgoing, 204),
     [Step.Follow]: follow,
+    [Step.Suspects]: exchangeSuspects,
   };
   return (incoming, outgoing) => {
     // Peers don't use the date, which would be a tenth of a refusal's bytes.
@@ -146,6 +149,17 @@
     options.follow({ era, revision }, msg.outgoing);
   }
 
+  async function exchangeSuspects(msg: PeerMessage): Promise<void> {
+    const body = await readBody(msg.incoming);
+    const reply = body === "cut-off"
+      ? undefined
+      : options.receiveSuspects?.(body?.toString() ?? "");
+    if (reply === undefined) {
+      return refuseMalformed(msg.outgoing, "suspects that can't be used here");
+    }
+    sendResponse(msg.outgoing, 200, reply);
+  }
+
   function readHead(msg: PeerMessage) {
     const text = getHeader(msg.incoming.headers, Header.Head);
     const decoded = text === undefined ? undefined : decodeHead(text);
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -36,6 +36,7 @@
 import type { CallerDialect } from "./caller_dialect.ts";
 import { createClock } from "./clock.ts";
 import { createCoreHost } from "./core_host.ts";
+import { createCrashProtection } from "./crash_protection.ts";
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
@@ -56,6 +57,7 @@
   StoreChangeKind,
   type StoreReader,
 } from "./store_task.ts";
+import { createUpstreamEnds } from "./upstream_ends.ts";
 import { createUpstreamWatch } from "./upstream_watch.ts";
 
 /** Upstreams that one request may be sent to at most; a route may allow fewer. Refusals by guards do not count. */
@@ -222,6 +224,7 @@
     }),
     beforeAdmission: watch.refresh,
     catchUp: catchUp.wait,
+    ends: createUpstreamEnds(settings.upstreamAddress, incarnation),
     beforeRun: () => coldStarts.isReadingDue() ? watch.refresh() : undefined,
     afterMessage: watch.pollWhileWaiting,
     onUpstreamResponse: ({ route = "", waitedMs, tookMs }) => {
@@ -259,6 +262,14 @@
       logger.warn("peer_nonsense", { peer, message });
     },
   });
+  const protection = createCrashProtection(host, {
+    self: settings.host,
+    origin: settings.service,
+    getLink: links.get,
+    counters,
+    logger,
+  });
+  lifecycle.add("crash protection", protection.close);
   const gatewayTask = createGatewayTask(clock, {
     host,
     logger,
@@ -281,6 +292,7 @@
       reserveTimeoutMs: RESERVE_TIMEOUT_MS,
       suspectAfterMs: SUSPECT_LINK_AFTER_MS,
       retriesFailureResponses: true,
+      suspects: protection.suspects,
       retryAllowance: createRetryAllowance(host, {
         ratio: bounds.retryRatio,
         windowMs: bounds.retryWindowMs,
@@ -368,6 +380,7 @@
       getRevisions: () => String(routes?.config.version ?? 0),
       onRevisions: () => {},
       follow: relay.attach,
+      receiveSuspects: protection.receive,
       onMalformed: ({ reason }, message) => {
         counters.add(reason);
         logger.warn("peer_nonsense", { reason, message });
@@ -401,6 +414,7 @@
             upstreams,
             evacuations,
             memory,
+            suspects: protection.suspects,
             extraWorkShare,
             version: routes?.config.version ?? 0,
             isInTouch: store.isReachable(),
@@ -446,6 +460,7 @@
     evacuations.replaceAll(evacuated);
     for (const change of others) applyChange(change);
     upstreams.replaceAll(listed);
+    if (!hasSnapshot) protection.ask();
     hasSnapshot = true;
     guardTask.wake();
   }
@@ -528,9 +543,11 @@
       bornAt: it.bornAt,
       inTouch: store.isReachable(),
     });
+    const id = splitAddress(it.address).host;
+    protection.recordHost(id, change !== UpstreamChange.Gone);
     const isGone = change === UpstreamChange.Gone ||
       change === UpstreamChange.Restarted;
-    if (isGone) gatewayTask.gateway.forgetHost(splitAddress(it.address).host);
+    if (isGone) gatewayTask.gateway.forgetHost(id);
     if (change === UpstreamChange.Restarted) forgetNotices(it);
   }
 
--- a/src/daemon/store_gauges.ts
+++ b/src/daemon/store_gauges.ts
@@ -3,6 +3,7 @@
 import process from "node:process";
 import type { CalledServices } from "../core/called_services.ts";
 import { type ColdStarts, ColdState } from "../core/cold_starts.ts";
+import type { CrashSuspects } from "../core/crash_suspects.ts";
 import type { Evacuations } from "../core/evacuations.ts";
 import type { Gateway } from "../core/gateway_types.ts";
 import type { Guard } from "../core/guard_types.ts";
@@ -19,6 +20,7 @@
   readonly upstreams: Pick<UpstreamList, "size">;
   readonly evacuations: Pick<Evacuations, "count">;
   readonly memory: Pick<MemoryBudget, "getUsed" | "getLimit">;
+  readonly suspects: Pick<CrashSuspects, "size" | "getQuarantined">;
   /** Limit of extra work as a share of own work. */
   readonly extraWorkShare: number;
   /** Version of the configuration in force; 0 before the first. */
@@ -31,7 +33,8 @@
 export function getStoreDaemonGauges(sources: StoreGaugeSources): Gauge[] {
   const { gateway, guard, coldStarts, upstreams, evacuations, memory } =
     sources;
-  const { calledServices, extraWorkShare, version, isInTouch } = sources;
+  const { calledServices, suspects, extraWorkShare, version, isInTouch } =
+    sources;
   const { inFlight, queued, slots, slowdown, notice } = guard.getReport();
   return [
     gauge(
@@ -39,6 +42,16 @@
       "Open requests.",
       gateway.getOpenCount(),
     ),
+    gauge(
+      "requests_suspected",
+      "Requests that ran at upstreams when these ended.",
+      suspects.size(),
+    ),
+    gauge(
+      "requests_quarantined",
+      "Those of them that are refused.",
+      suspects.getQuarantined().length,
+    ),
     gauge("upstream_in_flight", "Requests at the local upstream.", inFlight),
     gauge("upstream_queued", "Requests that wait at the guard.", queued),
     gauge("upstream_slots", "Slots that the guard fills.", slots),
--- /dev/null
+++ b/src/daemon/upstream_ends.ts
@@ -0,0 +1,65 @@
+/** Recognizes that the local upstream has ended, as against a response that was lost. */
+
+import { connect } from "node:net";
+import type { Incarnation } from "../core/types.ts";
+import { splitAddress } from "../link/address.ts";
+
+/** Longest wait for a connection, in ms; a local one is established or refused at once. */
+const CONNECT_TIMEOUT_MS = 100;
+/** Time for which a new connection has to last, in ms: a process that is ending closes its listener last. */
+const SETTLE_MS = 10;
+
+/** The ends of one upstream. */
+export interface UpstreamEnds {
+  /**
+   * Resolves to the name of the upstream's present end, alike for all requests
+   * that it interrupted; undefined if the upstream accepts connections.
+   */
+  tryGetEnd(): Promise<string | undefined>;
+  /** Records a response of the upstream; a later end is another one. */
+  recordResponse(): void;
+}
+
+/** Observes the upstream at an IP address and port, for one run of the daemon. */
+export function createUpstreamEnds(
+  address: string,
+  incarnation: Incarnation,
+): UpstreamEnds {
+  let count = 0;
+  let isEnded = false;
+  let checking: Promise<boolean> | undefined;
+  return {
+    tryGetEnd,
+    recordResponse: () => void (isEnded = false),
+  };
+
+  async function tryGetEnd(): Promise<string | undefined> {
+    checking ??= acceptsConnections(address)
+      .finally(() => checking = undefined);
+    if (await checking) return undefined;
+    if (!isEnded) count += 1;
+    isEnded = true;
+    return `${incarnation}-${count}`;
+  }
+}
+
+/** A connection that is neither refused nor established in time shows no end. */
+function acceptsConnections(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(splitAddress(address));
+    let timer = setTimeout(() => end(true), CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      timer = setTimeout(() => end(true), SETTLE_MS);
+    });
+    socket.once("error", () => end(false));
+    socket.once("close", () => end(false));
+    socket.resume();
+
+    function end(isAccepting: boolean): void {
+      clearTimeout(timer);
+      resolve(isAccepting);
+      socket.destroy();
+    }
+  });
+}
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -40,6 +40,7 @@
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
+const CRASH_SUSPECTS_TEST = "test/crash_suspects_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -984,6 +985,107 @@
     }],
     testFile: GUARD_TASK_TEST,
   },
+  {
+    name: "fatal_requests_are_refused",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: "const MAX_ENDS = 3;",
+      replace: "const MAX_ENDS = Infinity;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "a_success_clears_a_suspect",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: "if (cleared.length === 0) return;",
+      replace: "return;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "a_success_clears_own_callers_only",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: "end.endsWith(`@${options.origin}`) && ",
+      replace: "true && ",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "one_end_counts_once",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: 'counted.map((end) => end.slice(0, end.indexOf("@")))',
+      replace: "counted",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "a_fatal_request_is_refused_again",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: "const RETENTION_MS = 3 * QUARANTINE_MS;",
+      replace: "const RETENTION_MS = QUARANTINE_MS;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "ready_failure_responses_are_delivered",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/gateway.ts",
+    edits: [{
+      find: "const mayRetry = planQuarantine(request) === undefined;",
+      replace: "const mayRetry = true;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "ends_of_upstreams_reach_the_gateway",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/gateway.ts",
+    edits: [{
+      find:
+        "if (end !== undefined) options.suspects?.recordEnd(request.arrival, end);",
+      replace: "",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "collectors_tell_all_hosts",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/suspect_exchange.ts",
+    edits: [{
+      find: "if (!getCollectors(suspect).includes(self)) return;",
+      replace: "return;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "hosts_that_can_t_be_told_are_told_again",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/suspect_exchange.ts",
+    edits: [{
+      find: "const MAX_TRIES = 5;",
+      replace: "const MAX_TRIES = 1;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
+  {
+    name: "lost_responses_are_no_ends",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/upstream_ends.ts",
+    edits: [{
+      find: "if (await checking) return undefined;",
+      replace: "await checking;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
   {
     name: "refusals_are_read_to_a_bound",
     guarantee: "bounded memory",
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -34,6 +34,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const SETTLE_TIMEOUT_MS = 1_000;
+/** Timeout of an exchange of suspects, in ms; it is tried again. */
+const EXCHANGE_TIMEOUT_MS = 500;
 /** Interval at which unchanged revisions are sent again, in ms. */
 const REVISIONS_RESEND_INTERVAL_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -85,6 +87,7 @@
     settle,
     issueKeys,
     replaceConnections: replacePool,
+    exchangeSuspects,
     probe,
     close: () => pool.destroy(),
   };
@@ -166,6 +169,20 @@
     }
   }
 
+  async function exchangeSuspects(body: string): Promise<string | undefined> {
+    try {
+      const res = await call(pool, Step.Suspects, {}, {
+        body,
+        headersTimeout: EXCHANGE_TIMEOUT_MS,
+        bodyTimeout: EXCHANGE_TIMEOUT_MS,
+      });
+      const text = await res.body.text();
+      return res.statusCode === 200 ? text : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
   async function probe(): Promise<number> {
     try {
       const res = await call(pool, Step.Ping, {});
@@ -202,11 +219,16 @@
     dispatcher: Dispatcher,
     step: Step,
     headers: Record<string, string>,
+    content: Pick<
+      Dispatcher.RequestOptions,
+      "body" | "headersTimeout" | "bodyTimeout"
+    > = {},
   ): Promise<Response> {
     return dispatcher.request({
       method: "POST",
       path: "/",
       headers: { ...createHeaders(step), ...headers },
+      ...content,
     });
   }
 
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -80,6 +80,8 @@
   issueKeys(account: AccountName, count: number): Promise<string[]>;
   /** Replaces the connections of an unresponsive link. */
   replaceConnections(): void;
+  /** Exchanges suspects, encoded; resolves to those of the other daemon, undefined on failure. */
+  exchangeSuspects?(body: string): Promise<string | undefined>;
   /** Requests a load report; resolves to the size of the reply in bytes, 0 on failure. */
   probe(): Promise<number>;
   close(): Promise<void>;
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -64,6 +64,8 @@
   Ping = "ping",
   /** Subscribes to changes of the store. */
   Follow = "follow",
+  /** Exchanges requests that are suspected to end upstreams. */
+  Suspects = "suspects",
 }
 
 const headSchema = z.object({
@@ -90,6 +92,7 @@
   detail: z.string().optional(),
   retryAfterMs: z.number().min(0).optional(),
   currentInstance: z.string().min(1).optional(),
+  end: z.string().min(1).optional(),
 });
 
 /**
@@ -99,6 +102,7 @@
 const REASON_BEFORE: ReadonlyMap<string, DiagnosticName> = new Map([
   ["domain_evacuated", "draining"],
   ["called_service_full", "no_room_now"],
+  ["upstream_ended", "upstream_lost"],
 ]);
 
 /** Fields of a load report in their order on the wire. */
@@ -133,7 +137,7 @@
 
 /** Encodes a verdict, with its diagnostic as the reason. */
 export function encodeVerdict(verdict: Verdict): string {
-  const { execution, diagnostic, retryAfterMs, currentInstance } = verdict;
+  const { execution, diagnostic, retryAfterMs, currentInstance, end } = verdict;
   const { reason } = diagnostic;
   const known = REASON_BEFORE.get(reason);
   return JSON.stringify({
@@ -141,6 +145,7 @@
     ...(known === undefined ? { reason } : { reason: known, detail: reason }),
     retryAfterMs,
     currentInstance,
+    end,
   });
 }
 
@@ -148,7 +153,7 @@
 export function decodeVerdict(text: string): Result<Verdict, string> {
   const decoded = decodeJson(text, verdictSchema);
   if (decoded.err) return decoded;
-  const { execution, reason, detail, retryAfterMs, currentInstance } =
+  const { execution, reason, detail, retryAfterMs, currentInstance, end } =
     decoded.val;
   const diagnostic = tryGetDiagnostic(detail ?? "") ?? tryGetDiagnostic(reason);
   if (diagnostic === undefined) return new Err(`unknown reason ${reason}`);
@@ -157,6 +162,7 @@
     diagnostic,
     ...(retryAfterMs !== undefined && { retryAfterMs }),
     ...(currentInstance !== undefined && { currentInstance }),
+    ...(end !== undefined && { end }),
   });
 }
 
--- a/test/log_events_test.ts
+++ b/test/log_events_test.ts
@@ -14,6 +14,7 @@
   "src/daemon/ingress_server.ts",
   "src/daemon/logger.ts",
   "src/daemon/socket_catch_up.ts",
+  "src/daemon/suspect_exchange.ts",
   "src/daemon/store_daemon.ts",
   "src/daemon/store_task.ts",
 ];
@@ -23,6 +24,9 @@
   ...Object.values(UpstreamChange).map((change) => `upstream_${change}`),
   ...Object.values(HostStatus).map((status) => `host_${status}`),
   "placed",
+  "request_suspected",
+  "request_quarantined",
+  "request_released",
   ...[
     GatewayActionKind.Run,
     GatewayActionKind.Settle,
