Tests: mesh_test and sharing_test no longer share addresses

Seen once with both files running at the same time: listen EADDRINUSE 127.0.72.1:18301, and "a failed read is tried at another upstream" over its time. Both deployments used the network 127.0.72.0/24. No check is changed.

--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -139,7 +139,7 @@
 // which the tests before it use most. Six more retries from the same window then
 // left one or two of the reads with the failed response.
 test("a failed read is tried at another upstream", async () => {
-  const unused = await startDeployment(72, ["shop", "shop", "shop"]);
+  const unused = await startDeployment(90, ["shop", "shop", "shop"]);
   const [host] = unused.hosts as [DeploymentHost];
   host.upstream.mode = UpstreamMode.Fails;
   const responses = await Promise.all(
