Requests wait for a close that arrives with them, also at daemons in time

Callers' work could go on where the process was not late: a request and the close of its connection arrive together when packets are sent again, and the event loop reads them in different turns. Now each request waits for two turns before it leaves the process: for another host's guard, and at the guard for its upstream. The timer only reports delays. A failed attempt's log line tells how long it ran.

--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -30,7 +30,7 @@
 import type { HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import { canBufferBody, readBody } from "./request_body.ts";
-import { hasEnded } from "./socket_catch_up.ts";
+import { hasEnded } from "./unread_sockets.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
 export const MAX_BUFFERED_BODY_BYTES = 65_536;
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -72,8 +72,8 @@
   readonly host: CoreHost;
   readonly getLink: GetLink;
   readonly logger: Logger;
-  /** Awaited before a request is sent to a guard; undefined unless the process was held up. */
-  catchUp?(): Promise<void> | undefined;
+  /** Awaited before a request is sent to another host's guard, so that a close that arrived with it is known. */
+  waitForSockets?(): Promise<void>;
   /** Called for each response that is delivered to a caller. */
   onDelivered?(delivery: Delivery): void;
   /** Called when an extra attempt has ended. */
@@ -282,8 +282,8 @@
     const link = getLink(to);
     if (link === undefined) return reportLinkFailure(id, attempt, false);
     const ticket = gateway.getTicket(id, attempt);
-    const caughtUp = catchUp(exchange, action);
-    if (caughtUp && !(await caughtUp)) return link.release(ticket);
+    const isWanted = isStillWanted(exchange, action);
+    if (isWanted && !(await isWanted)) return link.release(ticket);
     const forward = createForward(exchange, io);
     onReply(id, attempt, await link.run(ticket, grant, { forward }));
   }
@@ -295,8 +295,8 @@
     const exchange = open(action);
     const link = getLink(to);
     if (link === undefined) return reportLinkFailure(id, attempt, false);
-    const caughtUp = catchUp(exchange, action);
-    if (caughtUp && !(await caughtUp)) return;
+    const isWanted = isStillWanted(exchange, action);
+    if (isWanted && !(await isWanted)) return;
     const head = createHead(exchange.request, {
       ...action,
       timeoutMs: exchange.deadline - clock.now(),
@@ -313,17 +313,16 @@
   }
 
   /**
-   * Resolves to whether the attempt is still to be sent; otherwise its caller has
-   * left or its time has passed while the process was held up, and the gateway
-   * ends it. Undefined unless the process was held up, and for the local guard,
-   * which checks the same before it passes the request on.
+   * Resolves to whether an attempt is to be sent once the sockets were read;
+   * otherwise its caller has left or its time has passed, and the gateway ends
+   * it. Undefined for the local guard, whose task does the same.
    */
-  function catchUp(
+  function isStillWanted(
     exchange: Exchange,
     { attempt, to }: { attempt: number; to: HostId },
   ): Promise<boolean> | undefined {
     if (to === options.gateway.self) return undefined;
-    return options.catchUp?.()?.then(() =>
+    return options.waitForSockets?.().then(() =>
       exchange.attempts.get(attempt)?.isCancelled !== true &&
       exchange.request.isCallerGone?.() !== true &&
       clock.now() < exchange.deadline
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -41,7 +41,7 @@
 import { createPeerApp } from "./peer_app.ts";
 import { createPlatformTask } from "./platform_task.ts";
 import { createProbeTask } from "./probe_task.ts";
-import { createSocketCatchUp } from "./socket_catch_up.ts";
+import { observeProcessDelay, waitForSockets } from "./unread_sockets.ts";
 
 /** Attempts of one request at most, hedges and refused attempts included. */
 const MAX_ATTEMPTS = 4;
@@ -111,12 +111,14 @@
     onAccepted,
     onRejected,
   });
-  const catchUp = createSocketCatchUp(clock, { counters, logger });
-  lifecycle.add("catch-up", catchUp.close);
+  lifecycle.add(
+    "process delay",
+    observeProcessDelay(clock, { counters, logger }),
+  );
   const guardTask = createGuardTask(clock, {
     host,
     logger,
-    catchUp: catchUp.wait,
+    waitForSockets,
     upstream: createUpstreamClient({
       ...settings.upstream,
       clock,
@@ -151,7 +153,7 @@
     host,
     logger,
     getLink: links.get,
-    catchUp: catchUp.wait,
+    waitForSockets,
     gateway: {
       self: settings.host,
       incarnation,
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -59,8 +59,8 @@
   readonly beforeAdmission?: BeforeAdmission;
   /** Awaited before a grant is used, if a reading of the upstream is due; undefined if none is. */
   beforeRun?(): Promise<void> | undefined;
-  /** Awaited before a request is passed on to the upstream; undefined unless the process was held up. */
-  catchUp?(): Promise<void> | undefined;
+  /** Awaited before a request is passed on to the upstream, so that a close that arrived with it is known. */
+  waitForSockets?(): Promise<void>;
   /** Tells ends of the upstream from lost responses; without it, none is recognized. */
   readonly ends?: UpstreamEnds;
   /** Called after each message to the guard. */
@@ -110,6 +110,9 @@
   signal?: EventEmitter;
 }
 
+/** A failure, and the time from the start of the request until then if it was passed on, in ms. */
+type AttemptFailure = UpstreamFailure & { readonly tookMs?: Millis };
+
 type ActionHandlers = {
   [K in GuardActionKind]: (action: OfKind<GuardAction, K>) => void;
 };
@@ -326,9 +329,8 @@
     const isAtMostOnce = state.head?.repeatability === Repeatability.AtMostOnce;
     const startedAt = clock.now();
     const { inFlight, queued, slowdown } = guard.getReport();
-    const caughtUp = options.catchUp?.();
-    if (caughtUp !== undefined) {
-      await caughtUp;
+    if (options.waitForSockets !== undefined) {
+      await options.waitForSockets();
       const isOverdue = clock.now() >= state.deadline!;
       const isCancelled = state.isAborted || forward.isSenderGone?.();
       if (isCancelled || isOverdue) return endUnsent(ticket, { isOverdue });
@@ -338,7 +340,10 @@
       isAtMostOnce,
       ...(instance !== undefined && { instance }),
     });
-    if ("failure" in result) return await onLoss(ticket, result.failure);
+    if ("failure" in result) {
+      const tookMs = clock.now() - startedAt;
+      return await onLoss(ticket, { ...result.failure, tookMs });
+    }
     options.ends?.recordResponse();
     const { response } = result;
     const tookMs = clock.now() - startedAt;
@@ -379,13 +384,13 @@
       diagnostic: isOverdue
         ? Diagnostics.upstream_timeout
         : Diagnostics.cancelled,
-      message: "ended while the process was held up; not sent",
+      message: "its sender has left or its time has passed; not sent",
     });
   }
 
   async function onLoss(
     ticket: Ticket,
-    failure: UpstreamFailure,
+    failure: AttemptFailure,
   ): Promise<void> {
     const end = failure.diagnostic === Diagnostics.upstream_lost
       ? await options.ends?.tryGetEnd()
@@ -397,10 +402,10 @@
 
   function onUpstreamFailure(
     ticket: Ticket,
-    failure: UpstreamFailure,
+    failure: AttemptFailure,
     end?: string,
   ): void {
-    const { execution, diagnostic, message } = failure;
+    const { execution, diagnostic, message, tookMs } = failure;
     logger.info("upstream_failed", {
       req: getRequestId(ticket),
       ticket,
@@ -408,6 +413,7 @@
       reason: diagnostic.reason,
       message,
       end,
+      tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
     });
     const kind = GuardMessageKind.UpstreamFailed;
     const known = end === undefined ? {} : { end };
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -35,7 +35,7 @@
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
 import { createSignature } from "./request_signature.ts";
-import { hasEnded } from "./socket_catch_up.ts";
+import { hasEnded } from "./unread_sockets.ts";
 import { hasBody, type KeptBody, tryKeepBody } from "./request_body.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -23,7 +23,7 @@
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
 import { hasBody, readBody } from "./request_body.ts";
-import { hasEnded } from "./socket_catch_up.ts";
+import { hasEnded } from "./unread_sockets.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
 
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -45,7 +45,7 @@
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
-import { createSocketCatchUp } from "./socket_catch_up.ts";
+import { observeProcessDelay, waitForSockets } from "./unread_sockets.ts";
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
 import { createPeerHandler } from "./peer_server.ts";
@@ -141,8 +141,10 @@
   const counters = createCounters();
   const latencies = createLatencyMetrics();
   const lifecycle = createLifecycle();
-  const catchUp = createSocketCatchUp(clock, { counters, logger });
-  lifecycle.add("catch-up", catchUp.close);
+  lifecycle.add(
+    "process delay",
+    observeProcessDelay(clock, { counters, logger }),
+  );
   const memory = createMemoryBudget({
     limitBytes: computeBufferLimit(settings.memoryMb),
     onStateChange: logBufferState,
@@ -223,7 +225,7 @@
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
     }),
     beforeAdmission: watch.refresh,
-    catchUp: catchUp.wait,
+    waitForSockets,
     ends: createUpstreamEnds(settings.upstreamAddress, incarnation),
     beforeRun: () => coldStarts.isReadingDue() ? watch.refresh() : undefined,
     afterMessage: watch.pollWhileWaiting,
@@ -274,7 +276,7 @@
     host,
     logger,
     getLink: links.get,
-    catchUp: catchUp.wait,
+    waitForSockets,
     isTransparent: true,
     onDelivered: ({ route = "", host, placingMs, attemptMs }) => {
       latencies.record(Phase.Placing, { route }, placingMs);
@@ -651,11 +653,6 @@
   server.closeAllConnections();
 }
 
-/** Resolves after sockets are read; Node runs due timers before it reads sockets. */
-function waitForSockets(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 async function listen(
   address: string,
   handler: RequestListener,
--- a/test/departed_callers_test.ts
+++ b/test/departed_callers_test.ts
@@ -2,10 +2,13 @@
 
 import { connect, type Socket } from "node:net";
 import { afterAll, beforeAll, expect, test } from "vitest";
+import { Repeatability } from "../src/core/types.ts";
+import { encodeHead, Header } from "../src/link/wire.ts";
 import {
   CALLER_PORT,
   type Deployment,
   type DeploymentHost,
+  PEER_PORT,
   startDeployment,
 } from "./platform/mesh.ts";
 
@@ -72,6 +75,55 @@
   20_000,
 );
 
+// Packets that are sent again arrive at once, also at a daemon that is in time.
+test(
+  "a request that arrives with the close of its connection reaches no upstream",
+  async () => {
+    const [front] = fleet.hosts as [DeploymentHost];
+    const before = countRuns();
+    for (const [i, socket] of (await openCallers(front)).entries()) {
+      sendRequest(socket, {
+        line: "GET /read/1",
+        headers: "",
+        id: `both-${i}`,
+      });
+      socket.destroy();
+      await pause(20);
+    }
+    await pause(300);
+    expect(countRuns() - before).toBe(0);
+  },
+  20_000,
+);
+
+test(
+  "a peer's message that arrives with the close of its connection starts nothing",
+  async () => {
+    const [, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
+    const before = countRuns();
+    for (let i = 0; i < CALLERS; i++) {
+      const head = encodeHead({
+        account: "all",
+        service: "shop",
+        repeatability: Repeatability.Idempotent,
+        fingerprint: "",
+        timeoutMs: 1_000,
+      });
+      const socket = connect(PEER_PORT, back.ip).on("error", () => {});
+      await pause(20);
+      socket.write(
+        `GET /read/1 HTTP/1.1\r\nhost: peer\r\n${Header.Step}: submit\r\n` +
+          `${Header.Ticket}: test#1/1:peer-${i}/1\r\n${Header.Head}: ${head}\r\n` +
+          `x-vanillarock-attempt-id: peer-${i}\r\n\r\n`,
+      );
+      socket.destroy();
+    }
+    await pause(300);
+    expect(countRuns() - before).toBe(0);
+  },
+  20_000,
+);
+
 test("callers that stay are served by daemons that were held up", async () => {
   for (const held of fleet.hosts) {
     held.process.kill("SIGSTOP");
--- a/test/guard_task_test.ts
+++ b/test/guard_task_test.ts
@@ -63,7 +63,7 @@
 
 /** Starts a task whose waits the test ends. */
 function startTask(
-  waits: Pick<GuardTaskOptions, "beforeAdmission" | "catchUp">,
+  waits: Pick<GuardTaskOptions, "beforeAdmission" | "waitForSockets">,
 ): GuardTask {
   const clock = createClock();
   return task = createGuardTask(clock, {
@@ -124,11 +124,11 @@
   ["cancels", true],
   ["is seen to be gone", false],
 ])(
-  "a request whose sender %s is not sent once a process that was held up has read its sockets",
+  "a request whose sender %s is not sent once the sockets have been read",
   async (_, isCancelled) => {
-    let endCatchUp = () => {};
+    let endWait = () => {};
     startTask({
-      catchUp: () => new Promise((resolve) => endCatchUp = resolve),
+      waitForSockets: () => new Promise((resolve) => endWait = resolve),
     });
     const signal = new EventEmitter();
     let isGone = false;
@@ -136,7 +136,7 @@
     await new Promise((resolve) => setImmediate(resolve));
     if (isCancelled) signal.emit("abort");
     else isGone = true;
-    endCatchUp();
+    endWait();
     await expectUnsent(reply);
   },
 );
--- a/test/log_events_test.ts
+++ b/test/log_events_test.ts
@@ -13,7 +13,7 @@
   "src/daemon/guard_task.ts",
   "src/daemon/ingress_server.ts",
   "src/daemon/logger.ts",
-  "src/daemon/socket_catch_up.ts",
+  "src/daemon/unread_sockets.ts",
   "src/daemon/suspect_exchange.ts",
   "src/daemon/store_daemon.ts",
   "src/daemon/store_task.ts",
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -14,7 +14,8 @@
  * address of its own.
  */
 export const CALLER_PORT = 18_304;
-const PEER_PORT = 18_300;
+/** Port for messages of other daemons. */
+export const PEER_PORT = 18_300;
 const READY_PORT = 18_302;
 const UPSTREAM_PORT = 18_301;
 const STORE_PORT = 18_306;
