Soak: a request that ends each upstream that runs it

Every third seed has one for 7.5 s, at all hosts in turn; the check counts its arrivals later than stableS after the third end, from hosts without a fault: three are allowed. Its fault has a random stream of its own, so that the other faults of a seed stay as they were. The stand-in names the instance that ended.

--- a/test/crash_suspects_mesh_test.ts
+++ b/test/crash_suspects_mesh_test.ts
@@ -60,7 +60,7 @@
 }
 
 function countEnds(): number {
-  return fleet.hosts.reduce((sum, h) => sum + h.upstream.ends, 0);
+  return fleet.hosts.reduce((sum, h) => sum + h.upstream.ends.length, 0);
 }
 
 test.each([
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -144,10 +144,10 @@
   isFatal(path: string, body: Buffer): boolean;
   /** Time for which the upstream is down after such an end, in ms. */
   downMs: number;
-  /** Number of these ends. */
-  ends: number;
-  /** Called when the upstream is back, as a new instance. */
-  onRestarted(): void;
+  /** Monotonic times of these ends, in ms. */
+  readonly ends: number[];
+  /** Called when the upstream is back after such an end of an instance. */
+  onRestarted(ended: string): void;
   /** Resets all connections, as a process that is killed does. */
   cut(): void;
   close(): Promise<void>;
@@ -200,7 +200,7 @@
     createBody: () => BODY,
     isFatal: () => false,
     downMs: 1_000,
-    ends: 0,
+    ends: [],
     onRestarted: () => {},
     cut: () => server.closeAllConnections(),
     close: async () => {
@@ -213,14 +213,15 @@
 
   /** Ends as a process that crashes, and starts again as a new instance. */
   function end(): void {
-    standIn.ends += 1;
-    standIn.instance = `${instance}.${standIn.ends}`;
+    const ended = standIn.instance;
+    standIn.ends.push(performance.now());
+    standIn.instance = `${ended}.${standIn.ends.length}`;
     running = 0;
     server.close();
     server.closeAllConnections();
     setTimeout(() => {
       if (isClosed) return;
-      server.listen({ port, host: ip }, () => standIn.onRestarted());
+      server.listen({ port, host: ip }, () => standIn.onRestarted(ended));
     }, standIn.downMs);
   }
 
@@ -293,8 +294,11 @@
     });
     await new Promise((resolve) => setTimeout(resolve, standIn.workMs));
     running -= 1;
-    if (standIn.instance !== instance) return;
-    if (standIn.isFatal(req.url ?? "", body)) return end();
+    if (standIn.isFatal(req.url ?? "", body)) {
+      // Its connection is closed if another one has ended this instance.
+      if (!res.destroyed) end();
+      return;
+    }
     setNotices(res);
     const mode = ENDLESS_MODES.find((m) => m === standIn.mode);
     if (mode !== undefined) sendEndless(res.socket!, mode, { standIn, id });
--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -54,6 +54,9 @@
 export const COLD_OVER = 1.5;
 export const COLD_SLACK = 8;
 const COLD_SPAN_MS = 1_000;
+/** Upstreams that a request may end before it is known, and its retries that may reach upstreams after that. */
+const FATAL_ENDS = 3;
+const FATAL_RETRIES = 3;
 /** Memory beyond which the platform kills a daemon, in bytes. */
 const MEMORY_LIMIT_BYTES = 250_000_000;
 /** Statuses that guarantee that a request has not run and never will. */
@@ -204,10 +207,23 @@
       .map((f) => `host ${f.host}: ${f.reads.join(" ")}`),
   [Guarantee.StaysUp]: ({ unexpectedExits }) =>
     unexpectedExits.map((e) => `host ${e.host}: ${e.lines.join(" | ")}`),
-  [Guarantee.RetriesBounded]: ({ calls, arrivals }) => {
-    const most = calls.length * (1 + RETRY_RATIO) + RETRY_SLACK;
+  [Guarantee.RetriesBounded]: ({ calls, fatalCalls, arrivals }) => {
+    const count = calls.length + fatalCalls.length;
+    const most = count * (1 + RETRY_RATIO) + RETRY_SLACK;
     return arrivals.length > most
-      ? [`${arrivals.length} arrivals for ${calls.length} requests`]
+      ? [`${arrivals.length} arrivals for ${count} requests`]
+      : [];
+  },
+  [Guarantee.FatalBounded]: (history) => {
+    const third = history.ends[FATAL_ENDS - 1] ?? Infinity;
+    const calls = new Map(history.fatalCalls.map((c) => [c.id, c]));
+    const later = history.arrivals.filter(({ id, at, isMisdirected }) => {
+      const call = calls.get(id);
+      return call !== undefined && isMisdirected !== true &&
+        at > third + RECOVERY_MS && !isDisturbed(history, call, at);
+    });
+    return later.length > FATAL_RETRIES
+      ? [`${later.length} arrivals, ${history.ends.length} ends`]
       : [];
   },
   [Guarantee.LimitKept]: (history) =>
--- a/test/soak/inject.ts
+++ b/test/soak/inject.ts
@@ -10,6 +10,8 @@
 import { RelayMode } from "../support/relay.ts";
 import { EVACUATE_MS } from "./find_violations.ts";
 import {
+  CallKind,
+  type CallRecord,
   type ColdSpan,
   type Departure,
   type Evacuation,
@@ -57,6 +59,14 @@
 /** Delay until a process that ended is restarted, in ms. */
 const RESTART_MS = 100;
 
+/** Time for which a fatal request comes, in ms: `stableS` of the platform after some ends, and a time in which it is checked. */
+const FATAL_MS = 7_500;
+/** Time between two of its attempts, in ms. */
+const FATAL_INTERVAL_MS = 100;
+const FATAL_TIMEOUT_MS = 800;
+/** Path of fatal requests. */
+export const FATAL_PATH = "/read/fatal";
+
 const FAULTY_MODES: readonly UpstreamMode[] = [
   UpstreamMode.LosesResponse,
   UpstreamMode.TruncatesResponse,
@@ -91,6 +101,7 @@
   readonly evacuations: readonly Evacuation[];
   readonly coldSpans: readonly ColdSpan[];
   readonly unexpectedExits: readonly UnexpectedExit[];
+  readonly fatalCalls: readonly CallRecord[];
   /** Injects a fault; resolves once it is over. */
   inject(fault: Fault): Promise<void>;
   readonly publications: readonly Publication[];
@@ -147,6 +158,7 @@
   const coldSpans: ColdSpan[] = [];
   const publications: Publication[] = [];
   const unexpectedExits: UnexpectedExit[] = [];
+  const fatalCalls: CallRecord[] = [];
   /** Processes that a fault ends, with the delay until their restart in ms. */
   const restartDelays = new WeakMap<object, number>();
   const startedAt = new WeakMap<object, number>();
@@ -320,7 +332,22 @@
       publish(fault.strength);
       return Promise.resolve();
     },
+    [FaultKind.FatalRequest]: async (fault) => {
+      const until = performance.now() + FATAL_MS;
+      for (let i = fault.host; performance.now() < until; i++) {
+        void sendFatal(i % deployment.hosts.length);
+        await pause(FATAL_INTERVAL_MS);
+      }
+    },
   };
+  for (const host of deployment.hosts) {
+    host.upstream.isFatal = (path) => path === FATAL_PATH;
+    host.upstream.onRestarted = (ended) => {
+      deployment.store.remove(`servers/${ended}`);
+      makeCold(host);
+      relist(host);
+    };
+  }
   for (const index of deployment.hosts.keys()) watchProcess(index);
   return {
     injected,
@@ -330,6 +357,7 @@
     coldSpans,
     publications,
     unexpectedExits,
+    fatalCalls,
     inject,
     publish,
     getVersion: () => version,
@@ -345,6 +373,30 @@
     entry.until = performance.now();
   }
 
+  async function sendFatal(host: number): Promise<void> {
+    const call: CallRecord = {
+      id: `fatal-${fatalCalls.length}`,
+      kind: CallKind.Read,
+      host,
+      sentAt: performance.now(),
+      timeoutMs: FATAL_TIMEOUT_MS,
+      body: "",
+    };
+    fatalCalls.push(call);
+    try {
+      const req = { id: call.id, path: FATAL_PATH, timeoutMs: call.timeoutMs };
+      const signal = AbortSignal.timeout(2 * FATAL_TIMEOUT_MS);
+      const res = await deployment.call(deployment.hosts[host]!, {
+        ...req,
+        signal,
+      });
+      call.status = res.status;
+    } catch (error) {
+      call.error = String(error);
+    }
+    call.endedAt = performance.now();
+  }
+
   function getHost(fault: Fault): DeploymentHost {
     return deployment.hosts[fault.host]!;
   }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -29,7 +29,10 @@
   [FaultKind.UpstreamCold, { count: 3, windowMs: FAULT_WINDOW_MS }],
   [FaultKind.UpstreamEndless, { count: 2, windowMs: FAULT_WINDOW_MS }],
   [FaultKind.PublishedUnreadable, { count: 2, windowMs: FAULT_WINDOW_MS }],
+  [FaultKind.FatalRequest, { count: 1, windowMs: 1_500 }],
 ]);
+/** Every third seed has a fatal request: few callers are served during it. */
+const FATAL_EVERY = 3;
 
 /** Creates a seeded generator of random numbers from 0 to 1. */
 export function createRandom(seed: number): () => number {
@@ -62,6 +65,9 @@
     }
   }
   for (const [kind, { count, windowMs }] of SEPARATE_KINDS) {
+    const isLeftOut = kind === FaultKind.FatalRequest &&
+      seed % FATAL_EVERY !== 1;
+    if (isLeftOut) continue;
     // One stream a kind, so that a further kind changes none of these.
     const separate = createRandom(hashName(kind) ^ seed);
     for (let i = 0; i < count; i++) {
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -157,7 +157,7 @@
           ...run,
           body: body.toString(),
         }))
-      ).filter((r) => !r.id.startsWith("final")),
+      ).filter((r) => !/^(final|fatal)-/.test(r.id)),
       arrivals: deployment.hosts.flatMap(({ zone, upstream }) =>
         upstream.arrived.map((a) => ({ ...a, zone }))
       ),
@@ -167,6 +167,9 @@
       evacuations: injector.evacuations,
       coldSpans: injector.coldSpans,
       publications: injector.publications,
+      fatalCalls: injector.fatalCalls,
+      ends: deployment.hosts.flatMap((h) => h.upstream.ends)
+        .sort((a, b) => a - b),
       endlessOpen: deployment.hosts.filter((h) => h.upstream.endlessOpen > 0)
         .map((h) => h.upstream.instance),
       peakMemory: [...peakMemory.values()],
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -50,6 +50,8 @@
   PublishedUnreadable = "published-unreadable",
   /** The upstream sends bytes without end, in a way that `strength` selects. */
   UpstreamEndless = "upstream-endless",
+  /** A request that ends each upstream that runs it comes again and again, at all hosts in turn. */
+  FatalRequest = "fatal-request",
 }
 
 /** One fault of a plan. */
@@ -202,6 +204,10 @@
   readonly evacuations: readonly Evacuation[];
   readonly coldSpans: readonly ColdSpan[];
   readonly publications: readonly Publication[];
+  /** Requests that end each upstream that runs them. */
+  readonly fatalCalls: readonly CallRecord[];
+  /** Times at which upstreams ended under them, in ms. */
+  readonly ends: readonly number[];
   /** Instances with a response without end whose connection is open after all faults. */
   readonly endlessOpen: readonly string[];
   readonly peakMemory: readonly PeakMemory[];
@@ -232,6 +238,8 @@
   VersionsAdvance = "a daemon never goes back to an earlier configuration",
   EndlessClosed = "the connection of a response without end is closed",
   MemoryBounded = "a daemon's memory stays within its limit",
+  FatalBounded =
+    "a request that has ended three upstreams reaches few more from hosts without a fault",
   ColdBoundKept = "a cold upstream gets no more than the bound in any second",
 }
 
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -87,6 +87,8 @@
   evacuations: [],
   coldSpans: [],
   publications,
+  fatalCalls: [],
+  ends: [],
   endlessOpen: [],
   peakMemory: [{ host: 0, bytes: 250_000_000 }],
   unexpectedExits: [],
@@ -181,6 +183,15 @@
   [Guarantee.MemoryBounded]: {
     peakMemory: [{ host: 0, bytes: 250_000_001 }],
   },
+  [Guarantee.FatalBounded]: {
+    fatalCalls: [{ ...read, id: "fatal-0", sentAt: 3_001, endedAt: 3_100 }],
+    // Three are allowed.
+    arrivals: Array.from(
+      { length: 4 },
+      (_, i) => ({ id: "fatal-0", instance: "i", at: 3_020 + i }),
+    ),
+    ends: [0, 0, 0, 3_050],
+  },
   [Guarantee.ColdBoundKept]: {
     // 26 in a second are allowed.
     arrivals: Array.from(
