Suspects: a request that has just succeeded is none

A daemon remembers for ten seconds what succeeded, and counts no end against it; a request that ends upstreams succeeds nowhere. One mutation, noticed. Beside it: a message with suspects has a bound of 2 MB, and a timeout that has passed is sent as 0, not as a negative number.

--- a/src/core/crash_suspects.ts
+++ b/src/core/crash_suspects.ts
@@ -19,6 +19,14 @@
 const RETENTION_MS = 3 * QUARANTINE_MS;
 /** Suspects that are kept, the newest ones: some hundred ends of busy upstreams. */
 const MAX_SUSPECTS = 1_024;
+/**
+ * Time for which a success shows that a request is none of the causes of an end,
+ * in ms. Load pattern "outage": all upstreams end at once, and what callers often
+ * ask for ran at several of them.
+ */
+const SUCCESS_MEMORY_MS = 10_000;
+/** Successful requests that are remembered, the newest ones: a daemon's requests of some seconds. */
+const MAX_SUCCESSES = 2_048;
 /** Ends of one suspect that are kept, the newest ones. */
 const MAX_KEPT_ENDS = 16;
 
@@ -73,6 +81,8 @@
 ): CrashSuspects {
   /** The one that changed last comes last. */
   const entries = new Map<string, Entry>();
+  /** Times of the last successes by signature, in ms; the newest one comes last. */
+  const successes = new Map<string, Millis>();
   return {
     tryGetQuarantineMs,
     recordEnd,
@@ -86,7 +96,8 @@
   };
 
   function tryGetQuarantineMs(arrival: Arrival): Millis | undefined {
-    const entry = tryFind(arrival);
+    if (entries.size === 0 || arrival.signature === undefined) return undefined;
+    const entry = entries.get(arrival.signature());
     return entry !== undefined && isQuarantined(entry)
       ? entry.lastEndAt + QUARANTINE_MS - host.now()
       : undefined;
@@ -94,27 +105,38 @@
 
   function recordEnd(arrival: Arrival, end: string): void {
     const signature = arrival.signature?.();
-    if (signature === undefined) return;
+    if (signature === undefined || hasSucceeded(signature)) return;
     const ends = [`${end}@${options.origin}`];
     options.onObserved(toSuspect(add({ signature, ends, cleared: [] })));
   }
 
   /** A success clears only callers of the same service: others may send the same with another effect. */
   function recordSuccess(arrival: Arrival): void {
-    const entry = tryFind(arrival);
+    const signature = arrival.signature?.();
+    if (signature === undefined) return;
+    rememberSuccess(signature);
+    const entry = entries.get(signature);
     if (entry === undefined) return;
     const cleared = [...entry.ends].filter((end) =>
       end.endsWith(`@${options.origin}`) && !entry.cleared.has(end)
     );
     if (cleared.length === 0) return;
-    const { signature } = entry;
     options.onObserved(toSuspect(add({ signature, ends: [], cleared })));
   }
 
-  /** Most daemons know no suspect at most times, and compute no signature then. */
-  function tryFind({ signature }: Arrival): Entry | undefined {
-    if (entries.size === 0 || signature === undefined) return undefined;
-    return entries.get(signature());
+  function rememberSuccess(signature: string): void {
+    successes.delete(signature);
+    successes.set(signature, host.now());
+    if (successes.size <= MAX_SUCCESSES) return;
+    for (const oldest of successes.keys()) {
+      successes.delete(oldest);
+      return;
+    }
+  }
+
+  function hasSucceeded(signature: string): boolean {
+    const at = successes.get(signature) ?? -Infinity;
+    return host.now() - at < SUCCESS_MEMORY_MS;
   }
 
   function add({ signature, ends, cleared }: Suspect): Entry {
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -299,7 +299,7 @@
     if (isWanted && !(await isWanted)) return;
     const head = createHead(exchange.request, {
       ...action,
-      timeoutMs: exchange.deadline - clock.now(),
+      timeoutMs: Math.max(0, exchange.deadline - clock.now()),
     });
     const forward = createForward(exchange, exchange.attempts.get(attempt)!);
     const ticket = gateway.getTicket(id, attempt);
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -22,10 +22,12 @@
   Step,
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
-import { hasBody, readBody } from "./request_body.ts";
+import { canBufferBody, hasBody, readBody } from "./request_body.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
+/** Largest message with suspects, in bytes: all that a daemon keeps, with their ends. */
+const MAX_SUSPECTS_BYTES = 2_097_152;
 
 /** Settings of the server. */
 export interface PeerServerOptions {
@@ -150,7 +152,9 @@
   }
 
   async function exchangeSuspects(msg: PeerMessage): Promise<void> {
-    const body = await readBody(msg.incoming);
+    const body = canBufferBody(msg.incoming, MAX_SUSPECTS_BYTES)
+      ? await readBody(msg.incoming)
+      : "cut-off";
     const reply = body === "cut-off"
       ? undefined
       : options.receiveSuspects?.(body?.toString() ?? "");
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1005,6 +1005,16 @@
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
+  {
+    name: "an_end_after_a_success_is_not_counted",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/crash_suspects.ts",
+    edits: [{
+      find: "if (signature === undefined || hasSucceeded(signature)) return;",
+      replace: "if (signature === undefined) return;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
   {
     name: "a_success_clears_own_callers_only",
     guarantee: "fatal requests end few upstreams",
