--- a/src/daemon/unread_sockets.ts
+++ b/src/daemon/unread_sockets.ts
@@ -11,9 +11,19 @@
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
 
-/** Resolves once the sockets have been read again after the present reading: at the end of the next turn of the event loop. */
+let nextReading: Promise<void> | undefined;
+
+/**
+ * Resolves once the sockets have been read again after the present reading: at
+ * the end of the next turn of the event loop. Calls of one turn share it.
+ */
 export function waitForSockets(): Promise<void> {
-  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+  return nextReading ??= new Promise((resolve) =>
+    setImmediate(() => {
+      nextReading = undefined;
+      setImmediate(resolve);
+    })
+  );
 }
 
 /** True if the peer has closed the connection, as far as it was read. */
