Log: a refused suspect names its signature

The line of a refused request did not lead to the upstreams that it had ended. The mesh test follows it: refused, request_suspected, upstream_failed.

--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -12,7 +12,7 @@
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import type { Counters } from "../core/counters.ts";
-import type { DiagnosticName } from "../core/diagnostics.ts";
+import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import type { MemoryBudget } from "../core/memory_budget.ts";
 import type {
   Arrival,
@@ -259,6 +259,10 @@
       reason: verdict.diagnostic.reason,
       tookMs: Math.round(tookMs),
       retryAfterMs,
+      // Leads to the lines about the upstreams that ended.
+      signature: verdict.diagnostic === Diagnostics.request_quarantined
+        ? arrival?.signature?.()
+        : undefined,
     });
     if (outgoing.destroyed) return;
     const { status, headers } = dialect.createVerdictHead(
--- a/test/crash_suspects_mesh_test.ts
+++ b/test/crash_suspects_mesh_test.ts
@@ -59,6 +59,21 @@
   return arrived.filter((at) => at > third + STABLE_MS).length;
 }
 
+/** From a refused request its signature leads to the ends, and these to the runs at upstreams. */
+function expectExplained(): void {
+  const lines = fleet.hosts.flatMap((h) => h.lines);
+  const refused = lines.find((l) => l.includes("reason=request_quarantined"));
+  const signature = / signature=(\S+)/.exec(refused ?? "")?.[1];
+  const suspected = lines.find((l) =>
+    l.includes("event=request_suspected") && l.includes(`${signature} `)
+  );
+  const end = / lastEnd=([^@]+)@/.exec(suspected ?? "")?.[1];
+  const failed = lines.find((l) =>
+    l.includes("event=upstream_failed") && l.includes(`end=${end} `)
+  );
+  expect(failed).toContain("reason=upstream_ended");
+}
+
 function countEnds(): number {
   return fleet.hosts.reduce((sum, h) => sum + h.upstream.ends.length, 0);
 }
@@ -71,6 +86,7 @@
   expect(statuses.filter((status) => status < 500)).toEqual([]);
   expect(countLaterArrivals()).toBeLessThanOrEqual(ALLOWED_AFTER);
   expect(countEnds()).toBeLessThanOrEqual(KNOWN_AFTER + ALLOWED_AFTER);
+  expectExplained();
   // Other requests are served by all upstreams again, also of the same path.
   const others = await Promise.all(fleet.hosts.map(async (host, i) => {
     const read = await fleet.call(host, { id: `other-${i}` });
