--- a/src/daemon/crash_protection.ts
+++ b/src/daemon/crash_protection.ts
@@ -21,7 +21,7 @@
 export interface CrashProtection
   extends Pick<SuspectExchange, "ask" | "receive" | "close"> {
   readonly suspects: CrashSuspects;
-  /** Records that a host has a listed upstream, or none any more. */
+  /** Records whether a host has a listed upstream. */
   recordHost(host: HostId, isListed: boolean): void;
 }
 
