--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -85,6 +85,33 @@
   expect(completed).toHaveLength(1);
 });
 
+test.each([[undefined, 1_000], ["300", 300], ["5000", 1_000]])(
+  "a request with a timeout of %s ms waits for %i ms at most, as its route allows",
+  async (timeout, expectedMs) => {
+    const served: GatewayRequest[] = [];
+    const task = {
+      serve: (req: GatewayRequest) => {
+        served.push(req);
+        const diagnostic = Diagnostics.no_upstream;
+        return Promise.resolve({
+          verdict: { execution: Execution.NotRun, diagnostic },
+        });
+      },
+    } as unknown as GatewayTask;
+    const { port, close } = await listen(task);
+    const res = await request(`http://127.0.0.1:${port}/order/1`, {
+      headers: {
+        host: "shop",
+        "x-vanillarock-attempt-id": "id",
+        ...(timeout && { "x-vanillarock-timeout-ms": timeout }),
+      },
+    });
+    await res.body.dump();
+    await close();
+    expect(served[0]!.arrival.timeoutMs).toBe(expectedMs);
+  },
+);
+
 test("whatever refuses a request is written with its id, reason and execution", async () => {
   const verdicts = Object.values(Diagnostics).flatMap((diagnostic) =>
     [Execution.NotRun, Execution.MayHaveRun].map((execution) => ({
