Stop: what no upstream has by then is answered

Cause: at the end of its stop a daemon closes all connections, also those of requests that wait in another host's queue. The gateway ends what is open with a verdict, as not run where a guard had only reserved; a response that is being delivered goes on to the end. The same in the gossip daemon.

--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -131,6 +131,7 @@
     [GatewayMessageKind.LinkFailed]: onLinkFailed,
     [GatewayMessageKind.Settled]: onSettled,
     [GatewayMessageKind.CallerGone]: onCallerGone,
+    [GatewayMessageKind.Stopping]: endAll,
     [GatewayMessageKind.Tick]: tick,
   };
   return {
@@ -534,6 +535,19 @@
     return actions;
   }
 
+  /** Ends all requests but those whose response is being delivered. */
+  function endAll(): GatewayAction[] {
+    const requests: PendingRequest[] = [];
+    open.forEach((request) => {
+      if (!request.isDelivering) requests.push(request);
+    });
+    return requests.flatMap((request) => {
+      const actions = cancelOpen(request);
+      extras?.settle(request);
+      return [...actions, finish(request, "stopping")];
+    });
+  }
+
   function tick(): GatewayAction[] {
     const actions: GatewayAction[] = [];
     const now = host.now();
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -272,6 +272,8 @@
   LinkFailed = "link-failed",
   Settled = "settled",
   CallerGone = "caller-gone",
+  /** The daemon ends now: no open request can be answered later. */
+  Stopping = "stopping",
   Tick = "tick",
 }
 
@@ -351,6 +353,7 @@
     mayHaveArrived: boolean;
   }
   | { kind: GatewayMessageKind.CallerGone; id: string }
+  | { kind: GatewayMessageKind.Stopping }
   | { kind: GatewayMessageKind.Tick };
 
 /** Kinds of actions that a gateway requests from its driver. */
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -94,6 +94,8 @@
   complete(id: string, responseBytes?: number): void;
   /** Reports that the caller has disconnected; open attempts are cancelled. */
   abandon(id: string): void;
+  /** Ends open requests with a verdict, as the process is about to exit; none whose response is being delivered. */
+  endAll(): void;
   close(): void;
 }
 
@@ -169,6 +171,7 @@
       }),
     abandon: (id) =>
       endExchange(id, { kind: GatewayMessageKind.CallerGone, id }),
+    endAll: () => dispatch({ kind: GatewayMessageKind.Stopping }),
     close: waker.close,
   };
 
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -396,6 +396,8 @@
     logger.info("stopping", { open: gatewayTask.gateway.getOpenCount() });
     control.send(control.gossip.announce({ draining: true }));
     await withTimeout(finishOpenRequests(), settings.stopTimeoutMs);
+    gatewayTask.endAll();
+    await waitForSockets();
     lifecycle.add("control", control.close);
     lifecycle.add("platform", platform.close);
     lifecycle.add("guard", guardTask.close);
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -614,7 +614,12 @@
       await waitForSockets();
       if (clock.now() >= earliestStop && countOpen() === 0) break;
     }
-    // Same event loop turn as the check above, so that no request arrives in between.
+    if (countOpen() > 0) {
+      // A connection that closes without an answer tells its caller nothing.
+      gatewayTask.endAll();
+      await waitForSockets();
+    }
+    // Same event loop turn as the last check above, so that no request arrives in between.
     for (const server of [ingress, peers]) server.close();
     for (const server of [ingress, peers, readiness, metrics]) {
       lifecycle.add("server", () => closeServer(server));
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1096,6 +1096,16 @@
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
+  {
+    name: "a_stop_answers_what_is_open",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/core/gateway.ts",
+    edits: [{
+      find: "if (!request.isDelivering) requests.push(request);",
+      replace: "",
+    }],
+    testFile: CORE_TEST,
+  },
   {
     name: "refusals_are_read_to_a_bound",
     guarantee: "bounded memory",
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -29,6 +29,7 @@
   Repeatability,
 } from "../src/core/types.ts";
 import { createTestHost, type TestHost } from "./support/core_host.ts";
+import { createTestGateway, sendArrival } from "../src/lab/test_gateway.ts";
 
 const HOSTS = ["a", "b", "c"];
 
@@ -459,3 +460,26 @@
   host.advance(500);
   expect(gossip.handleDigest("b", "1-1")).toHaveLength(1);
 });
+
+// Their connections were closed without an answer.
+test("a gateway that stops ends its requests: not run if only reserved, else in doubt", () => {
+  const gateway = createTestGateway(createTestHost(), {
+    getCandidates: () => [{ host: "a", failureDomain: "east" }],
+  });
+  sendArrival(gateway, "read");
+  sendArrival(gateway, "order", { repeatability: Repeatability.AtMostOnce });
+  const stopped = { diagnostic: Diagnostics.stopping };
+  expect(gateway.handle({ kind: GatewayMessageKind.Stopping })).toMatchObject([
+    { kind: GatewayActionKind.Cancel, id: "read" },
+    {
+      kind: GatewayActionKind.Finish,
+      verdict: { ...stopped, execution: Execution.MayHaveRun },
+    },
+    { kind: GatewayActionKind.Release, id: "order" },
+    {
+      kind: GatewayActionKind.Finish,
+      verdict: { ...stopped, execution: Execution.NotRun },
+    },
+  ]);
+  expect(gateway.getOpenCount()).toBe(0);
+});
--- a/test/departed_callers_test.ts
+++ b/test/departed_callers_test.ts
@@ -21,8 +21,9 @@
   // The callers' host has no upstream of the service, so that two daemons are on the way.
   fleet = await startDeployment(88, ["front", "shop"]);
   fleet.publish(2, { service: "shop" });
-  const [front] = fleet.hosts as [DeploymentHost];
-  while ((await fleet.call(front, { id: "first" })).status !== 200) {
+  const [front, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
+  while (back.upstream.ran.length === 0) {
+    await fleet.call(front, { id: "first" });
     await pause(20);
   }
 });
