--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -173,6 +173,8 @@
   const { port } = server.address() as AddressInfo;
   let running = 0;
   let isClosed = false;
+  /** True from the end of an instance until the next one listens. */
+  let isDown = false;
   const respondedAt = new WeakMap<Socket, number>();
   const standIn: UpstreamStandIn = {
     address: `${ip}:${port}`,
@@ -213,6 +215,7 @@
 
   /** Ends as a process that crashes, and starts again as a new instance. */
   function end(): void {
+    isDown = true;
     const ended = standIn.instance;
     standIn.ends.push(performance.now());
     standIn.instance = `${ended}.${standIn.ends.length}`;
@@ -221,7 +224,10 @@
     server.closeAllConnections();
     setTimeout(() => {
       if (isClosed) return;
-      server.listen({ port, host: ip }, () => standIn.onRestarted(ended));
+      server.listen({ port, host: ip }, () => {
+        isDown = false;
+        standIn.onRestarted(ended);
+      });
     }, standIn.downMs);
   }
 
@@ -295,8 +301,8 @@
     await new Promise((resolve) => setTimeout(resolve, standIn.workMs));
     running -= 1;
     if (standIn.isFatal(req.url ?? "", body)) {
-      // Its connection is closed if another one has ended this instance.
-      if (!res.destroyed) end();
+      // Another one that ran beside it may have ended this instance.
+      if (!isDown) end();
       return;
     }
     setNotices(res);
