--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -88,6 +88,8 @@
   FaultKind.PeersUnresponsive,
   FaultKind.PeersDropReplies,
 ]);
+/** Faults that keep a host from hearing of a fatal request. */
+const MISSES_NEWS = new Set([...EXCUSES_FROM_LIMITS, FaultKind.PeersReset]);
 const RESTARTS = new Set([FaultKind.Killed, FaultKind.Stopped]);
 /** Faults that keep a daemon from learning what the store has, with the time after them until it reaches the store, in ms. */
 const KEEPS_FROM_LEARNING = new Map([
@@ -219,8 +221,10 @@
     const calls = new Map(history.fatalCalls.map((c) => [c.id, c]));
     const later = history.arrivals.filter(({ id, at, isMisdirected }) => {
       const call = calls.get(id);
+      // Daemons tell each other without the store, whose faults excuse nothing.
       return call !== undefined && isMisdirected !== true &&
-        at > third + RECOVERY_MS && !isDisturbed(history, call, at);
+        at > third + RECOVERY_MS &&
+        !hasFault(history, call, MISSES_NEWS, call.sentAt - RECOVERY_MS);
     });
     return later.length > FATAL_RETRIES
       ? [`${later.length} arrivals, ${history.ends.length} ends`]
