--- a/src/daemon/suspect_exchange.ts
+++ b/src/daemon/suspect_exchange.ts
@@ -14,7 +14,7 @@
 
 /** Hosts that collect what is observed of one suspect, so that two may be lost. */
 const COLLECTOR_COUNT = 3;
-/** Tries to tell a host, and the time between two, in ms: in all less than the users' `stableS`. */
+/** Tries to tell a host, and the time between two, in ms: 2 s in all, less than the 3 s for which retries aren't counted. */
 const MAX_TRIES = 5;
 const RETRY_MS = 500;
 
