Choice: a report states when a slow period probably ends

Non-queueing attempts at hosts known as slow 50 to 250 ms before were refused in 80 to 85 of 100 cases. Change: the guard states the expected rest of a slow period as the time of its next start, which gateways already use for limits; until then it gets no non-queueing attempt and counts with that wait.

--- a/src/core/choice.ts
+++ b/src/core/choice.ts
@@ -184,8 +184,11 @@
     const serviceMs = getLikelyServiceMs(entry, typical);
     const waitMs = serviceMs * Math.max(0, load + 1 - slots) / slots;
     const crowdingMs = serviceMs * load / slots;
-    const startMs = Math.max(waitMs, loads.getTurnMs(entry));
-    const responseMs = startMs + crowdingMs + serviceMs + getSlowMs(entry) +
+    const startMs = Math.max(
+      waitMs + getSlowMs(entry),
+      loads.getTurnMs(entry),
+    );
+    const responseMs = startMs + crowdingMs + serviceMs +
       getDomainMs(candidate);
     const failureShare = loads.getFailureShare(entry);
     return responseMs / (1 - Math.min(failureShare, MAX_FAILURE_SHARE));
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -230,7 +230,7 @@
     reportCount += 1;
     const failureShare = failures.get();
     const notice = notices.get();
-    const startsInMs = rate.tryGetTurnMs(getKnownLimits());
+    const startsInMs = tryGetStartsInMs();
     return {
       host: options.self,
       incarnation: options.incarnation,
@@ -248,6 +248,13 @@
     };
   }
 
+  /** Time until the limits and a slow period allow another start, in ms; undefined without any of them. */
+  function tryGetStartsInMs(): Millis | undefined {
+    const turnMs = rate.tryGetTurnMs(getKnownLimits());
+    const delayMs = estimates.getMeanStartDelayMs();
+    return delayMs === 0 ? turnMs : Math.max(turnMs ?? 0, delayMs);
+  }
+
   function applyLimit(): GuardAction[] {
     const bound = createStatedBound(notices.get()?.limitPerS);
     rate.setLimit(RateLimit.Stated, bound);
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -31,6 +31,8 @@
   getSlowdown(): number;
   /** Time for which the request should not be started, in ms; 0 to start at once. */
   getStartDelayMs(entry: Entry): Millis;
+  /** Time for which a request with the mean work should not be started, in ms; 0 to start at once. */
+  getMeanStartDelayMs(): Millis;
   /** Time within which most requests of this route end, in ms. */
   getWorkMs(head: RequestHead): Millis;
   /** Mean time of all requests, in ms. */
@@ -61,6 +63,7 @@
     getMaxSlots,
     getSlowdown,
     getStartDelayMs,
+    getMeanStartDelayMs: () => getDelayOf(getMeanMs()),
     getWorkMs,
     getMeanMs,
     recordCompletion,
@@ -112,9 +115,14 @@
 
   /** Delays work only if running it slowly would cost more time than waiting. */
   function getStartDelayMs({ head }: Entry): Millis {
+    return getDelayOf(
+      times.tryGetRouteMean(head.route) ?? getDefaultWorkMs(head),
+    );
+  }
+
+  function getDelayOf(workMs: Millis): Millis {
     const startDelayMs = options.upstream?.getStartDelayMs() ?? 0;
-    const costMs = (getSlowdown() - getBaseSlowdown()) *
-      (times.tryGetRouteMean(head.route) ?? getDefaultWorkMs(head));
+    const costMs = (getSlowdown() - getBaseSlowdown()) * workMs;
     return costMs > startDelayMs ? startDelayMs : 0;
   }
 
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -22,6 +22,7 @@
   Candidate,
   CoreHost,
   FailureDomainName,
+  LoadReport,
   Verdict,
 } from "./types.ts";
 
@@ -352,13 +353,14 @@
     const entry = loads.get(host);
     const { report } = entry;
     if (loads.getTurnMs(entry) > 0) {
+      if (isSlow(report)) return Exclusion.SlowPeriod;
       const hasLimit = report?.notice?.limitPerS !== undefined;
       return hasLimit ? Exclusion.OverLimit : Exclusion.Cold;
     }
     if (report === undefined || loads.getAge(entry) > LOAD_REPORT_MAX_AGE_MS) {
       return undefined;
     }
-    if ((report.slowdown ?? 1) >= SLOW_FACTOR) return Exclusion.SlowPeriod;
+    if (isSlow(report)) return Exclusion.SlowPeriod;
     const isFull = report.inFlight + entry.sentSinceReport >= report.slots;
     if (isFull) return Exclusion.NoFreeSlot;
     return report.queued > 0 ? Exclusion.Queueing : undefined;
@@ -442,6 +444,10 @@
   }
 }
 
+function isSlow(report: LoadReport | undefined): boolean {
+  return (report?.slowdown ?? 1) >= SLOW_FACTOR;
+}
+
 function getHosts(attempts: readonly Attempt[]): Set<string> {
   return new Set(attempts.map((a) => a.host));
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -146,7 +146,7 @@
   readonly failureShare?: number;
   /** What the upstream states about itself, if anything. */
   readonly notice?: UpstreamNotice;
-  /** Time until the upstream's limit allows another request, in ms, if it states a limit. */
+  /** Time until another request may start, in ms, if the upstream has a limit or is in a slow period. */
   readonly startsInMs?: Millis;
 }
 
