Placement: a refusal to queue is not the last word

Cause: the report by which a host is chosen to queue at is older than its load, and its refusal ended the request although others would have served it in time. Change: another host is asked while one is expected to serve the request within its objective.

--- a/src/core/attempt_plan.ts
+++ b/src/core/attempt_plan.ts
@@ -139,6 +139,7 @@
     const hasBody = request.arrival.replayable || isBodyUnsent(request);
     return hasBody && host.now() < request.deadline &&
       (mayTryNextHost(request) ||
+        placement.hasAnotherQueue(request, getCandidates(request)) ||
         placement.hasLastChoice(request, getCandidates(request)));
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -102,6 +102,11 @@
     request: PendingRequest,
     candidates: readonly Candidate[],
   ): Candidate | undefined;
+  /** True if the last host refused to queue the request, and another one is expected to serve it in time. */
+  hasAnotherQueue(
+    request: PendingRequest,
+    candidates: readonly Candidate[],
+  ): boolean;
   /** True if a draining host is to be asked, as no other took the request. */
   hasLastChoice(
     request: PendingRequest,
@@ -138,11 +143,15 @@
 export function mayTryNextHost(request: PendingRequest): boolean {
   const last = getLastAttempt(request);
   if (last?.neverReachedUpstream !== true) return false;
-  const refused = request.attempts.filter(isPlainRefusal);
+  if (hasManyRefusals(request)) return false;
+  return !last.mayQueue || isNotLoadRelated(request.lastVerdict);
+}
+
+function hasManyRefusals({ attempts }: PendingRequest): boolean {
+  const refused = attempts.filter(isPlainRefusal);
   const outdatedCount = refused.filter((a) => a.isOutdated).length;
   const mostCount = Math.max(outdatedCount, refused.length - outdatedCount);
-  if (mostCount >= MAX_REFUSED_ATTEMPTS) return false;
-  return !last.mayQueue || isNotLoadRelated(request.lastVerdict);
+  return mostCount >= MAX_REFUSED_ATTEMPTS;
 }
 
 /** True for an attempt that ended before its upstream was involved and was no extra one. */
@@ -161,7 +170,7 @@
   options: PlacementOptions,
 ): Placement {
   const { chooser, loads, notices, responseSizes, trace } = options;
-  return { tryPlace, tryPlaceExtra, hasLastChoice };
+  return { tryPlace, tryPlaceExtra, hasAnotherQueue, hasLastChoice };
 
   function tryPlace(
     request: PendingRequest,
@@ -171,14 +180,43 @@
     if (hasLastChoice(request, candidates)) {
       return placeAtDraining(request, candidates);
     }
+    const pool = getPool(request, candidates);
+    return pool.length === 0
+      ? undefined
+      : tryPlaceNonQueueing(request, pool) ?? placeInQueue(request, pool);
+  }
+
+  /** The candidates that are not draining, without those that may have run the request if there are others. */
+  function getPool(
+    request: PendingRequest,
+    candidates: readonly Candidate[],
+  ): readonly Candidate[] {
     const live = narrow(candidates, findDrainExclusion, trace);
-    if (live.length === 0) return undefined;
     const used = getHosts(
       request.attempts.filter((a) => !a.neverReachedUpstream),
     );
     const hasUnused = live.some((c) => !used.has(c.host));
-    const pool = hasUnused ? excludeHosts(live, used) : live;
-    return tryPlaceNonQueueing(request, pool) ?? placeInQueue(request, pool);
+    return hasUnused ? excludeHosts(live, used) : live;
+  }
+
+  /**
+   * Load pattern "short spells and long queues": reports are older than the load
+   * they describe, so that the host which seems best refuses a request that
+   * others would still serve in time. Its refusal carries a new report.
+   */
+  function hasAnotherQueue(
+    request: PendingRequest,
+    candidates: readonly Candidate[],
+  ): boolean {
+    const { key, objectiveMs, timeoutMs } = request.arrival;
+    const last = getLastAttempt(request);
+    const isRefused = key === undefined && last?.mayQueue === true &&
+      last.isLastChoice !== true && isPlainRefusal(last);
+    if (!isRefused || hasManyRefusals(request)) return false;
+    const tookMs = host.now() - (request.deadline - timeoutMs);
+    const leftMs = (objectiveMs ?? timeoutMs) - tookMs;
+    return getQueues(request, getPool(request, candidates))
+      .some((c) => chooser.getExpectedMs(c) <= leftMs);
   }
 
   /** A request with a key goes to the key's home, which alone knows its outcome. */
@@ -370,20 +408,29 @@
     request: PendingRequest,
     pool: readonly Candidate[],
   ): PlacementTarget | undefined {
-    const overLimit = getHosts(
-      request.attempts.filter((a) => a.isOverLimit && a.mayQueue),
-    );
-    const open = narrow(
-      filterStated(request, pool),
-      (c) => overLimit.has(c.host) ? Exclusion.OverLimit : undefined,
-      trace,
-    );
+    const open = getQueues(request, pool);
     const candidate = tryChoose(
       staysInDomain(request, open) ? filterOwnDomain(open) : open,
     );
     return candidate && { candidate, mayQueue: true };
   }
 
+  /** The hosts that have not refused to queue the request for a reason that still holds. */
+  function getQueues(
+    request: PendingRequest,
+    pool: readonly Candidate[],
+  ): readonly Candidate[] {
+    const refused = request.attempts.filter((a) =>
+      a.mayQueue && isPlainRefusal(a) && !a.isOutdated
+    );
+    const overLimit = getHosts(refused.filter((a) => a.isOverLimit));
+    const asked = getHosts(refused);
+    return narrow(filterStated(request, pool), ({ host }) => {
+      if (overLimit.has(host)) return Exclusion.OverLimit;
+      return asked.has(host) ? Exclusion.Asked : undefined;
+    }, trace);
+  }
+
   /**
    * A request with a large body or, as learned for its route, large responses
    * leaves its failure domain only if no host there meets the objective.
