Slots: one more is on trial while an upstream is cold

Cause: a cold upstream reads twice as slow, which counted as a slow period, so that no slot was on trial and 7 of 9 were used in the seconds in which room is shortest. Change: a slow period is one beside the base speed (`isSlow`), as for start delays; 8 good requests show that a slot doesn't slow, in place of 16.

--- a/src/core/slot_limit.ts
+++ b/src/core/slot_limit.ts
@@ -20,7 +20,7 @@
 /** Requests in a slot until it can be judged as slow. */
 const MIN_SLOW_SAMPLES = 4;
 /** Requests in a slot until it can be judged as good. */
-const MIN_GOOD_SAMPLES = 16;
+const MIN_GOOD_SAMPLES = 8;
 /** Requests that start in a slot on trial for each one that ended there, beside the first ones. */
 const STARTS_PER_SAMPLE = 2;
 /** Weight of the newest sample once there are enough. */
--- a/src/core/slow_periods.ts
+++ b/src/core/slow_periods.ts
@@ -40,6 +40,8 @@
   getStartDelayMs(now: Millis): Millis;
   /** Slowdown outside slow periods. */
   getBase(): number;
+  /** True for a slowdown that only a slow period has; a cold upstream is not in one. */
+  isSlow(slowdown: number): boolean;
 }
 
 /** Consecutive slow readings. */
@@ -65,12 +67,12 @@
   let previousBest = Infinity;
   let windowReadings = 0;
   let windowEndsAt: Millis | undefined;
-  return { observe, getStartDelayMs, getBase };
+  return { observe, getStartDelayMs, getBase, isSlow };
 
   function observe(slowdown: number, now: Millis): void {
     updateBase(slowdown, now);
-    if (slowdown < SLOW_FACTOR * getBase()) endRun(now);
-    else extendRun(now);
+    if (isSlow(slowdown)) extendRun(now);
+    else endRun(now);
     readAt = now;
   }
 
@@ -97,6 +99,10 @@
     return best === Infinity ? 1 : Math.max(1, best);
   }
 
+  function isSlow(slowdown: number): boolean {
+    return slowdown >= SLOW_FACTOR * getBase();
+  }
+
   function extendRun(now: Millis): void {
     run ??= {
       readBeforeAt: readAt,
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -10,7 +10,7 @@
 import type { Counters } from "../core/counters.ts";
 import type { UpstreamView } from "../core/guard_types.ts";
 import { createSlotLimit } from "../core/slot_limit.ts";
-import { createSlowPeriods, SLOW_FACTOR } from "../core/slow_periods.ts";
+import { createSlowPeriods } from "../core/slow_periods.ts";
 import type { Millis, NoticeSource, ResponseNotice } from "../core/types.ts";
 import { createSmallReads } from "../link/small_reads.ts";
 import {
@@ -241,11 +241,11 @@
     return load?.slots ?? options.getListedSlots();
   }
 
-  /** A slot is on trial only at normal speed, which its requests are compared with. */
+  /** A slot is on trial only outside slow periods, which its requests are compared with. */
   function getUsableSlots(): number {
-    return getSlowdown() < SLOW_FACTOR
-      ? slotLimit.getUsable(getSlots())
-      : slotLimit.getKnownGood(getSlots());
+    return slowPeriods.isSlow(getSlowdown())
+      ? slotLimit.getKnownGood(getSlots())
+      : slotLimit.getUsable(getSlots());
   }
 
   function getSlowdown(): number {
--- a/test/support/fleet_load.ts
+++ b/test/support/fleet_load.ts
@@ -313,7 +313,8 @@
         evacuations.isEvacuated(failureDomain) ? "domain_evacuated" : undefined,
       upstream: {
         getUsableSlots: () =>
-          getSpeed(fleetHost) < SLOW_FACTOR && load.hasFixedSlots !== true
+          getSpeed(fleetHost) < SLOW_FACTOR * slowPeriods.getBase() &&
+            load.hasFixedSlots !== true
             ? slotLimit.getUsable(it.slots)
             : slotLimit.getKnownGood(it.slots),
         getShortWorkSlots: () => slotLimit.getUsableForShortWork(it.slots),
