Store: a daemon that the store doesn't answer asks other daemons

Change: while the store doesn't answer, a daemon asks others for the content or the changes after its position: those of the list, or the seeds of its settings as long as there is no list.

--- a/src/core/change_log.ts
+++ b/src/core/change_log.ts
@@ -29,6 +29,8 @@
   apply(batch: StoreBatch): void;
   /** Changes after a revision; undefined if the log does not reach back that far or is of another era. */
   tryGetSince(position: StorePosition): StoreBatch | undefined;
+  /** The whole content; undefined before it is known. */
+  tryGetAll(): StoreBatch | undefined;
 }
 
 /** An entry and the revision of its last change. */
@@ -56,7 +58,7 @@
   let completeSince = Infinity;
   let era = 0;
   let revision = -Infinity;
-  return { restart, apply, tryGetSince };
+  return { restart, apply, tryGetSince, tryGetAll };
 
   function restart(batch: StoreBatch): void {
     kept.clear();
@@ -97,6 +99,14 @@
       .map((logged) => logged.entry);
     return { era, revision, entries };
   }
+
+  function tryGetAll(): StoreBatch | undefined {
+    if (completeSince === Infinity) return undefined;
+    const entries = [...kept.values()]
+      .filter((logged) => !isRemoved(logged))
+      .map((logged) => logged.entry);
+    return { era, revision, entries };
+  }
 }
 
 function isRemoved(logged: LoggedEntry | undefined): boolean {
--- a/src/daemon/change_relay.ts
+++ b/src/daemon/change_relay.ts
@@ -12,6 +12,7 @@
 } from "../core/change_log.ts";
 import type { Counters } from "../core/counters.ts";
 import type { CoreHost, Millis } from "../core/types.ts";
+import type { PeerState } from "./peer_state.ts";
 
 /** Age of the store's last response up to which followers are accepted, in ms; the shortest line timeout of a follower. */
 const MAX_RESPONSE_AGE_MS = 900;
@@ -36,6 +37,10 @@
 export interface ChangeRelay {
   /** Starts anew from the whole content of the store; disconnects all followers. */
   restart(batch: StoreBatch): void;
+  /** Records what another daemon knows of the store; it isn't relayed, since the store did not respond here. */
+  adopt(state: PeerState): void;
+  /** What is known of the store: the changes after a position if the log reaches back that far, else everything. */
+  tryGetState(after: StorePosition | undefined): PeerState | undefined;
   /** Relays a response of the store, whether read here or received from a source. */
   publish(batch: RelayedBatch): void;
   /**
@@ -60,7 +65,7 @@
   let respondedAt: Millis = -Infinity;
   let hops = 0;
   let isClosed = false;
-  return { restart, publish, attach, release, close };
+  return { restart, adopt, tryGetState, publish, attach, release, close };
 
   function restart(batch: StoreBatch): void {
     // Followers may have missed changes from before the batch.
@@ -70,6 +75,20 @@
     log.restart(batch);
   }
 
+  function adopt(state: PeerState): void {
+    if (state.isWhole) log.restart(state);
+    else log.apply(state);
+  }
+
+  function tryGetState(
+    after: StorePosition | undefined,
+  ): PeerState | undefined {
+    const missed = after && log.tryGetSince(after);
+    if (missed !== undefined) return { ...missed, isWhole: false };
+    const all = log.tryGetAll();
+    return all && { ...all, isWhole: true };
+  }
+
   function publish(batch: RelayedBatch): void {
     respondedAt = host.now();
     hops = batch.hops;
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -22,6 +22,7 @@
   Step,
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
+import { decodePosition, type PeerState } from "./peer_state.ts";
 import { canBufferBody, hasBody, readBody } from "./request_body.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
@@ -29,6 +30,9 @@
 /** Largest message with suspects, in bytes: all that a daemon keeps, with their ends. */
 const MAX_SUSPECTS_BYTES = 2_097_152;
 
+/** Largest position in the store, in bytes. */
+const MAX_POSITION_BYTES = 256;
+
 /** Settings of the server. */
 export interface PeerServerOptions {
   readonly guard: GuardTask;
@@ -37,6 +41,8 @@
   onMalformed(diagnostic: Diagnostic, message: string): void;
   /** Handles another daemon's suspects; absent if this daemon exchanges none. */
   receiveSuspects?(body: string): string | undefined;
+  /** What this daemon knows of the store after a position; absent if it reads none. */
+  tryGetState?(after: StorePosition | undefined): PeerState | undefined;
   /** Streams the store's changes after a revision; absent if this daemon relays none. */
   follow?(after: StorePosition, outgoing: ServerResponse): void;
 }
@@ -63,6 +69,7 @@
     [Step.Keys]: issueKeys,
     [Step.Ping]: ({ outgoing }) => sendResponse(outgoing, 204),
     [Step.Follow]: follow,
+    [Step.State]: sendState,
     [Step.Suspects]: exchangeSuspects,
   };
   return (incoming, outgoing) => {
@@ -151,6 +158,19 @@
     options.follow({ era, revision }, msg.outgoing);
   }
 
+  async function sendState({ incoming, outgoing }: PeerMessage): Promise<void> {
+    const body = canBufferBody(incoming, MAX_POSITION_BYTES)
+      ? await readBody(incoming)
+      : "cut-off";
+    if (body === "cut-off") return refuseMalformed(outgoing, "a position");
+    const after = decodePosition(body?.toString() ?? "");
+    const state = options.tryGetState?.(after);
+    if (state === undefined) return sendResponse(outgoing, 503);
+    const isNew = after === undefined || state.era !== after.era ||
+      state.revision > after.revision;
+    sendResponse(outgoing, 200, isNew ? JSON.stringify(state) : "");
+  }
+
   async function exchangeSuspects(msg: PeerMessage): Promise<void> {
     const body = canBufferBody(msg.incoming, MAX_SUSPECTS_BYTES)
       ? await readBody(msg.incoming)
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -13,6 +13,7 @@
 import { ConfigOutcome, createActiveConfig } from "../core/degraded_config.ts";
 import type { DiagnosticName } from "../core/diagnostics.ts";
 import { createEvacuations } from "../core/evacuations.ts";
+import { orderByHash } from "../core/host_order.ts";
 import type { ClosedReason } from "../core/guard_types.ts";
 import {
   computeBufferLimit,
@@ -49,6 +50,7 @@
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
 import { createPeerHandler } from "./peer_server.ts";
+import { createPeerStateReader } from "./peer_state.ts";
 import { getStoreDaemonGauges } from "./store_gauges.ts";
 import { createStoreOperatorHandler } from "./store_operator_server.ts";
 import {
@@ -334,6 +336,16 @@
   const relay = createChangeRelay(host, { counters });
   const store = createStoreTask(host, {
     reader: deployment.store,
+    peers: createPeerStateReader({
+      self: settings.host,
+      getPeers: () =>
+        upstreams.size() === 0 ? settings.seeds : orderByHash(
+          upstreams.getReadyHosts().map((it) => it.host),
+          `state asked by ${settings.host}`,
+        ),
+      getLink: links.get,
+      logger,
+    }),
     relay,
     getPlan,
     getPeerAddress,
@@ -382,6 +394,7 @@
       getRevisions: () => String(routes?.config.version ?? 0),
       onRevisions: () => {},
       follow: relay.attach,
+      tryGetState: relay.tryGetState,
       receiveSuspects: protection.receive,
       onMalformed: ({ reason }, message) => {
         counters.add(reason);
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -26,6 +26,7 @@
 import { followSource, type Subscription } from "./change_follower.ts";
 import type { ChangeRelay, RelayedBatch } from "./change_relay.ts";
 import type { Logger } from "./logger.ts";
+import type { PeerState, PeerStateReader } from "./peer_state.ts";
 
 /** Kinds of change in the store. */
 export enum StoreChangeKind {
@@ -77,6 +78,8 @@
 /** Settings of the task. */
 export interface StoreTaskOptions {
   readonly reader: StoreReader;
+  /** Asks other daemons while the store doesn't respond; nobody is asked by default. */
+  readonly peers?: PeerStateReader;
   /** Relays the changes that this daemon receives to its followers. */
   readonly relay: ChangeRelay;
   readonly counters: Counters;
@@ -115,6 +118,8 @@
 const LOST_SOURCE_BACKOFF_MS = 2_000;
 /** As above after the source refused, in ms; shorter because a refusal costs little. */
 const REFUSING_SOURCE_BACKOFF_MS = 500;
+/** Time for which a daemon that has just started waits for the store before it asks another one, in ms; some round trips. */
+const FIRST_SNAPSHOT_MS = 250;
 /** Delay between two watches, in ms, so that successive changes cost one call. */
 const BATCH_DELAY_MS = 250;
 /** Time after the start in which the upstreams of a whole fleet register, in ms. */
@@ -143,12 +148,53 @@
   let failures = 0;
   let lostAt: Millis | undefined;
   let timer: NodeJS.Timeout | undefined;
+  let peerTimer: NodeJS.Timeout | undefined;
   let subscription: Subscription | undefined;
   /** True if a source left out changes as too large; the next read is from the store. */
   let mustReadStore = false;
   let largeReadAt: Millis = -Infinity;
   const startedAt = host.now();
-  return { start: readNext, isReachable: () => failures === 0, close };
+  return { start, isReachable: () => failures === 0, close };
+
+  function start(): void {
+    readNext();
+    schedulePeer(FIRST_SNAPSHOT_MS);
+  }
+
+  /** Asks other daemons, one after the other, from the first failure of the store until it responds. */
+  function schedulePeer(delayMs: Millis): void {
+    if (options.peers === undefined || peerTimer !== undefined) return;
+    peerTimer = setTimeout(() => void askPeer(), delayMs);
+  }
+
+  async function askPeer(): Promise<void> {
+    const state = isInNeed() ? await options.peers?.read(position) : undefined;
+    peerTimer = undefined;
+    if (isClosed || !isInNeed()) return;
+    if (state !== undefined) applyPeerState(state);
+    schedulePeer(
+      position === undefined ? FIRST_SNAPSHOT_MS : options.readGapMs,
+    );
+  }
+
+  function isInNeed(): boolean {
+    return position === undefined || failures > 0;
+  }
+
+  function applyPeerState(state: PeerState): void {
+    const { isWhole, revision } = state;
+    const isNewer = position === undefined ||
+      (state.era === position.era && revision > position.revision);
+    if (!isNewer) return;
+    counters.add("peer_state_used");
+    logger.info("peer_state_used", { after: position?.revision, revision });
+    relay.adopt(state);
+    era = state.era;
+    position = { era, revision };
+    const changes = dropSuperseded(state.entries).flatMap(reader.decode);
+    if (isWhole) options.onSnapshot(changes);
+    else for (const change of changes) options.onChange(change);
+  }
 
   function readNext(): void {
     if (position === undefined) return void readAll();
@@ -311,6 +357,7 @@
       logger.warn("store_lost", { call, message, revision });
       options.onLost();
     }
+    schedulePeer(0);
     const { rank } = options.getPlan();
     const maxBackoffMs = rank >= ReadingRank.Head
       ? MAX_FOLLOWER_BACKOFF_MS
@@ -327,6 +374,7 @@
   async function close(): Promise<void> {
     isClosed = true;
     clearTimeout(timer);
+    clearTimeout(peerTimer);
     subscription?.close();
     relay.close();
     await reader.close();
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -42,7 +42,7 @@
  */
 const CONNECT_TIMEOUT_MS = 150;
 const SETTLE_TIMEOUT_MS = 1_000;
-/** Timeout of an exchange of suspects, in ms; it is tried again. */
+/** Timeout of an exchange of what is known, in ms; it is tried again. */
 const EXCHANGE_TIMEOUT_MS = 500;
 /** Interval at which unchanged revisions are sent again, in ms. */
 const REVISIONS_RESEND_INTERVAL_MS = 1_000;
@@ -95,7 +95,8 @@
     settle,
     issueKeys,
     replaceConnections: replacePool,
-    exchangeSuspects,
+    exchangeSuspects: (body) => exchange(Step.Suspects, body),
+    readState: (after) => exchange(Step.State, after),
     probe,
     close: () => pool.destroy(),
   };
@@ -180,9 +181,12 @@
     }
   }
 
-  async function exchangeSuspects(body: string): Promise<string | undefined> {
+  async function exchange(
+    step: Step,
+    body: string,
+  ): Promise<string | undefined> {
     try {
-      const res = await call(pool, Step.Suspects, {}, {
+      const res = await call(pool, step, {}, {
         body,
         headersTimeout: EXCHANGE_TIMEOUT_MS,
         bodyTimeout: EXCHANGE_TIMEOUT_MS,
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -82,6 +82,8 @@
   replaceConnections(): void;
   /** Exchanges suspects, encoded; resolves to those of the other daemon, undefined on failure. */
   exchangeSuspects?(body: string): Promise<string | undefined>;
+  /** Asks for the state of the store after a position, both encoded; undefined on failure, empty if nothing is new. */
+  readState?(after: string): Promise<string | undefined>;
   /** Requests a load report; resolves to the size of the reply in bytes, 0 on failure. */
   probe(): Promise<number>;
   close(): Promise<void>;
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -64,6 +64,8 @@
   Ping = "ping",
   /** Subscribes to changes of the store. */
   Follow = "follow",
+  /** Asks for the state of the store. */
+  State = "state",
   /** Exchanges requests that are suspected to end upstreams. */
   Suspects = "suspects",
 }
--- a/src/settings/store_daemon_settings.ts
+++ b/src/settings/store_daemon_settings.ts
@@ -24,6 +24,8 @@
     readonly metrics: string;
   };
   readonly storeAddress: string;
+  /** Hosts whose daemons are asked by one that starts while the store doesn't respond. */
+  readonly seeds: readonly HostId[];
   readonly bounds: OperationalBounds;
   /** Extra work allowed as a share of the work of own requests; 0, the default, disables extra attempts. */
   readonly extraWorkShare?: number;
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -19,6 +19,9 @@
 const READY_PORT = 18_302;
 const UPSTREAM_PORT = 18_301;
 const STORE_PORT = 18_306;
+/** Port in the addresses of seeds; nothing listens there. */
+const SEED_PORT = 18_307;
+const MAX_SEEDS = 3;
 const MAX_READY_POLLS = 200;
 const READY_POLL_MS = 25;
 
@@ -283,6 +286,7 @@
     const settings = createSettings(host, {
       store: address,
       bounds: options.bounds ?? {},
+      seeds: hosts.slice(0, MAX_SEEDS).map((it) => `${it.ip}:${SEED_PORT}`),
     });
     writeFileSync(file, JSON.stringify(settings));
     const child = spawn(process.execPath, ["target/vanillarock.cjs"], {
@@ -368,7 +372,11 @@
 
 function createSettings(
   host: DeploymentHost,
-  { store, bounds }: { store: string; bounds: Record<string, number> },
+  { store, bounds, seeds }: {
+    store: string;
+    bounds: Record<string, number>;
+    seeds: readonly string[];
+  },
 ): unknown {
   const peerIp = host.links ? getListenIp(host.ip) : host.ip;
   return {
@@ -384,6 +392,7 @@
         outbound: `${host.ip}:${CALLER_PORT}`,
         ready: `${host.ip}:${READY_PORT}`,
       },
+      seeds,
     },
     platform: { platform: { address: store } },
     terms: {
