Placement: hosts that had a queue a quarter of a second ago are not asked for a free slot

A report counted for 50 ms only; of the non-queueing attempts at hosts that had reported a queue 50 to 250 ms before, two of three were refused, and a request that can't be served made four of them before it queued. Each costs two daemons an exchange. Change: such a report counts for 250 ms, unless the host is in a slow period.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -51,6 +51,13 @@
 /** Maximum age of a report that makes a non-queueing attempt needless, in ms; a third of a slow period. */
 const LOAD_REPORT_MAX_AGE_MS = 50;
 
+/**
+ * As above for a report of queued requests, which are served first. Load pattern
+ * "queues everywhere": hosts that had queued requests a quarter of a second ago
+ * refuse two of three non-queueing attempts, and each request made four.
+ */
+const QUEUE_REPORT_MAX_AGE_MS = 250;
+
 /** Refusals of a guard before its upstream was involved. */
 const GUARD_REFUSALS = new Set([
   Diagnostics.no_room_now,
@@ -395,13 +402,15 @@
       const hasLimit = report?.notice?.limitPerS !== undefined;
       return hasLimit ? Exclusion.OverLimit : Exclusion.Cold;
     }
-    if (report === undefined || loads.getAge(entry) > LOAD_REPORT_MAX_AGE_MS) {
+    const ageMs = loads.getAge(entry);
+    if (report === undefined || ageMs > QUEUE_REPORT_MAX_AGE_MS) {
       return undefined;
     }
+    if (report.queued > 0 && !isSlow(report)) return Exclusion.Queueing;
+    if (ageMs > LOAD_REPORT_MAX_AGE_MS) return undefined;
     if (isSlow(report)) return Exclusion.SlowPeriod;
     const isFull = report.inFlight + entry.sentSinceReport >= report.slots;
-    if (isFull) return Exclusion.NoFreeSlot;
-    return report.queued > 0 ? Exclusion.Queueing : undefined;
+    return isFull ? Exclusion.NoFreeSlot : undefined;
   }
 
   function placeInQueue(
