Placement: two hosts may refuse to queue a request

Under overload each further one cost both daemons an exchange. Each of the two has stated its queue. The tests of hosts that are expected to be in time leave no trace in an explanation.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -38,6 +38,8 @@
  * the share, and the request queues.
  */
 const NON_QUEUEING_SHARE = 1 / 8;
+/** Hosts that may refuse to queue a request; each of them has said how long its queue is. */
+const MAX_REFUSED_QUEUES = 2;
 /** Share of failures beyond that of the best candidate up to which a host is used like the others. */
 const MAX_EXTRA_FAILURE_SHARE = 0.25;
 /** Draining hosts that a request is offered to at most: all hosts of a large service may drain at once. */
@@ -187,23 +189,14 @@
     if (hasLastChoice(request, candidates)) {
       return placeAtDraining(request, candidates);
     }
-    const pool = getPool(request, candidates);
-    return pool.length === 0
-      ? undefined
-      : tryPlaceNonQueueing(request, pool) ?? placeInQueue(request, pool);
-  }
-
-  /** The candidates that are not draining, without those that may have run the request if there are others. */
-  function getPool(
-    request: PendingRequest,
-    candidates: readonly Candidate[],
-  ): readonly Candidate[] {
     const live = narrow(candidates, findDrainExclusion, trace);
+    if (live.length === 0) return undefined;
     const used = getHosts(
       request.attempts.filter((a) => !a.neverReachedUpstream),
     );
     const hasUnused = live.some((c) => !used.has(c.host));
-    return hasUnused ? excludeHosts(live, used) : live;
+    const pool = hasUnused ? excludeHosts(live, used) : live;
+    return tryPlaceNonQueueing(request, pool) ?? placeInQueue(request, pool);
   }
 
   /**
@@ -220,10 +213,14 @@
     const isRefused = key === undefined && last?.mayQueue === true &&
       last.isLastChoice !== true && isPlainRefusal(last);
     if (!isRefused || hasManyRefusals(request)) return false;
+    const asked = getAskedQueues(request);
+    if (asked.size >= MAX_REFUSED_QUEUES) return false;
     const tookMs = host.now() - (request.deadline - timeoutMs);
     const leftMs = (objectiveMs ?? timeoutMs) - tookMs;
-    return getQueues(request, getPool(request, candidates))
-      .some((c) => chooser.getExpectedMs(c) <= leftMs);
+    return candidates.some((c) =>
+      !asked.has(c.host) && !isDraining(c) &&
+      chooser.getExpectedMs(c) <= leftMs
+    );
   }
 
   /** A request with a key goes to the key's home, which alone knows its outcome. */
@@ -417,27 +414,18 @@
     request: PendingRequest,
     pool: readonly Candidate[],
   ): PlacementTarget | undefined {
-    const open = getQueues(request, pool);
-    const candidate = tryChoose(
-      staysInDomain(request, open) ? filterOwnDomain(open) : open,
+    const overLimit = getHosts(
+      request.attempts.filter((a) => a.isOverLimit && a.mayQueue),
     );
-    return candidate && { candidate, mayQueue: true };
-  }
-
-  /** The hosts that have not refused to queue the request for a reason that still holds. */
-  function getQueues(
-    request: PendingRequest,
-    pool: readonly Candidate[],
-  ): readonly Candidate[] {
-    const refused = request.attempts.filter((a) =>
-      a.mayQueue && isPlainRefusal(a) && !a.isOutdated
-    );
-    const overLimit = getHosts(refused.filter((a) => a.isOverLimit));
-    const asked = getHosts(refused);
-    return narrow(filterStated(request, pool), ({ host }) => {
+    const asked = getAskedQueues(request);
+    const open = narrow(filterStated(request, pool), ({ host }) => {
       if (overLimit.has(host)) return Exclusion.OverLimit;
       return asked.has(host) ? Exclusion.Asked : undefined;
     }, trace);
+    const candidate = tryChoose(
+      staysInDomain(request, open) ? filterOwnDomain(open) : open,
+    );
+    return candidate && { candidate, mayQueue: true };
   }
 
   /**
@@ -500,6 +488,13 @@
   }
 }
 
+/** Hosts that have refused to queue the request under the incarnation that they have. */
+function getAskedQueues({ attempts }: PendingRequest): Set<string> {
+  return getHosts(
+    attempts.filter((a) => a.mayQueue && isPlainRefusal(a) && !a.isOutdated),
+  );
+}
+
 function isSlow(report: LoadReport | undefined): boolean {
   return (report?.slowdown ?? 1) >= SLOW_FACTOR;
 }
