Cold upstreams start what is probably in time, without four refusals first

Cause: after a loss of power all upstreams work at half speed. Their guards took that for a slow period and refused each non-queueing attempt whose work could miss its objective, with slots free; gateways left out all hosts that had reported it within 50 ms. So a request made four attempts for nothing and queued with the fifth. Change: a guard refuses if the mean work would be late, no longer the upper estimate; for a gateway a host is in a slow period beside the fastest that it knows.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -33,8 +33,10 @@
 
 /** The properties of a request that the decision depends on. */
 export interface AdmissionRequest {
-  /** Expected time of the work itself at the current speed, in ms. */
+  /** Time within which the work itself probably ends at the current speed, in ms. */
   readonly workMs: Millis;
+  /** Mean time of the work itself at the current speed, in ms. */
+  readonly meanWorkMs: Millis;
   /**
    * Short work is served late rather than refused: it takes little capacity,
    * and the calls that running requests make are of this kind.
@@ -101,13 +103,14 @@
 /**
  * True if the request misses its objective only because the upstream is slow.
  * Load pattern "long slow periods": a slow upstream has free slots, as it is
- * avoided, and is too slow to wait for.
+ * avoided, and is too slow to wait for. Load pattern "a whole fleet restarts
+ * cold": no upstream is faster, and at half speed most requests are in time.
  */
 function isTooSlow(
   { slowdown }: AdmissionState,
-  { workMs, objectiveMs = Infinity }: AdmissionRequest,
+  { meanWorkMs, objectiveMs = Infinity }: AdmissionRequest,
 ): boolean {
-  return slowdown >= SLOW_FACTOR && workMs > objectiveMs;
+  return slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs;
 }
 
 /** Longest time that a request may wait in the queue, in ms. */
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -115,9 +115,11 @@
 
   /** Delays work only if running it slowly would cost more time than waiting. */
   function getStartDelayMs({ head }: Entry): Millis {
-    return getDelayOf(
-      times.tryGetRouteMean(head.route) ?? getDefaultWorkMs(head),
-    );
+    return getDelayOf(getMeanWorkMs(head));
+  }
+
+  function getMeanWorkMs(head: RequestHead): Millis {
+    return times.tryGetRouteMean(head.route) ?? getDefaultWorkMs(head);
   }
 
   function getDelayOf(workMs: Millis): Millis {
@@ -173,6 +175,7 @@
       slowdown: getSlowdown(),
     }, {
       workMs: getWorkMs(entry.head) * factor,
+      meanWorkMs: getMeanWorkMs(entry.head) * factor,
       isShort: isShort(entry.head),
       timeoutMs: refusesEarly ? timeoutMs : Infinity,
       ...(objectiveMs !== undefined && { objectiveMs }),
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -22,7 +22,6 @@
   Candidate,
   CoreHost,
   FailureDomainName,
-  LoadReport,
   Verdict,
 } from "./types.ts";
 
@@ -308,7 +307,10 @@
     triedHosts: ReadonlySet<string>,
   ): Candidate | undefined {
     const untried = excludeHosts(pool, triedHosts);
-    const open = filterSound(narrow(untried, findStartObstacle, trace));
+    const slowLimit = SLOW_FACTOR * getLeastSlowdown(pool);
+    const open = filterSound(
+      narrow(untried, (c) => findStartObstacle(c, slowLimit), trace),
+    );
     const confirmed = open.find((c) => isConfirmed(request, c));
     if (confirmed) {
       narrow(
@@ -390,12 +392,24 @@
     }) ?? false;
   }
 
+  /** Slowdown of the fastest candidate by recent reports; after a start of the whole fleet all are slow. */
+  function getLeastSlowdown(pool: readonly Candidate[]): number {
+    const recent = pool.map((c) => loads.get(c.host))
+      .filter((entry) => loads.getAge(entry) <= QUEUE_REPORT_MAX_AGE_MS)
+      .map(({ report }) => Math.max(1, report?.slowdown ?? 1));
+    return recent.length === 0 ? 1 : Math.min(...recent);
+  }
+
   /** Why a host can't start a request at once by a recent report, if so. */
-  function findStartObstacle({ host }: Candidate): Exclusion | undefined {
+  function findStartObstacle(
+    { host }: Candidate,
+    slowLimit: number,
+  ): Exclusion | undefined {
     const entry = loads.get(host);
     const { report } = entry;
+    const isSlow = (report?.slowdown ?? 1) >= slowLimit;
     if (loads.getTurnMs(entry) > 0) {
-      if (isSlow(report)) return Exclusion.SlowPeriod;
+      if (isSlow) return Exclusion.SlowPeriod;
       const hasLimit = report?.notice?.limitPerS !== undefined;
       return hasLimit ? Exclusion.OverLimit : Exclusion.Cold;
     }
@@ -403,9 +417,9 @@
     if (report === undefined || ageMs > QUEUE_REPORT_MAX_AGE_MS) {
       return undefined;
     }
-    if (report.queued > 0 && !isSlow(report)) return Exclusion.Queueing;
+    if (report.queued > 0 && !isSlow) return Exclusion.Queueing;
     if (ageMs > LOAD_REPORT_MAX_AGE_MS) return undefined;
-    if (isSlow(report)) return Exclusion.SlowPeriod;
+    if (isSlow) return Exclusion.SlowPeriod;
     const isFull = report.inFlight + entry.sentSinceReport >= report.slots;
     return isFull ? Exclusion.NoFreeSlot : undefined;
   }
@@ -495,10 +509,6 @@
   );
 }
 
-function isSlow(report: LoadReport | undefined): boolean {
-  return (report?.slowdown ?? 1) >= SLOW_FACTOR;
-}
-
 function getHosts(attempts: readonly Attempt[]): Set<string> {
   return new Set(attempts.map((a) => a.host));
 }
--- a/test/explain_test.ts
+++ b/test/explain_test.ts
@@ -92,6 +92,8 @@
     false,
     false,
     true,
+    // The first host refuses to queue it, and another one is expected to serve it in time.
+    true,
   ]);
   const sent: string[] = [];
   let actions = sendArrival(gateway, "r");
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -172,7 +172,12 @@
     startDelayMs: 0,
     slowdown: 1,
   };
-  const request = { workMs: 100, timeoutMs: 800, objectiveMs: 300 };
+  const request = {
+    workMs: 100,
+    meanWorkMs: 100,
+    timeoutMs: 800,
+    objectiveMs: 300,
+  };
   const submitted = decideAdmission(state, { ...request, mayQueue: false });
   expect(submitted).toMatchObject({
     admission: Admission.Refuse,
--- a/test/support/fleet_load.ts
+++ b/test/support/fleet_load.ts
@@ -26,7 +26,7 @@
 import { createRetryAllowance } from "../../src/core/retry_allowance.ts";
 import { limitRetryAfter } from "../../src/core/retry_after.ts";
 import { createSlotLimit } from "../../src/core/slot_limit.ts";
-import { createSlowPeriods, SLOW_FACTOR } from "../../src/core/slow_periods.ts";
+import { createSlowPeriods } from "../../src/core/slow_periods.ts";
 import {
   type Candidate,
   type GatewayAction,
@@ -313,7 +313,7 @@
         evacuations.isEvacuated(failureDomain) ? "domain_evacuated" : undefined,
       upstream: {
         getUsableSlots: () =>
-          getSpeed(fleetHost) < SLOW_FACTOR * slowPeriods.getBase() &&
+          !slowPeriods.isSlow(getSpeed(fleetHost)) &&
             load.hasFixedSlots !== true
             ? slotLimit.getUsable(it.slots)
             : slotLimit.getKnownGood(it.slots),
