--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -41,6 +41,9 @@
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
 const CRASH_SUSPECTS_TEST = "test/crash_suspects_test.ts";
+const WORST_LOAD_TEST = "test/worst_load_test.ts";
+const PEER_STATE_TEST = "test/peer_state_test.ts";
+const HTTP_LINK_TEST = "test/http_link_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -439,8 +442,8 @@
     guarantee: "goodput under overload",
     file: "src/core/slow_periods.ts",
     edits: [{
-      find: "if (slowdown < SLOW_FACTOR * getBase()) endRun(now);",
-      replace: "if (slowdown < SLOW_FACTOR) endRun(now);",
+      find: "return slowdown >= SLOW_FACTOR * getBase();",
+      replace: "return slowdown >= SLOW_FACTOR;",
     }],
     testFile: OVERLOAD_TEST,
   },
@@ -519,8 +522,8 @@
     guarantee: "goodput under overload",
     file: "src/core/admission.ts",
     edits: [{
-      find: "return slowdown >= SLOW_FACTOR && workMs > objectiveMs;",
-      replace: "return slowdown >= Infinity && workMs > objectiveMs;",
+      find: "return slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs;",
+      replace: "return slowdown >= Infinity && meanWorkMs > objectiveMs;",
     }],
     testFile: FLEET_LOAD_TEST,
   },
@@ -1688,4 +1691,95 @@
     }],
     testFile: COLD_STARTS_TEST,
   },
+  {
+    name: "states_the_end_of_slow_periods",
+    guarantee: "goodput under overload",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "return delayMs === 0 ? turnMs : Math.max(turnMs ?? 0, delayMs);",
+      replace: "return delayMs < 0 ? delayMs : turnMs;",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "waits_count_with_slow_periods",
+    guarantee: "goodput under overload",
+    file: "src/core/choice.ts",
+    edits: [{
+      find: "      waitMs + getSlowMs(entry),\n      loads.getTurnMs(entry),",
+      replace: "      waitMs + getSlowMs(entry),\n      0,",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "asks_another_queue",
+    guarantee: "goodput under overload",
+    file: "src/core/placement.ts",
+    edits: [{
+      find: "if (asked.size >= MAX_REFUSED_QUEUES) return false;",
+      replace: "if (asked.size > 0) return false;",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "asks_no_queue_without_time",
+    guarantee: "what can't be served is refused at once",
+    file: "src/core/placement.ts",
+    edits: [{
+      find: "chooser.getExpectedMs(c) <= leftMs\n    );",
+      replace: "leftMs < Infinity\n    );",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "remembers_queues",
+    guarantee: "goodput under overload",
+    file: "src/core/placement.ts",
+    edits: [{
+      find: "if (report.queued > 0 && !isSlow) return Exclusion.Queueing;",
+      replace: "",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "starts_at_cold_upstreams",
+    guarantee: "goodput after a loss of power",
+    file: "src/core/admission.ts",
+    edits: [{
+      find: "slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs",
+      replace: "slowdown >= SLOW_FACTOR && 1.5 * meanWorkMs > objectiveMs",
+    }],
+    testFile: WORST_LOAD_TEST,
+  },
+  {
+    name: "takes_no_older_state",
+    guarantee: "an accepted change never reverts",
+    file: "src/daemon/store_task.ts",
+    edits: [{
+      find: "(state.era === position.era && revision > position.revision);",
+      replace: "state.era === position.era;",
+    }],
+    testFile: PEER_STATE_TEST,
+  },
+  {
+    name: "asks_peers_without_the_store",
+    guarantee: "accepted changes hold everywhere",
+    file: "src/daemon/store_task.ts",
+    edits: [{
+      find:
+        "if (options.peers === undefined || peerTimer !== undefined) return;",
+      replace: "return;",
+    }],
+    testFile: PEER_STATE_TEST,
+  },
+  {
+    name: "connects_in_time",
+    guarantee: "goodput after a loss of power",
+    file: "src/link/http_link.ts",
+    edits: [{
+      find: "const CONNECT_TIMEOUT_MS = 150;",
+      replace: "const CONNECT_TIMEOUT_MS = 1_000;",
+    }],
+    testFile: HTTP_LINK_TEST,
+  },
 ];
--- a/test/worst_load_test.ts
+++ b/test/worst_load_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "vitest";
 import { Admission, decideAdmission } from "../src/core/admission.ts";
 import { Diagnostics } from "../src/core/diagnostics.ts";
+import { createGuard } from "../src/core/guard.ts";
 import { createSlowPeriods } from "../src/core/slow_periods.ts";
 import {
   Execution,
@@ -83,6 +84,35 @@
   expect(slowPeriods.isSlow(2 * 7)).toBe(true);
 });
 
+test("a guard states when the slow period of its upstream probably ends", () => {
+  const host = createTestHost();
+  let slowdown = 1;
+  const guard = createGuard(host, {
+    self: "h0",
+    service: "shop",
+    incarnation: "h0#1",
+    slots: 8,
+    queueCapacity: 8,
+    grantTtlMs: 1_000,
+    keyCapacity: 1,
+    getWeight: () => 1,
+    upstream: {
+      getUsableSlots: () => 8,
+      getShortWorkSlots: () => 8,
+      getKnownGoodSlots: () => 8,
+      recordStart: () => {},
+      recordServiceTime: () => {},
+      getBaseSlowdown: () => 1,
+      getInstance: () => undefined,
+      getSlowdown: () => slowdown,
+      getStartDelayMs: () => slowdown === 1 ? 0 : 30,
+    },
+  });
+  expect(guard.getReport().startsInMs).toBeUndefined();
+  slowdown = 7;
+  expect(guard.getReport().startsInMs).toBe(30);
+});
+
 describe("too few fast slots at the peak", () => {
   const BUSY = { slots: 8, inFlight: 8, queued: 1 };
   const IN_SLOW_PERIOD = { inFlight: 0, slowdown: 7, startsInMs: 300 };
