Bundle: zod without its languages and JSON schemas

Cause: `import { z } from "zod"` keeps all of it in the bundle: 50 languages and the conversion to and from JSON schemas, which the daemon never uses. Change: the bundle takes the parts that the sources use, as it does for undici; test/bundle_test.ts compares them with the sources.

--- a/test/bundle_test.ts
+++ b/test/bundle_test.ts
@@ -2,12 +2,20 @@
 
 import { execSync } from "node:child_process";
 import { createRequire } from "node:module";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterAll, beforeAll, expect, test } from "vitest";
 import { CodeCache, loadBundle } from "../platform/bundle.ts";
 
+const SOURCE_FOLDERS = ["src", "platform"];
+
 let directory: string;
 let file: string;
 
@@ -71,6 +79,9 @@
   expect(inputs).not.toContain("undici/index.js");
   // Loading it creates a number format, which loads the locale data.
   expect(inputs).not.toContain("HistogramLogWriter");
+  expect(inputs).toContain("zod/v4/classic/schemas.js");
+  expect(inputs).not.toContain("zod/v4/locales/index.js");
+  expect(inputs).not.toContain("from-json-schema");
   const { exports } = loadBundle(join(directory, "daemon.cjs"));
   expect(exports).toHaveProperty("main");
 });
@@ -87,6 +98,26 @@
   expect(undici.Client.prototype.request).toBe(request);
 });
 
+test("the bundle has every part of zod that the sources use", async () => {
+  const parts = "../platform/zod_parts.mjs";
+  const { z } = await import(parts) as { z: Record<string, unknown> };
+  const used = new Set(
+    SOURCE_FOLDERS.flatMap((folder) =>
+      readdirSync(folder, { recursive: true, encoding: "utf8" })
+        .filter((name) => name.endsWith(".ts"))
+        .flatMap((name) => findUsed(readFileSync(join(folder, name), "utf8")))
+    ),
+  );
+  expect(used.size).toBeGreaterThan(10);
+  expect(Object.keys(z)).toEqual(expect.arrayContaining([...used]));
+});
+
+/** Names of zod's functions and classes that a source uses as values. */
+function findUsed(source: string): string[] {
+  return [...source.matchAll(/\bz\.(\w+)\(|instanceof z\.(\w+)/g)]
+    .map(([, called, tested]) => (called ?? tested)!);
+}
+
 test("the bundle has every part of undici that the daemon uses", () => {
   const parts = createRequire(import.meta.url)("../platform/undici_parts.cjs");
   const bundle = readFileSync("target/daemon.cjs", "utf8");
