Core: types of explanations, extra attempts and host statuses stand below what uses them

Eleven files imported each other in a circle through gateway_types.ts. What it needed of explain.ts, extra_attempts.ts and usable_hosts.ts are types; they have files of their own now, and src/core has no circle of imports. No behaviour changes.

--- a/src/cli/explain_text.ts
+++ b/src/cli/explain_text.ts
@@ -4,7 +4,7 @@
   ExplainedAttempt,
   ExplainedCandidate,
   ReasonAgainst,
-} from "../core/explain.ts";
+} from "../core/explain_types.ts";
 import type {
   ExplainedRefusal,
   RequestExplanation,
--- a/src/core/extra_attempts.ts
+++ b/src/core/extra_attempts.ts
@@ -7,14 +7,14 @@
 
 import { hasReachedUpstream, isAtMostOnce, isOpen } from "./attempts.ts";
 import type { Counters } from "./counters.ts";
+import { ExtraCause } from "./extra_types.ts";
 import { createExtraMoment, type ExtraMoment } from "./extra_moment.ts";
-import { createExtraWork, type WorkReservation } from "./extra_work.ts";
+import { createExtraWork } from "./extra_work.ts";
 import {
   type Attempt,
   AttemptPhase,
   type ExtraWorkOptions,
   type PendingRequest,
-  type RetryCharge,
 } from "./gateway_types.ts";
 import type { LoadTable } from "./load_table.ts";
 import type { OpenRequests } from "./open_requests.ts";
@@ -43,52 +43,6 @@
 /** Weight of the newest placement in that share. */
 const QUEUED_SMOOTHING = 0.05;
 
-/** Why an extra attempt was sent. */
-export enum ExtraCause {
-  /** A recent report shows a slow period at the host of the open attempt. */
-  SlowHost = "slow_host",
-  /** The guard has not accepted the open attempt, so that the link to it is suspected. */
-  SilentLink = "silent_link",
-  /** The open attempt takes longer than nearly all others. */
-  SlowResponse = "slow_response",
-}
-
-/** Start of an extra attempt, for the log. */
-export interface ExtraStart {
-  readonly id: string;
-  readonly to: HostId;
-  readonly cause: ExtraCause;
-  /** Age of the report, or time since the open attempt was sent, in ms. */
-  readonly evidenceAgeMs: Millis;
-  /** Time since the open attempt was sent, in ms. */
-  readonly afterMs: Millis;
-}
-
-/** End of an extra attempt, for the log. */
-export interface ExtraEnd {
-  readonly id: string;
-  readonly cause: ExtraCause;
-  readonly hasWon: boolean;
-  /** Work of the losing attempt until it was cancelled, in ms. */
-  readonly wastedMs: Millis;
-  /** Expected remaining time of the open attempt less the time of the extra one, in ms; only if it won. */
-  readonly savedMs?: Millis;
-}
-
-/** An extra attempt that is open, as kept in its request. */
-export interface ExtraState {
-  readonly attempt: Attempt;
-  /** The attempt that was open before. */
-  readonly first: Attempt;
-  readonly cause: ExtraCause;
-  /** Expected remaining time of the first attempt at the start, in ms. */
-  readonly predictedMs: Millis;
-  readonly reservation: WorkReservation;
-  readonly charge: RetryCharge | undefined;
-  /** Time at which the reserved work is used up, in ms. */
-  endAt: Millis;
-}
-
 /** Where an extra attempt goes, and what to do once it is added to the request. */
 export interface ExtraTarget {
   readonly candidate: Candidate;
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -4,11 +4,12 @@
 import type { Counters } from "./counters.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import type { DecisionTrace } from "./exclusions.ts";
-import type { DecisionExplanation } from "./explain.ts";
-import type { ExtraEnd, ExtraStart, ExtraState } from "./extra_attempts.ts";
+import type { DecisionExplanation } from "./explain_types.ts";
+import type { ExtraCause, ExtraEnd, ExtraStart } from "./extra_types.ts";
+import type { WorkReservation } from "./extra_work.ts";
 import type { NoticeListener } from "./known_notices.ts";
 import type { LoadEntry } from "./load_table.ts";
-import type { HostStatusListener } from "./usable_hosts.ts";
+import type { HostStatusListener } from "./host_status.ts";
 import type {
   AccountName,
   Arrival,
@@ -214,6 +215,20 @@
   isOutdated?: boolean;
 }
 
+/** An extra attempt that is open, as kept in its request. */
+export interface ExtraState {
+  readonly attempt: Attempt;
+  /** The attempt that was open before. */
+  readonly first: Attempt;
+  readonly cause: ExtraCause;
+  /** Expected remaining time of the first attempt at the start, in ms. */
+  readonly predictedMs: Millis;
+  readonly reservation: WorkReservation;
+  readonly charge: RetryCharge | undefined;
+  /** Time at which the reserved work is used up, in ms. */
+  endAt: Millis;
+}
+
 /** A request that is open in a gateway. */
 export interface PendingRequest {
   readonly arrival: Arrival;
--- a/src/core/usable_hosts.ts
+++ b/src/core/usable_hosts.ts
@@ -3,32 +3,12 @@
 import type { Counters } from "./counters.ts";
 import type { DecisionTrace } from "./exclusions.ts";
 import type { Attempt } from "./gateway_types.ts";
+import { HostStatus, type HostStatusListener } from "./host_status.ts";
 import { createKnownInstances } from "./known_instances.ts";
 import { createReplacedInstances } from "./replaced_instances.ts";
 import { createUnresponsiveHosts } from "./unresponsive_hosts.ts";
 import type { Candidate, CoreHost, HostId, Verdict } from "./types.ts";
 
-/** Host status: what a gateway currently holds to be true of a host. */
-export enum HostStatus {
-  /** It did not reply to an attempt in time. */
-  Unresponsive = "silent",
-  /** It was unresponsive and replied again. */
-  Responsive = "heard",
-  /** Another incarnation or service runs at its address. */
-  Replaced = "replaced",
-}
-
-/** Called on each change of a host status. */
-export type HostStatusListener = (
-  status: HostStatus,
-  about: {
-    readonly host: HostId;
-    readonly instance?: string;
-    /** Incarnation that replaced it, if it is used from now on. */
-    readonly current?: string;
-  },
-) => void;
-
 /** Host statuses of one gateway. */
 export interface UsableHosts {
   /** Records that an attempt is sent to a host. */
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -7,7 +7,7 @@
 import { EventEmitter } from "node:events";
 import type { Readable } from "node:stream";
 import { createGateway } from "../core/gateway.ts";
-import type { ExtraEnd, ExtraStart } from "../core/extra_attempts.ts";
+import type { ExtraEnd, ExtraStart } from "../core/extra_types.ts";
 import type { Gateway, GatewayOptions } from "../core/gateway_types.ts";
 import {
   type Arrival,
--- a/src/daemon/request_explanation.ts
+++ b/src/daemon/request_explanation.ts
@@ -8,7 +8,7 @@
   DecisionExplanation,
   ExplainedAttempt,
   ExplainedCandidate,
-} from "../core/explain.ts";
+} from "../core/explain_types.ts";
 import type { RoutePart } from "../core/routing_types.ts";
 import {
   Execution,
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -23,7 +23,7 @@
   ExplainedAttempt,
   ExplainedCandidate,
   ReasonAgainst,
-} from "./core/explain.ts";
+} from "./core/explain_types.ts";
 export { Exclusion } from "./core/exclusions.ts";
 export { createGuard } from "./core/guard.ts";
 export type { Guard, GuardOptions } from "./core/guard_types.ts";
--- a/test/explain_test.ts
+++ b/test/explain_test.ts
@@ -5,7 +5,7 @@
 import { Diagnostics } from "../src/core/diagnostics.ts";
 import { createEvacuations } from "../src/core/evacuations.ts";
 import { type DecisionTrace, Exclusion } from "../src/core/exclusions.ts";
-import type { DecisionExplanation } from "../src/core/explain.ts";
+import type { DecisionExplanation } from "../src/core/explain_types.ts";
 import type { GatewayOptions } from "../src/core/gateway_types.ts";
 import { createMembership } from "../src/core/membership.ts";
 import { ListedState } from "../src/core/config_types.ts";
--- a/test/extra_attempts_test.ts
+++ b/test/extra_attempts_test.ts
@@ -3,8 +3,8 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { expect, test } from "vitest";
-import { ExtraCause } from "../src/core/extra_attempts.ts";
-import type { ExtraEnd, ExtraStart } from "../src/core/extra_attempts.ts";
+import { ExtraCause } from "../src/core/extra_types.ts";
+import type { ExtraEnd, ExtraStart } from "../src/core/extra_types.ts";
 import { createExtraMoment } from "../src/core/extra_moment.ts";
 import { createExtraWork } from "../src/core/extra_work.ts";
 import type { Gateway, GatewayOptions } from "../src/core/gateway_types.ts";
--- a/test/log_events_test.ts
+++ b/test/log_events_test.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from "node:fs";
 import { expect, test } from "vitest";
 import { UpstreamChange } from "../src/core/upstream_list.ts";
-import { HostStatus } from "../src/core/usable_hosts.ts";
+import { HostStatus } from "../src/core/host_status.ts";
 import { GatewayActionKind } from "../src/core/types.ts";
 
 /** Modules of the platform's daemon that write log lines. */
--- a/test/support/explained_replay.ts
+++ b/test/support/explained_replay.ts
@@ -10,7 +10,7 @@
   Diagnostics,
 } from "../../src/core/diagnostics.ts";
 import { createEvacuations } from "../../src/core/evacuations.ts";
-import type { DecisionExplanation } from "../../src/core/explain.ts";
+import type { DecisionExplanation } from "../../src/core/explain_types.ts";
 import {
   type ListedUpstream,
   ListedUpstreamState,
--- a/test/support/fleet_load.ts
+++ b/test/support/fleet_load.ts
@@ -20,7 +20,7 @@
   type Evacuations,
 } from "../../src/core/evacuations.ts";
 import type { Gateway } from "../../src/core/gateway_types.ts";
-import type { ExtraEnd, ExtraStart } from "../../src/core/extra_attempts.ts";
+import type { ExtraEnd, ExtraStart } from "../../src/core/extra_types.ts";
 import { createGuard } from "../../src/core/guard.ts";
 import type { Guard } from "../../src/core/guard_types.ts";
 import { createRetryAllowance } from "../../src/core/retry_allowance.ts";
--- a/test/support/vanishing_hosts.ts
+++ b/test/support/vanishing_hosts.ts
@@ -12,7 +12,7 @@
   GatewayMessageKind,
   type HostId,
 } from "../../src/core/types.ts";
-import { HostStatus } from "../../src/core/usable_hosts.ts";
+import { HostStatus } from "../../src/core/host_status.ts";
 import { createTestHost } from "./core_host.ts";
 import { createTestGateway, sendArrival } from "../../src/lab/test_gateway.ts";
 
