Command: what room there was when requests were refused

Operators could see by which reason a request was refused, but not whether another host had room. `vanillarock room` reads it from the logs of all hosts, for one request or by reason.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import { ExplainCommand } from "./explain_command.ts";
 import { LoadCommand } from "./load_command.ts";
 import { OutageCommand } from "./outage_command.ts";
+import { RoomCommand } from "./room_command.ts";
 import { RunCommand } from "./run_command.ts";
 import { PlatformCommand, UpstreamCommand } from "./stand_in_commands.ts";
 import { StatusCommand } from "./status_command.ts";
@@ -20,6 +21,7 @@
   StatusCommand,
   StoryCommand,
   OutageCommand,
+  RoomCommand,
   LoadCommand,
   PlatformCommand,
   UpstreamCommand,
