Queue: a short call that missed its objective is still served while its parent waits

Cause: the guard's queue serves what has missed its objective last and refuses it once more requests wait than there are slots. Change: short work is useful until its latest start. It doesn't count as ahead of others once it is late, as it takes little of a slot.

--- a/src/bench/decisions.ts
+++ b/src/bench/decisions.ts
@@ -79,6 +79,7 @@
       account: "all",
       rank: Math.floor(Math.random() * 3),
       startBy: host.now() + Math.random() * 1_000,
+      usefulUntil: host.now() + 1_000,
     });
   for (let i = 0; i < QUEUED; i++) push();
   return () => {
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -287,15 +287,20 @@
       return [];
     }
     const workMs = estimates.getWorkMs(head);
+    const startBy = host.now() + (head.objectiveMs ?? head.timeoutMs) - workMs;
+    const latestStart = host.now() + getLatestStartMs(head, workMs);
     const entry: Entry = {
       ticket,
       account: head.account,
       head,
       isReservation,
       deadline: host.now() + head.timeoutMs,
-      latestStart: host.now() + getLatestStartMs(head, workMs),
+      latestStart,
       rank: head.priority ?? 0,
-      startBy: host.now() + (head.objectiveMs ?? head.timeoutMs) - workMs,
+      startBy,
+      usefulUntil: estimates.isShort(head)
+        ? Math.max(startBy, latestStart)
+        : startBy,
       state: EntryState.Queued,
     };
     entries.set(ticket, entry);
@@ -422,7 +427,7 @@
       return [assignSlot(entry)];
     }
     wakes.add(entry.latestStart, entry.ticket);
-    if (options.upstream) wakes.add(entry.startBy, entry.ticket);
+    if (options.upstream) wakes.add(entry.usefulUntil, entry.ticket);
     const leaving = queue.push(entry);
     if (leaving === undefined) return [];
     const reason = leaving === entry ? "queue_full" : "over_fair_share";
@@ -696,7 +701,7 @@
 
   /** True for work past its latest useful start while more requests wait than there are slots. */
   function isOvertaken(entry: Entry, now: Millis): boolean {
-    if (options.upstream === undefined || now < entry.startBy) return false;
+    if (options.upstream === undefined || now < entry.usefulUntil) return false;
     return queue.size() > getUsableSlots();
   }
 
--- a/src/core/guard_entry.ts
+++ b/src/core/guard_entry.ts
@@ -25,6 +25,12 @@
   readonly rank: number;
   /** Latest start at which the response still meets the request's objective, in ms. */
   readonly startBy: Millis;
+  /**
+   * Latest start that still serves the caller well, in ms: `startBy`, but for
+   * short work its latest start, as the running requests that make such calls
+   * fail without it.
+   */
+  readonly usefulUntil: Millis;
   state: EntryState;
   grant?: string;
   grantExpires?: Millis;
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -27,6 +27,8 @@
   getSlotsFor(head: RequestHead): number;
   /** Slots that any request may fill. */
   getMaxSlots(): number;
+  /** True for work that takes little capacity, such as the calls of running requests. */
+  isShort(head: RequestHead): boolean;
   /** Current service time as a multiple of the usual one. */
   getSlowdown(): number;
   /** Time for which the request should not be started, in ms; 0 to start at once. */
@@ -61,6 +63,7 @@
     getUsableSlots,
     getSlotsFor,
     getMaxSlots,
+    isShort,
     getSlowdown,
     getStartDelayMs,
     getMeanStartDelayMs: () => getDelayOf(getMeanMs()),
--- a/src/core/urgency_queue.ts
+++ b/src/core/urgency_queue.ts
@@ -1,8 +1,8 @@
 /**
  * Priority queue for work with time objectives: lowest rank first, and within a
- * rank the item that has to start soonest. Work that has missed its objective
- * waits behind all work that can still meet it, so that under overload some
- * responses are in time rather than none.
+ * rank the item that has to start soonest. Work that is of little use by now,
+ * as it has missed its objective, waits behind all other work, so that under
+ * overload some responses are in time rather than none.
  */
 
 import type { AdmissionQueue, QueueItem } from "./fair_queue.ts";
@@ -14,6 +14,8 @@
   readonly rank: number;
   /** Latest start at which the response still meets the request's objective, in ms. */
   readonly startBy: Millis;
+  /** Latest start that still serves the caller well; not before `startBy`, in ms. */
+  readonly usefulUntil: Millis;
 }
 
 /** Creates an empty queue of bounded length. */
@@ -37,7 +39,7 @@
     return items.length > options.capacity ? items.pop() : undefined;
   }
 
-  /** Removes the first item that can still be in time, else the first item. */
+  /** Removes the first item that is still useful, else the first item. */
   function pop(
     mayStart: (item: T) => boolean = () => true,
   ): T | undefined {
@@ -45,7 +47,7 @@
     let next = -1;
     for (const [index, item] of items.entries()) {
       if (!mayStart(item)) continue;
-      if (item.startBy >= now) return items.splice(index, 1)[0];
+      if (item.usefulUntil >= now) return items.splice(index, 1)[0];
       if (next < 0) next = index;
     }
     return next < 0 ? undefined : items.splice(next, 1)[0];
@@ -58,7 +60,7 @@
     return true;
   }
 
-  /** Items ahead of this one that may start and can still be in time. */
+  /** Items ahead of this one that may start and can still be in time; others take little capacity. */
   function getAheadOf(
     item: T,
     mayStart: (item: T) => boolean = () => true,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1691,6 +1691,16 @@
     }],
     testFile: COLD_STARTS_TEST,
   },
+  {
+    name: "serves_late_calls",
+    guarantee: "goodput under overload",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "usefulUntil: estimates.isShort(head)",
+      replace: "usefulUntil: head.timeoutMs < 0",
+    }],
+    testFile: OVERLOAD_TEST,
+  },
   {
     name: "states_the_end_of_slow_periods",
     guarantee: "goodput under overload",
--- a/test/overload_test.ts
+++ b/test/overload_test.ts
@@ -140,6 +140,26 @@
   expect(inTime(actual)).toBeGreaterThanOrEqual(inTime(baseline));
 });
 
+test("calls at a full upstream: one that missed its objective is served like one without", () => {
+  const full = {
+    ...NOISY_LOAD,
+    slots: 9,
+    usableSlots: 7,
+    workMs: 186,
+    coldFactor: 2,
+    perSecond: 20,
+    objectiveMs: 600,
+    timeoutMs: 2_500,
+    seconds: 120,
+  };
+  const calls = { perSecond: 50, workMs: 22, timeoutMs: 250 };
+  const [actual, baseline] = [100, calls.timeoutMs].map((objectiveMs) => {
+    const outcome = replayLoad({ ...full, calls: { ...calls, objectiveMs } });
+    return outcome.callsServed / outcome.callsArrived;
+  });
+  expect(actual).toBeGreaterThan(baseline! - 0.05);
+});
+
 test("a lasting slow speed is not waited for", () => {
   const slowPeriods = createSlowPeriods();
   slowPeriods.observe(1, -25);
@@ -201,15 +221,19 @@
 test("an urgency queue serves what can be in time before what can't", () => {
   const host = createTestHost();
   const queue = createUrgencyQueue<
-    { account: string; rank: number; startBy: number }
+    { account: string; rank: number; startBy: number; usefulUntil: number }
   >(host, { capacity: 3 });
-  const late = { account: "all", rank: 0, startBy: -1 };
-  const soon = { account: "all", rank: 1, startBy: 10 };
-  const later = { account: "all", rank: 1, startBy: 20 };
+  const create = (rank: number, startBy: number) => ({
+    account: "all",
+    rank,
+    startBy,
+    usefulUntil: startBy,
+  });
+  const late = create(0, -1);
+  const soon = create(1, 10);
+  const later = create(1, 20);
   for (const item of [later, late, soon]) queue.push(item);
-  expect(queue.push({ account: "all", rank: 1, startBy: 30 })?.startBy).toBe(
-    30,
-  );
+  expect(queue.push(create(1, 30))?.startBy).toBe(30);
   expect(queue.pop((item) => item !== soon)).toBe(later);
   expect(queue.pop()).toBe(soon);
   expect(queue.pop()).toBe(late);
--- a/test/support/guarded_upstream.ts
+++ b/test/support/guarded_upstream.ts
@@ -39,6 +39,8 @@
     readonly perSecond: number;
     readonly workMs: number;
     readonly timeoutMs: number;
+    /** Objective of calls without a rank of their own; by default they have the highest one and the objective of the others. */
+    readonly objectiveMs?: number;
   };
 }
 
@@ -165,7 +167,9 @@
       outcome.arrived % (pattern.urgentEvery ?? Infinity) === 0;
     if (isUrgent) outcome.urgentArrived += 1;
     jobs.set(ticket, { arrivedAt: host.now(), isUrgent, isCall });
-    const priority = disabled.urgency || isUrgent || isCall ? 0 : 1;
+    const callObjectiveMs = isCall ? calls!.objectiveMs : undefined;
+    const hasHighRank = isUrgent || (isCall && callObjectiveMs === undefined);
+    const priority = disabled.urgency || hasHighRank ? 0 : 1;
     handleActions(guard.handle({
       kind: GuardMessageKind.Submit,
       ticket,
@@ -175,7 +179,8 @@
         repeatability: Repeatability.Idempotent,
         fingerprint: "",
         timeoutMs: isCall ? calls!.timeoutMs : pattern.timeoutMs,
-        ...(!disabled.urgency && { objectiveMs: pattern.objectiveMs }),
+        ...(!disabled.urgency &&
+          { objectiveMs: callObjectiveMs ?? pattern.objectiveMs }),
         priority,
         route: isCall ? "calls" : "reads",
       },
