Admission: only upstreams at half speed start what is late by the upper estimate

Guards started work there that is in time by its mean, although other hosts were fast. Change: the mean decides up to the slowdown of a cold upstream, the upper estimate beyond.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -3,6 +3,7 @@
  * The guard decides, since only it knows all requests at its upstream.
  */
 
+import { COLD_SLOWDOWN } from "./cold_starts.ts";
 import type { DiagnosticName } from "./diagnostics.ts";
 import { SLOW_FACTOR } from "./slow_periods.ts";
 import type { Millis } from "./types.ts";
@@ -104,13 +105,15 @@
  * True if the request misses its objective only because the upstream is slow.
  * Load pattern "long slow periods": a slow upstream has free slots, as it is
  * avoided, and is too slow to wait for. Load pattern "a whole fleet restarts
- * cold": no upstream is faster, and at half speed most requests are in time.
+ * cold": no upstream is faster, and at the speed of cold ones most requests are
+ * in time.
  */
 function isTooSlow(
   { slowdown }: AdmissionState,
-  { meanWorkMs, objectiveMs = Infinity }: AdmissionRequest,
+  { workMs, meanWorkMs, objectiveMs = Infinity }: AdmissionRequest,
 ): boolean {
-  return slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs;
+  const expectedMs = slowdown <= COLD_SLOWDOWN ? meanWorkMs : workMs;
+  return slowdown >= SLOW_FACTOR && expectedMs > objectiveMs;
 }
 
 /** Longest time that a request may wait in the queue, in ms. */
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -522,8 +522,8 @@
     guarantee: "goodput under overload",
     file: "src/core/admission.ts",
     edits: [{
-      find: "return slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs;",
-      replace: "return slowdown >= Infinity && meanWorkMs > objectiveMs;",
+      find: "return slowdown >= SLOW_FACTOR && expectedMs > objectiveMs;",
+      replace: "return slowdown >= Infinity && expectedMs > objectiveMs;",
     }],
     testFile: FLEET_LOAD_TEST,
   },
@@ -1756,8 +1756,8 @@
     guarantee: "goodput after a loss of power",
     file: "src/core/admission.ts",
     edits: [{
-      find: "slowdown >= SLOW_FACTOR && meanWorkMs > objectiveMs",
-      replace: "slowdown >= SLOW_FACTOR && 1.5 * meanWorkMs > objectiveMs",
+      find: "slowdown <= COLD_SLOWDOWN ? meanWorkMs : workMs;",
+      replace: "slowdown <= 0 ? meanWorkMs : workMs;",
     }],
     testFile: WORST_LOAD_TEST,
   },
