--- a/src/core/exclusions.ts
+++ b/src/core/exclusions.ts
@@ -49,7 +49,7 @@
   OtherDomain = "other_domain",
   /** Its expected response time is longer than that of others. */
   Slower = "slower",
-  /** It is as good as the chosen one, or the policy prefers another one. */
+  /** It is as good as the selected one, or the policy prefers another one. */
   NotChosen = "not_chosen",
 }
 
