At most once: a request that may have run is not offered to a draining host

All hosts of the service were draining by then, so that `mayAskAnother` found a last choice, before the retry rules that forbid it were asked: the order was sent to the next draining host. It stands in the code since draining hosts became the last choice, and not only for orders: a repeatable request was sent again there without the retry budget. Change: another host is asked only if the last attempt involved no upstream, whatever the reason to ask. Evidence: the new test of test/core_test.ts failed before (a reservation after the settle queries).

--- a/src/core/attempt_plan.ts
+++ b/src/core/attempt_plan.ts
@@ -135,6 +135,8 @@
   }
 
   function mayAskAnother(request: PendingRequest): boolean {
+    // What may have run is a matter of retries, also where only draining hosts are left.
+    if (getLastAttempt(request)?.neverReachedUpstream !== true) return false;
     // A body that was streamed to a guard with a revoked grant is used up.
     const hasBody = request.arrival.replayable || isBodyUnsent(request);
     return hasBody && host.now() < request.deadline &&
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1691,6 +1691,17 @@
     }],
     testFile: COLD_STARTS_TEST,
   },
+  {
+    name: "asks_no_draining_host_in_doubt",
+    guarantee: "at most once",
+    file: "src/core/attempt_plan.ts",
+    edits: [{
+      find:
+        "if (getLastAttempt(request)?.neverReachedUpstream !== true) return false;",
+      replace: "",
+    }],
+    testFile: CORE_TEST,
+  },
   {
     name: "serves_late_calls",
     guarantee: "goodput under overload",
--- a/test/core_test.ts
+++ b/test/core_test.ts
@@ -483,3 +483,52 @@
   ]);
   expect(gateway.getOpenCount()).toBe(0);
 });
+
+test("an order that may have run goes to no other host, although all are draining", () => {
+  const host = createTestHost();
+  const gateway = createTestGateway(host, {
+    getCandidates: () =>
+      ["a", "b"].map((id) => ({ host: id, failureDomain: "east" })),
+  });
+  for (const id of ["a", "b"]) {
+    gateway.receiveReport({
+      host: id,
+      incarnation: id,
+      sequence: 1,
+      slots: 4,
+      inFlight: 0,
+      queued: 0,
+      serviceMs: 10,
+      draining: true,
+      ageMs: 10_000,
+    });
+  }
+  sendArrival(gateway, "1", { repeatability: Repeatability.AtMostOnce });
+  const attempt = { id: "1", attempt: 1 };
+  const [run] = gateway.handle({
+    kind: GatewayMessageKind.Granted,
+    ...attempt,
+    grant: "a-1",
+    key: "a.1.1",
+  });
+  expect(run).toMatchObject({ kind: GatewayActionKind.Run });
+  const actions = gateway.handle({
+    kind: GatewayMessageKind.LinkFailed,
+    ...attempt,
+    mayHaveArrived: true,
+  });
+  const unreachable = { ...attempt, verdict: undefined };
+  for (let i = 0; i < 10; i++) {
+    actions.push(
+      ...gateway.handle({ kind: GatewayMessageKind.Settled, ...unreachable }),
+    );
+    host.advance(50);
+    actions.push(...gateway.handle({ kind: GatewayMessageKind.Tick }));
+  }
+  const kinds = new Set(actions.map(({ kind }) => kind));
+  expect(kinds).not.toContain(GatewayActionKind.Reserve);
+  expect(actions.at(-1)).toMatchObject({
+    kind: GatewayActionKind.Finish,
+    verdict: { execution: Execution.MayHaveRun },
+  });
+});
