--- a/src/core/attempt_plan.ts
+++ b/src/core/attempt_plan.ts
@@ -14,10 +14,10 @@
 import type { LoadTable } from "./load_table.ts";
 import {
   createPlacement,
-  mayTryNextHost,
   type Placement,
   type PlacementTarget,
 } from "./placement.ts";
+import { mayTryNextHost } from "./refused_attempts.ts";
 import type { ResponseSizes } from "./response_sizes.ts";
 import {
   type Candidate,
--- a/src/core/attempt_timers.ts
+++ b/src/core/attempt_timers.ts
@@ -8,7 +8,7 @@
   PendingRequest,
 } from "./gateway_types.ts";
 import type { LoadTable } from "./load_table.ts";
-import { countRuns } from "./placement.ts";
+import { countRuns } from "./refused_attempts.ts";
 import type { Arrival, CoreHost, Millis } from "./types.ts";
 import type { WakeQueue } from "./wake_queue.ts";
 
--- a/src/core/extra_attempts.ts
+++ b/src/core/extra_attempts.ts
@@ -18,7 +18,8 @@
 } from "./gateway_types.ts";
 import type { LoadTable } from "./load_table.ts";
 import type { OpenRequests } from "./open_requests.ts";
-import { countRuns, type Placement } from "./placement.ts";
+import type { Placement } from "./placement.ts";
+import { countRuns } from "./refused_attempts.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
 import { SLOW_FACTOR } from "./slow_periods.ts";
 import type {
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -49,7 +49,7 @@
   type GatewayOptions,
   type PendingRequest,
 } from "./gateway_types.ts";
-import { countRuns, isGuardRefusal } from "./placement.ts";
+import { countRuns, isGuardRefusal } from "./refused_attempts.ts";
 import { withPreview } from "./preview_random.ts";
 import { chooseRetryAfter } from "./retry_after.ts";
 import { createOpenRequests } from "./open_requests.ts";
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,29 +7,24 @@
  * between daemons and does not involve an upstream.
  */
 
-import { getLastAttempt, hasReachedUpstream, isOpen } from "./attempts.ts";
+import { getLastAttempt, isOpen } from "./attempts.ts";
 import type { AttemptCost } from "./attempt_cost.ts";
 import type { Chooser } from "./choice.ts";
-import { Diagnostics } from "./diagnostics.ts";
 import { type DecisionTrace, Exclusion, narrow } from "./exclusions.ts";
-import type { Attempt, PendingRequest } from "./gateway_types.ts";
+import type { PendingRequest } from "./gateway_types.ts";
 import { tryParseKey } from "./key_table.ts";
 import type { KnownNotices } from "./known_notices.ts";
 import type { LoadTable } from "./load_table.ts";
+import {
+  getAskedQueues,
+  getHosts,
+  hasManyRefusals,
+  isPlainRefusal,
+} from "./refused_attempts.ts";
 import type { ResponseSizes } from "./response_sizes.ts";
 import { SLOW_FACTOR } from "./slow_periods.ts";
-import type {
-  Candidate,
-  CoreHost,
-  FailureDomainName,
-  Verdict,
-} from "./types.ts";
+import type { Candidate, CoreHost, FailureDomainName } from "./types.ts";
 
-/**
- * Attempts of one request that may end before an upstream is involved, including
- * non-queueing ones. As many more may name outdated incarnations.
- */
-const MAX_REFUSED_ATTEMPTS = 8;
 /**
  * Share of its objective that a request may spend on non-queueing attempts.
  * Load pattern "slow refusals": daemons under load take 20 to 90 ms to refuse a call
@@ -59,38 +54,6 @@
  */
 const QUEUE_REPORT_MAX_AGE_MS = 250;
 
-/** Refusals of a guard before its upstream was involved. */
-const GUARD_REFUSALS = new Set([
-  Diagnostics.no_room_now,
-  Diagnostics.called_service_full,
-  Diagnostics.over_upstream_limit,
-  Diagnostics.upstream_leaving,
-  Diagnostics.draining,
-  Diagnostics.domain_evacuated,
-  Diagnostics.not_ready,
-  Diagnostics.queue_full,
-  Diagnostics.deadline_too_short,
-  Diagnostics.deadline_in_queue,
-  Diagnostics.over_fair_share,
-  Diagnostics.wrong_host,
-  Diagnostics.instance_replaced,
-  Diagnostics.grant_expired,
-]);
-
-/** Reasons for the end of an attempt that don't depend on load. */
-const NOT_LOAD_RELATED = new Set([
-  Diagnostics.over_upstream_limit,
-  Diagnostics.upstream_leaving,
-  Diagnostics.draining,
-  Diagnostics.domain_evacuated,
-  Diagnostics.not_ready,
-  Diagnostics.wrong_host,
-  Diagnostics.instance_replaced,
-  Diagnostics.grant_expired,
-  Diagnostics.link_lost,
-  Diagnostics.reserve_timeout,
-]);
-
 /** A candidate, and whether the request may queue there. */
 export interface PlacementTarget {
   readonly candidate: Candidate;
@@ -137,41 +100,6 @@
   readonly attemptCost?: Pick<AttemptCost, "hasTimeToAsk">;
 }
 
-/** True if a guard refused a request before its upstream was involved. */
-export function isGuardRefusal({ diagnostic }: Verdict): boolean {
-  return GUARD_REFUSALS.has(diagnostic);
-}
-
-/** Number of attempts that may have involved an upstream. */
-export function countRuns(request: PendingRequest): number {
-  return request.attempts.filter(hasReachedUpstream).length;
-}
-
-/** True if a request whose last attempt involved no upstream may try another host. */
-export function mayTryNextHost(request: PendingRequest): boolean {
-  const last = getLastAttempt(request);
-  if (last?.neverReachedUpstream !== true) return false;
-  if (hasManyRefusals(request)) return false;
-  return !last.mayQueue || isNotLoadRelated(request.lastVerdict);
-}
-
-function hasManyRefusals({ attempts }: PendingRequest): boolean {
-  const refused = attempts.filter(isPlainRefusal);
-  const outdatedCount = refused.filter((a) => a.isOutdated).length;
-  const mostCount = Math.max(outdatedCount, refused.length - outdatedCount);
-  return mostCount >= MAX_REFUSED_ATTEMPTS;
-}
-
-/** True for an attempt that ended before its upstream was involved and was no extra one. */
-function isPlainRefusal(attempt: Attempt): boolean {
-  return !hasReachedUpstream(attempt) && !attempt.isExtra;
-}
-
-/** True if the verdict doesn't tell whether other upstreams have capacity. */
-function isNotLoadRelated(verdict: Verdict | undefined): boolean {
-  return verdict !== undefined && NOT_LOAD_RELATED.has(verdict.diagnostic);
-}
-
 /** Creates a placement. */
 export function createPlacement(
   host: Pick<CoreHost, "now">,
@@ -501,14 +429,3 @@
     return candidate.failureDomain === options.failureDomain;
   }
 }
-
-/** Hosts that have refused to queue the request under the incarnation that they have. */
-function getAskedQueues({ attempts }: PendingRequest): Set<string> {
-  return getHosts(
-    attempts.filter((a) => a.mayQueue && isPlainRefusal(a) && !a.isOutdated),
-  );
-}
-
-function getHosts(attempts: readonly Attempt[]): Set<string> {
-  return new Set(attempts.map((a) => a.host));
-}
--- a/src/core/retry_rules.ts
+++ b/src/core/retry_rules.ts
@@ -8,7 +8,7 @@
 } from "./attempts.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
 import type { PendingRequest } from "./gateway_types.ts";
-import { countRuns } from "./placement.ts";
+import { countRuns } from "./refused_attempts.ts";
 import type { Candidate, Millis, Verdict } from "./types.ts";
 
 /** Conditions of a retry that the request itself doesn't hold. */
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1349,7 +1349,7 @@
   {
     name: "evacuation_is_not_load_related",
     guarantee: "an evacuated failure domain gets no request",
-    file: "src/core/placement.ts",
+    file: "src/core/refused_attempts.ts",
     edits: [{
       find:
         "  Diagnostics.domain_evacuated,\n  Diagnostics.not_ready,\n  Diagnostics.queue_full,",
