Store: no entry, however it is nested, ends a daemon or keeps it from following the store

What callers saw: one configuration entry whose version, row, cell, columns, services or limits were nested 100,000 deep ended all daemons, and each start ended again while the entry stood: 0 of 3 daemons served, and the next, sound configuration was not followed.

Cause: a problem shows what was found. formatValue ran JSON.stringify on it, which overflows the stack; nothing between the decoder and the process caught that.

Fix: a problem shows four levels of a value. The store task takes an entry on which a decoder fails as unreadable, so that no single entry stops the others.

--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -156,6 +156,16 @@
   const startedAt = host.now();
   return { start, isReachable: () => failures === 0, close };
 
+  /** An entry that a decoder fails on must not keep the other entries from being followed. */
+  function decode(entry: StoreEntry): readonly StoreChange[] {
+    try {
+      return reader.decode(entry);
+    } catch (error) {
+      const kind = StoreChangeKind.Unreadable;
+      return [{ kind, key: entry.key, message: String(error) }];
+    }
+  }
+
   function start(): void {
     readNext();
     schedulePeer(FIRST_SNAPSHOT_MS);
@@ -191,7 +201,7 @@
     relay.adopt(state);
     era = state.era;
     position = { era, revision };
-    const changes = dropSuperseded(state.entries).flatMap(reader.decode);
+    const changes = dropSuperseded(state.entries).flatMap(decode);
     if (isWhole) options.onSnapshot(changes);
     else for (const change of changes) options.onChange(change);
   }
@@ -223,7 +233,7 @@
     if (era !== undefined && era !== value.era) markRolledBack(era, value);
     era = value.era;
     position = { era, revision: value.revision };
-    options.onSnapshot(value.entries.flatMap(reader.decode));
+    options.onSnapshot(value.entries.flatMap(decode));
     schedule(BATCH_DELAY_MS);
   }
 
@@ -265,7 +275,7 @@
   ): Millis {
     const isStarting = host.now() - startedAt < START_MS;
     const isWaitingForMore = isStarting && !isShared &&
-      entries.flatMap(reader.decode).some(isUpstreamListed);
+      entries.flatMap(decode).some(isUpstreamListed);
     return isWaitingForMore ? options.readGapMs : BATCH_DELAY_MS;
   }
 
@@ -327,7 +337,7 @@
     if (position !== undefined && batch.revision < position.revision) return;
     position = { era: batch.era, revision: batch.revision };
     relay.publish(batch);
-    for (const change of dropSuperseded(batch.entries).flatMap(reader.decode)) {
+    for (const change of dropSuperseded(batch.entries).flatMap(decode)) {
       options.onChange(change);
     }
   }
--- a/src/settings/decode.ts
+++ b/src/settings/decode.ts
@@ -10,6 +10,8 @@
 
 /** Characters of a value that a problem shows, at most. */
 const MAX_VALUE_LENGTH = 60;
+/** Levels of nesting that a problem shows, at most. */
+const MAX_VALUE_DEPTH = 4;
 /** Largest edit distance at which a known name is suggested. */
 const MAX_SUGGESTION_DISTANCE = 3;
 
@@ -145,11 +147,24 @@
   return at;
 }
 
-/** Formats a value as JSON of limited length, or as "nothing" if it is absent. */
+/** Formats a value as JSON of limited depth and length, or as "nothing" if it is absent. */
 export function formatValue(value: unknown): string {
   if (value === undefined) return "nothing";
-  const text = JSON.stringify(value);
+  const text = JSON.stringify(prune(value, MAX_VALUE_DEPTH));
   return text.length > MAX_VALUE_LENGTH
     ? `${text.slice(0, MAX_VALUE_LENGTH)}…`
     : text;
 }
+
+/** Copies what a problem may show of a value; deeply nested ones overflow the stack of JSON.stringify. */
+function prune(value: unknown, depth: number): unknown {
+  if (typeof value !== "object" || value === null) return value;
+  if (depth === 0) return "…";
+  if (Array.isArray(value)) {
+    return value.slice(0, MAX_VALUE_LENGTH).map((it) => prune(it, depth - 1));
+  }
+  const fields = Object.entries(value).slice(0, MAX_VALUE_LENGTH);
+  return Object.fromEntries(
+    fields.map(([name, field]) => [name, prune(field, depth - 1)]),
+  );
+}
