--- a/src/daemon/store_gauges.ts
+++ b/src/daemon/store_gauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of a store daemon. */
 
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import type { CalledServices } from "../core/called_services.ts";
 import { type ColdStarts, ColdState } from "../core/cold_starts.ts";
@@ -11,6 +12,8 @@
 import type { UpstreamList } from "../core/upstream_list.ts";
 import type { Gauge } from "./metrics_text.ts";
 
+const MICROS_PER_S = 1_000_000;
+
 /** What the gauges show. */
 export interface StoreGaugeSources {
   readonly gateway: Pick<Gateway, "getOpenCount" | "getExtraWorkShare">;
@@ -52,6 +55,17 @@
       "Those of them that are refused.",
       suspects.getQuarantined().length,
     ),
+    gauge(
+      "processor_seconds",
+      "Processor time of the daemon since its start, in s.",
+      getProcessorSeconds(),
+    ),
+    gauge(
+      "event_loop_turns",
+      "Turns of the daemon's event loop since its start.",
+      // Node.js has it from 20.18 on.
+      performance.nodeTiming.uvMetricsInfo?.loopCount ?? -1,
+    ),
     gauge("upstream_in_flight", "Requests at the local upstream.", inFlight),
     gauge("upstream_queued", "Requests that wait at the guard.", queued),
     gauge("upstream_slots", "Slots that the guard fills.", slots),
@@ -107,3 +121,8 @@
 function gauge(name: string, help: string, value: number): Gauge {
   return { name, help, value };
 }
+
+function getProcessorSeconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROS_PER_S;
+}
