Daemons wake for what is due, not for what has ended

Cause, first part: each request left wakes behind at its guard and at its gateway (deadline, acceptance, and ten seconds later the end of its ticket, also of each refused attempt), and each wake is a turn of the event loop with a pass over the queues. The cost of an idle timer grew with the number of requests.

Fix: the queue drops what is not needed at its time before it sets a timer, tickets are forgotten together, and a timer that is too early sets itself again. Beside it: the number of hosts, asked for at each placement, is counted after a change only; a log line passes through no stream, and is hashed only while lines are sampled.

--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -78,6 +78,8 @@
 const RATE_WAKE: Ticket = "";
 /** Time for which finished tickets are kept to detect duplicate messages, in ms. */
 const TICKET_RETENTION_MS = 10_000;
+/** Tickets are forgotten at multiples of this time, in ms, so that many share one wake. */
+const FORGET_STEP_MS = 500;
 
 type Handlers = {
   [K in GuardMessageKind]: (
@@ -107,7 +109,7 @@
     incarnation: options.incarnation,
     capacity: options.keyCapacity,
   });
-  const wakes = createWakeQueue<Ticket>();
+  const wakes = createWakeQueue<Ticket>(isWakeNeeded);
   const startedAt = host.now();
   const failures = createFailureShare(host, {
     smoothing: FAILURE_SMOOTHING,
@@ -674,6 +676,22 @@
     return actions;
   }
 
+  function isWakeNeeded(ticket: Ticket, at: Millis): boolean {
+    const entry = entries.get(ticket);
+    switch (entry?.state) {
+      case undefined:
+        return ticket === RATE_WAKE;
+      case EntryState.Queued:
+        return true;
+      case EntryState.Granted:
+        return at === entry.grantExpires;
+      case EntryState.Running:
+        return at === entry.deadline;
+      case EntryState.Finished:
+        return at === entry.forgetAt;
+    }
+  }
+
   function expire(entry: Entry, now: Millis): GuardAction[] {
     switch (entry.state) {
       case EntryState.Queued:
@@ -752,7 +770,8 @@
   function finish(entry: Entry): void {
     entry.state = EntryState.Finished;
     openCount -= 1;
-    entry.forgetAt = host.now() + TICKET_RETENTION_MS;
+    const forgetAt = host.now() + TICKET_RETENTION_MS;
+    entry.forgetAt = Math.ceil(forgetAt / FORGET_STEP_MS) * FORGET_STEP_MS;
     wakes.add(entry.forgetAt, entry.ticket);
   }
 
--- a/src/core/line_budget.ts
+++ b/src/core/line_budget.ts
@@ -35,7 +35,8 @@
   function mayWrite(id: string): boolean {
     if (host.now() - startedAt >= PERIOD_MS) startPeriod();
     offered += 1;
-    const isWritten = murmurhash.v3(id) < HASH_RANGE / samplingInterval;
+    const isWritten = samplingInterval === 1 ||
+      murmurhash.v3(id) < HASH_RANGE / samplingInterval;
     if (!isWritten) omitted += 1;
     return isWritten;
   }
--- a/src/core/open_requests.ts
+++ b/src/core/open_requests.ts
@@ -32,7 +32,9 @@
 /** Creates an empty set. */
 export function createOpenRequests(): OpenRequests {
   const pending = new Map<string, PendingRequest>();
-  const wakes = createWakeQueue<string>();
+  const wakes = createWakeQueue<string>((id) =>
+    pending.get(id)?.isDelivering === false
+  );
   return {
     add,
     tryGet: (id) => pending.get(id),
@@ -64,11 +66,7 @@
   }
 
   function popDue(now: Millis): PendingRequest | undefined {
-    for (;;) {
-      const id = wakes.popDue(now);
-      if (id === undefined) return undefined;
-      const request = pending.get(id);
-      if (request !== undefined && !request.isDelivering) return request;
-    }
+    const id = wakes.popDue(now);
+    return id === undefined ? undefined : pending.get(id);
   }
 }
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -91,6 +91,8 @@
 ): UpstreamList {
   const entries = new Map<string, Entry>();
   const candidates = new Map<string, Candidate[]>();
+  /** Undefined after a change until it is next needed. */
+  let hostCount: number | undefined;
   const departures = createDepartures(host);
   /** Outdated entries by instance. */
   const withheld = new Map<string, ListedUpstream>();
@@ -120,7 +122,7 @@
     if (isReady) departures.forget(upstream.instance);
     else departures.record(upstream);
     withheld.delete(upstream.instance);
-    candidates.clear();
+    forgetDerived();
     const known = entries.get(upstream.instance);
     if (known === undefined) {
       lastOrder += 1;
@@ -159,7 +161,7 @@
     }
     const entry = entries.get(instance);
     if (entry === undefined) return;
-    candidates.clear();
+    forgetDerived();
     const mayReturn = removal === UpstreamRemoval.Missing && isWithinGrace() &&
       entry.upstream.state === ListedUpstreamState.Ready;
     if (!mayReturn) return drop(entry);
@@ -281,7 +283,12 @@
     return newest?.upstream;
   }
 
+  /** Each placement asks for it, a change of the list is rare. */
   function countHosts(): number {
+    return hostCount ??= countEntries();
+  }
+
+  function countEntries(): number {
     const hosts = new Set<HostId>();
     for (const { upstream } of entries.values()) {
       hosts.add(options.getHost(upstream.address));
@@ -302,7 +309,7 @@
   function dropLapsed(): void {
     const now = host.now();
     nextGoneAt = Infinity;
-    candidates.clear();
+    forgetDerived();
     for (const entry of [...entries.values()]) {
       if (entry.goneAt === undefined) continue;
       if (isGone(entry, now)) drop(entry);
@@ -314,6 +321,11 @@
     return goneAt <= now && !isLost;
   }
 
+  function forgetDerived(): void {
+    candidates.clear();
+    hostCount = undefined;
+  }
+
   function drop(entry: Entry): void {
     entries.delete(entry.upstream.instance);
     departures.record(entry.upstream);
--- a/src/core/wake_queue.ts
+++ b/src/core/wake_queue.ts
@@ -17,8 +17,15 @@
   size(): number;
 }
 
-/** Creates an empty queue. The order of items with the same time is unspecified. */
-export function createWakeQueue<T>(): WakeQueue<T> {
+/**
+ * Creates an empty queue. The order of items with the same time is unspecified.
+ * An item that is not needed at its time is dropped when it is the earliest:
+ * most requests end long before they are due, and each wake costs a daemon a
+ * turn of its event loop.
+ */
+export function createWakeQueue<T>(
+  isNeeded: (item: T, at: Millis) => boolean = () => true,
+): WakeQueue<T> {
   const heap: Wake<T>[] = [];
   return { add, getNext, popDue, size: () => heap.length };
 
@@ -28,20 +35,31 @@
   }
 
   function getNext(): Millis | undefined {
-    return heap[0]?.at;
+    return getFirst()?.at;
   }
 
   function popDue(now: Millis): T | undefined {
-    const first = heap[0];
+    const first = getFirst();
     if (first === undefined || first.at > now) return undefined;
-    const last = heap.pop()!;
-    if (heap.length > 0) {
-      heap[0] = last;
-      siftDown(0);
-    }
+    removeFirst();
     return first.item;
   }
 
+  function getFirst(): Wake<T> | undefined {
+    for (;;) {
+      const first = heap[0];
+      if (first === undefined || isNeeded(first.item, first.at)) return first;
+      removeFirst();
+    }
+  }
+
+  function removeFirst(): void {
+    const last = heap.pop()!;
+    if (heap.length === 0) return;
+    heap[0] = last;
+    siftDown(0);
+  }
+
   function siftUp(start: number): void {
     let index = start;
     while (index > 0) {
--- a/src/daemon/logger.ts
+++ b/src/daemon/logger.ts
@@ -1,6 +1,6 @@
 /** Logs one line of key=value pairs for each event. */
 
-import { Writable } from "node:stream";
+import type { Writable } from "node:stream";
 import bunyan from "bunyan";
 import type { LineBudget } from "../core/line_budget.ts";
 
@@ -54,7 +54,7 @@
     streams: [{
       type: "raw",
       level: options.level,
-      stream: createLineStream(options.out),
+      stream: createLineStream(options.out) as Writable,
     }],
   });
   return {
@@ -113,14 +113,11 @@
   }
 }
 
-function createLineStream(out: LoggerOptions["out"]): Writable {
-  return new Writable({
-    objectMode: true,
-    write(record, _encoding, done) {
-      out.write(`${formatRecord(record)}\n`);
-      done();
-    },
-  });
+/** Of a stream, bunyan only calls `write`. */
+function createLineStream(
+  out: LoggerOptions["out"],
+): { write(record: Record<string, unknown>): void } {
+  return { write: (record) => void out.write(`${formatRecord(record)}\n`) };
 }
 
 function quote(text: string): string {
--- a/src/daemon/waker.ts
+++ b/src/daemon/waker.ts
@@ -21,7 +21,12 @@
 /** Creates a waker; `tick` is called when the next wake is due. */
 export function createWaker(
   clock: Clock,
-  options: { getNextWake(): Millis | undefined; tick(): void },
+  options: {
+    getNextWake(): Millis | undefined;
+    tick(): void;
+    /** Called for a timer that fires 50 ms or more too late; with that time in ms. */
+    onLate?: ((lateMs: Millis) => void) | undefined;
+  },
 ): Waker {
   let timer: NodeJS.Timeout | undefined;
   let timerAt: Millis = Infinity;
@@ -43,14 +48,17 @@
    * so that a host whose response came during the pause does not time out.
    */
   function fire(): void {
-    if (clock.now() - timerAt < LATE_TIMER_MS) return tick();
+    const lateMs = clock.now() - timerAt;
+    if (lateMs < LATE_TIMER_MS) return tick();
+    options.onLate?.(lateMs);
     clearImmediate(immediate);
     immediate = setImmediate(tick);
   }
 
+  /** The wake for which the timer was set may not be needed by now. */
   function tick(): void {
     timerAt = Infinity;
-    options.tick();
+    if ((options.getNextWake() ?? Infinity) <= clock.now()) options.tick();
     update();
   }
 
