--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -34,11 +34,6 @@
 
 /** Timeout for connecting to the local upstream, in ms. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Largest body of a discarded response that is read so that its connection stays usable, in bytes. */
-const MAX_DISCARDED_BYTES = 65_536;
-/** Timeout for reading it, in ms; it usually arrives with its head. */
-const DISCARD_TIMEOUT_MS = 1_000;
-
 /** Why the upstream gave no usable response. */
 export interface UpstreamFailure {
   readonly execution: Execution;
@@ -241,35 +236,21 @@
   },
 };
 
-/** Classes after which the connection stays usable; after others it is closed. */
-const KEEPS_CONNECTION_OPEN = new Set([
-  ResponseClass.NotExecuted,
-  ResponseClass.WrongInstance,
-]);
-
+/**
+ * Closes the connection of a response that is not passed on: a faulty upstream
+ * may write a refusal once more, which would count for a later attempt of the
+ * same request there.
+ */
 function discard(
   { status, body }: StreamedResponse,
   responseClass: Exclude<ResponseClass, ResponseClass.Valid>,
 ): UpstreamResult {
   body.on("error", ignoreError);
-  if (KEEPS_CONNECTION_OPEN.has(responseClass)) readToEnd(body);
-  else body.destroy();
+  body.destroy();
   const message = `status ${status}, response classified as ${responseClass}`;
   return { failure: { ...FAILURES[responseClass], message } };
 }
 
-/** Reads a body that is not used to its end, or closes its connection if it is too large or takes too long. */
-function readToEnd(body: Readable): void {
-  let size = 0;
-  const timeout = setTimeout(() => body.destroy(), DISCARD_TIMEOUT_MS);
-  body.once("close", () => clearTimeout(timeout));
-  body.on("data", (chunk: { length: number }) => {
-    size += chunk.length;
-    if (size > MAX_DISCARDED_BYTES) body.destroy();
-  });
-  body.resume();
-}
-
 /** Errors of a body matter only to those who read it. */
 function ignoreError(): void {}
 
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -58,6 +58,10 @@
    * still unread.
    */
   CutsUnread = "cuts-unread",
+  /** Refuses every other request, and writes each refusal once more before the next response on its connection. */
+  RepeatsRefusal = "repeats-refusal",
+  /** The same without the id of the request in the copies. */
+  RepeatsUnnamedRefusal = "repeats-unnamed-refusal",
 }
 
 /** Modes that send bytes until the connection is closed. */
@@ -176,6 +180,8 @@
   /** True from the end of an instance until the next one listens. */
   let isDown = false;
   const respondedAt = new WeakMap<Socket, number>();
+  /** Refusals to be written once more, by connection. */
+  const copies = new WeakMap<Socket, string>();
   const standIn: UpstreamStandIn = {
     address: `${ip}:${port}`,
     ran: [],
@@ -282,6 +288,20 @@
       res.writeHead(421).end();
       return;
     }
+    const isRepeating = standIn.mode === UpstreamMode.RepeatsRefusal ||
+      standIn.mode === UpstreamMode.RepeatsUnnamedRefusal;
+    if (isRepeating) {
+      const copy = copies.get(socket);
+      copies.delete(socket);
+      if (copy !== undefined) socket.write(copy);
+      else if (standIn.arrivals % 2 === 1) {
+        const isNamed = standIn.mode === UpstreamMode.RepeatsRefusal;
+        copies.set(socket, createRefusalText(isNamed ? id : undefined));
+        res.setHeader("x-vanillarock-not-executed", "1");
+        res.writeHead(503).end();
+        return;
+      }
+    }
     if (standIn.mode === UpstreamMode.Shedding) {
       res.setHeader("x-vanillarock-not-executed", "1");
       res.writeHead(503).end();
@@ -317,6 +337,12 @@
   }
 }
 
+function createRefusalText(id: string | undefined): string {
+  const named = id === undefined ? "" : `x-vanillarock-attempt-id: ${id}\r\n`;
+  return "HTTP/1.1 503 Refused\r\nx-vanillarock-not-executed: 1\r\n" +
+    `${named}content-length: 0\r\n\r\n`;
+}
+
 type Responder = (res: ServerResponse, id: string, body: string) => void;
 
 type FiniteMode = Exclude<UpstreamMode, EndlessMode | UpstreamMode.CutsUnread>;
@@ -325,6 +351,10 @@
   [UpstreamMode.Serving]: (res, _id, body) =>
     sign(res).writeHead(200).end(body),
   [UpstreamMode.Shedding]: () => {},
+  [UpstreamMode.RepeatsRefusal]: (res, _id, body) =>
+    sign(res).writeHead(200).end(body),
+  [UpstreamMode.RepeatsUnnamedRefusal]: (res, _id, body) =>
+    sign(res).writeHead(200).end(body),
   [UpstreamMode.LosesResponse]: (res) => res.socket!.resetAndDestroy(),
   [UpstreamMode.TruncatesResponse]: (res, _id, body) => {
     sign(res).writeHead(200, { "content-length": "100" });
