Links: attempts travel in frames, over connections of their own

At the peak the daemons on a quarter of a core were busy with offers, and requests whose upstreams had room came late.

Fix: an attempt is one write and its reply another, as a kind, two lengths, a JSON head and the body, one exchange at a time on a connection. What is large (bodies of more than 16 KB) and what is no attempt stays with HTTP on the same port, told apart by the first byte; a daemon that knows no frames gets HTTP. A small response passes as bytes from the upstream's client to the caller without a stream.

--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -520,6 +520,7 @@
 }
 
 function discardBody(response: StreamedResponse | undefined): void {
-  response?.body.on("error", () => {});
-  response?.body.destroy();
+  if (response === undefined || response.bytes !== undefined) return;
+  response.body.on("error", () => {});
+  response.body.destroy();
 }
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -363,8 +363,15 @@
       inFlight,
       queued,
     });
-    const body = isAtMostOnce ? recordBody(ticket, response) : response.body;
     const isRecorded = isAtMostOnce;
+    if (response.bytes !== undefined) {
+      sendReply(ticket, { kind: ReplyKind.Response, ticket, response });
+      const kept = isRecorded
+        ? createKept(response, response.bytes)
+        : undefined;
+      return finishResponse(ticket, response.status, kept);
+    }
+    const body = isAtMostOnce ? recordBody(ticket, response) : response.body;
     if (response.isComplete && !isAtMostOnce) {
       sendResponse(ticket, response, { isRecorded });
       return finishResponse(ticket, response.status);
@@ -474,14 +481,9 @@
     return response.body.pipe(copy);
 
     function getKept(): KeptResponse | undefined {
-      if (size > MAX_KEPT_RESPONSE_BYTES) return undefined;
-      return {
-        status: response.status,
-        contentType: getHeader(response.headers, "content-type") ?? "",
-        body: Buffer.concat(chunks).toString("base64"),
-        ...(response.isComplete &&
-          { headers: getForwardHeaders(response.headers) }),
-      };
+      return size > MAX_KEPT_RESPONSE_BYTES
+        ? undefined
+        : createKept(response, Buffer.concat(chunks));
     }
   }
 
@@ -499,6 +501,16 @@
   }
 }
 
+function createKept(response: StreamedResponse, body: Buffer): KeptResponse {
+  return {
+    status: response.status,
+    contentType: getHeader(response.headers, "content-type") ?? "",
+    body: body.toString("base64"),
+    ...(response.isComplete &&
+      { headers: getForwardHeaders(response.headers) }),
+  };
+}
+
 /** The caller's own id of a request, as its ticket contains it. */
 function getRequestId(ticket: Ticket): string {
   const name = ticket.split("/")[1] ?? "";
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -22,6 +22,7 @@
   Verdict,
 } from "../core/types.ts";
 import type { StreamedResponse } from "../link/types.ts";
+import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
 import { Header } from "../link/wire.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
@@ -201,8 +202,7 @@
     response: StreamedResponse,
   ): void {
     const { outgoing, incoming, id } = req;
-    const { body, status } = response;
-    req.response = body;
+    const { status, bytes } = response;
     const tookMs = host.now() - req.arrivedAt;
     options.onResponse(arrival, tookMs);
     logger.info("answered", {
@@ -212,13 +212,24 @@
       tookMs: Math.round(tookMs),
     });
     const { [Header.Unframed]: unframed, ...headers } = response.headers;
-    if (unframed !== undefined) delimitByClose(outgoing, body);
+    if (unframed !== undefined) delimitByClose(outgoing, response.body);
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
+    if (bytes !== undefined) {
+      return sendBytes(bytes, outgoing, (error) => end(error, bytes.length));
+    }
+    const { body } = response;
+    req.response = body;
     const getSize = measureBody(response);
     if (Number(headers["content-length"] ?? Infinity) > MAX_SENT_AT_ONCE) {
       outgoing.setTimeout(STALLED_CALLER_MS, () => outgoing.destroy());
     }
-    streamBody(body, outgoing, (error) => {
+    streamBody(
+      body,
+      outgoing,
+      (error) => end(error, error === undefined ? getSize() : 0),
+    );
+
+    function end(error: Error | undefined, bodyBytes: number): void {
       if (error) {
         counters.add("answer_cut_short");
         logger.warn("answer_cut_short", {
@@ -230,8 +241,8 @@
       req.kept?.release();
       const isWhole = error === undefined && incoming.method !== "HEAD" &&
         status < FIRST_UNSUCCESSFUL_STATUS;
-      task.complete(id, isWhole ? getSize() : undefined);
-    });
+      task.complete(id, isWhole ? bodyBytes : undefined);
+    }
   }
 
   function refuse(req: CallerRequest, name: DiagnosticName): void {
--- a/src/daemon/link_table.ts
+++ b/src/daemon/link_table.ts
@@ -1,6 +1,7 @@
 /** The links of a daemon: one to its own guard and one to each peer that it uses. */
 
 import type { HostId, LoadReport } from "../core/types.ts";
+import { createFrameLink } from "../link/frame_link.ts";
 import { createHttpLink } from "../link/http_link.ts";
 import type { GuardLink, GuardReply } from "../link/types.ts";
 import type { GuardTask } from "./guard_task.ts";
@@ -17,6 +18,10 @@
   onReport(report: LoadReport): void;
   onRevisions(from: HostId, revisions: string): void;
   onMalformed(from: HostId, message: string): void;
+  /** True sends attempts in frames; revisions are not exchanged in them. */
+  readonly usesFrames?: boolean;
+  /** Called for each connection that is opened for frames. */
+  onConnect?(): void;
 }
 
 /** The links by host. */
@@ -44,7 +49,8 @@
   }
 
   function open(to: HostId, address: string): GuardLink {
-    return createHttpLink({
+    const create = options.usesFrames ? createFrameLink : createHttpLink;
+    return create({
       address,
       self: options.self,
       peer: to,
@@ -55,6 +61,7 @@
         if (revisions !== undefined) options.onRevisions(to, revisions);
       },
       onLinkError: (message) => options.onMalformed(to, message),
+      ...(options.onConnect && { onConnect: options.onConnect }),
     });
   }
 
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -263,18 +263,27 @@
   /** The load report and, if the peer's message contained its revisions, those in force here. */
   function createHeaders(req: IncomingMessage): Record<string, string> {
     const hasRevisions = req.headers[Header.Revisions] !== undefined;
-    const report = guard.guard.getReport();
-    const notice = encodeNotice(report);
-    const startsIn = encodeStartsIn(report);
     return {
-      [Header.Report]: encodeReport(report),
-      ...(notice !== undefined && { [Header.Notice]: notice }),
-      ...(startsIn !== undefined && { [Header.StartsInMs]: startsIn }),
+      ...createReportHeaders(guard),
       ...(hasRevisions && { [Header.Revisions]: options.getRevisions() }),
     };
   }
 }
 
+/** The load report of the local guard, as every reply contains it. */
+export function createReportHeaders(
+  { guard }: Pick<GuardTask, "guard">,
+): Record<string, string> {
+  const report = guard.getReport();
+  const notice = encodeNotice(report);
+  const startsIn = encodeStartsIn(report);
+  return {
+    [Header.Report]: encodeReport(report),
+    ...(notice !== undefined && { [Header.Notice]: notice }),
+    ...(startsIn !== undefined && { [Header.StartsInMs]: startsIn }),
+  };
+}
+
 function createForward(msg: PeerMessage): ForwardRequest {
   const { incoming, outgoing } = msg;
   const signal = new EventEmitter();
@@ -293,6 +302,7 @@
 
 function discardResponse(reply: GuardReply): void {
   if (reply.kind !== ReplyKind.Response) return;
+  if (reply.response.bytes !== undefined) return;
   reply.response.body.on("error", () => {});
   reply.response.body.destroy();
 }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -11,7 +11,7 @@
 import { ColdState, createColdStarts } from "../core/cold_starts.ts";
 import { createCounters } from "../core/counters.ts";
 import { ConfigOutcome, createActiveConfig } from "../core/degraded_config.ts";
-import type { DiagnosticName } from "../core/diagnostics.ts";
+import type { Diagnostic, DiagnosticName } from "../core/diagnostics.ts";
 import { createEvacuations } from "../core/evacuations.ts";
 import { orderByHash } from "../core/host_order.ts";
 import type { ClosedReason } from "../core/guard_types.ts";
@@ -38,6 +38,7 @@
 import { createClock } from "./clock.ts";
 import { createCoreHost } from "./core_host.ts";
 import { createCrashProtection } from "./crash_protection.ts";
+import { createFrameServer } from "./frame_server.ts";
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
@@ -49,6 +50,7 @@
 import { observeProcessDelay, waitForSockets } from "./unread_sockets.ts";
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
+import { startPeerListener } from "./peer_listener.ts";
 import { createPeerHandler } from "./peer_server.ts";
 import { createPeerStateReader } from "./peer_state.ts";
 import { getStoreDaemonGauges } from "./store_gauges.ts";
@@ -80,8 +82,6 @@
 const KEY_CAPACITY = 4_096;
 /** Largest request head that is parsed, in bytes; the operators' limits are lower. */
 const MAX_HEADER_BYTES = 131_072;
-/** Keep-alive time of connections from peers, in ms; longer than peers keep idle ones. */
-const PEER_KEEP_ALIVE_MS = 75_000;
 /** Assumed round trip to another failure domain, in ms; only breaks ties. */
 const CROSS_DOMAIN_MS = 3;
 /** Time after a store outage within which an upstream whose entry lapsed may be listed again, in ms. */
@@ -261,6 +261,8 @@
     onReport: (report) => gatewayTask.gateway.receiveReport(report),
     // Configurations come only from the store, not from peers.
     onRevisions: () => {},
+    usesFrames: true,
+    onConnect: () => counters.add("link_connected"),
     onMalformed: (peer, message) => {
       counters.add("malformed_peer_message");
       logger.warn("peer_nonsense", { peer, message });
@@ -387,22 +389,27 @@
         latencies.record(Phase.Response, { service, route }, latencyMs),
     })),
   );
-  const peers = await listen(
-    settings.listen.peers,
-    trackPending(createPeerHandler({
+  const peers = await startPeerListener({
+    address: settings.listen.peers,
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    frames: createFrameServer({
+      guard: guardTask,
+      onMalformed: recordMalformed,
+      trackExchange: () => {
+        pendingRequests += 1;
+        return () => pendingRequests -= 1;
+      },
+    }),
+    handler: trackPending(createPeerHandler({
       guard: guardTask,
       getRevisions: () => String(routes?.config.version ?? 0),
       onRevisions: () => {},
       follow: relay.attach,
       tryGetState: relay.tryGetState,
       receiveSuspects: protection.receive,
-      onMalformed: ({ reason }, message) => {
-        counters.add(reason);
-        logger.warn("peer_nonsense", { reason, message });
-      },
+      onMalformed: recordMalformed,
     })),
-  );
-  peers.keepAliveTimeout = PEER_KEEP_ALIVE_MS;
+  });
   const readiness = await listen(settings.listen.readiness, handleReadiness);
   const metrics = await listen(
     settings.listen.metrics,
@@ -441,6 +448,11 @@
   store.start();
   return { stop: () => stopping ??= stop() };
 
+  function recordMalformed({ reason }: Diagnostic, message: string): void {
+    counters.add(reason);
+    logger.warn("peer_nonsense", { reason, message });
+  }
+
   function logBufferState(isExhausted: boolean): void {
     const fields = { used: memory.getUsed(), limit: memory.getLimit() };
     if (isExhausted) logger.warn("buffers_full", fields);
@@ -633,8 +645,10 @@
       await waitForSockets();
     }
     // Same event loop turn as the last check above, so that no request arrives in between.
-    for (const server of [ingress, peers]) server.close();
-    for (const server of [ingress, peers, readiness, metrics]) {
+    ingress.close();
+    peers.stop();
+    lifecycle.add("peers", peers.close);
+    for (const server of [ingress, readiness, metrics]) {
       lifecycle.add("server", () => closeServer(server));
     }
     lifecycle.add("store", store.close);
--- /dev/null
+++ b/src/link/frame_link.ts
@@ -0,0 +1,290 @@
+/**
+ * A link to the guard of another host that sends attempts in frames. Large
+ * request bodies, and all that is no attempt, go over HTTP; so does everything
+ * while the peer knows no frames.
+ */
+
+import { Buffer } from "node:buffer";
+import { performance } from "node:perf_hooks";
+import { Readable } from "node:stream";
+import type { IncomingHttpHeaders } from "node:http";
+import type { RequestHead, Ticket } from "../core/types.ts";
+import {
+  decodeReplyFrame,
+  type ReplyFrameHead,
+  type RequestFrameHead,
+} from "./frame_heads.ts";
+import {
+  createFramePool,
+  type ExchangeFailure,
+  type FrameExchange,
+} from "./frame_pool.ts";
+import { encodeFrame, type Frame, FrameKind } from "./frames.ts";
+import {
+  CONNECT_TIMEOUT_MS,
+  createHttpLink,
+  type HttpLinkOptions,
+} from "./http_link.ts";
+import {
+  createReplyMetadata,
+  decodeReplay,
+  type ReplyMetadata,
+} from "./reply_metadata.ts";
+import { MAX_READ_BYTES } from "./small_reads.ts";
+import { createSmallResponse } from "./small_response.ts";
+import {
+  type ForwardRequest,
+  type GuardLink,
+  type GuardReply,
+  ReplyKind,
+  type StreamedResponse,
+} from "./types.ts";
+import { Step } from "./wire.ts";
+
+/** Largest request body that is sent in a frame, in bytes; the receiver holds it in memory. */
+const MAX_REQUEST_BODY_BYTES = 16_384;
+/** Time for which a peer that knew no frames gets none, in ms. */
+const HTTP_PEER_MS = 60_000;
+
+/** Settings of a link. */
+export interface FrameLinkOptions extends HttpLinkOptions {
+  /** Called for each connection that is opened for frames. */
+  onConnect?(): void;
+}
+
+/** Creates a link; connections are opened on demand. */
+export function createFrameLink(options: FrameLinkOptions): GuardLink {
+  const { address, onConnect } = options;
+  const frames = createFramePool({
+    address,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    ...(onConnect && { onConnect }),
+  });
+  const metadata = createReplyMetadata(options);
+  let http: GuardLink | undefined;
+  let httpUntil = -Infinity;
+  return {
+    reserve,
+    run,
+    submit,
+    release,
+    settle: (ticket, query) => getHttp().settle(ticket, query),
+    issueKeys: (account, count) => getHttp().issueKeys(account, count),
+    replaceConnections: () => {
+      frames.replaceConnections();
+      http?.replaceConnections();
+    },
+    exchangeSuspects: (body) =>
+      getHttp().exchangeSuspects?.(body) ?? Promise.resolve(undefined),
+    readState: (after) =>
+      getHttp().readState?.(after) ?? Promise.resolve(undefined),
+    probe: () => getHttp().probe(),
+    close: async () => {
+      frames.close();
+      await http?.close();
+    },
+  };
+
+  function getHttp(): GuardLink {
+    return http ??= createHttpLink(options);
+  }
+
+  function reserve(ticket: Ticket, head: RequestHead): Promise<GuardReply> {
+    return exchange(
+      { step: Step.Reserve, ticket, head },
+      { sendOverHttp: () => getHttp().reserve(ticket, head) },
+    );
+  }
+
+  /** A run that failed is in doubt unless nothing was sent. */
+  function run(
+    ticket: Ticket,
+    grant: string,
+    io: { forward: ForwardRequest },
+  ): Promise<GuardReply> {
+    const { forward } = io;
+    return exchange({ step: Step.Run, ticket, grant }, {
+      forward,
+      sendOverHttp: () => getHttp().run(ticket, grant, io),
+    });
+  }
+
+  function submit(
+    ticket: Ticket,
+    head: RequestHead,
+    io: { forward: ForwardRequest; onAccepted?: () => void },
+  ): Promise<GuardReply> {
+    const { forward, onAccepted } = io;
+    return exchange({ step: Step.Submit, ticket, head }, {
+      forward,
+      ...(onAccepted && { onAccepted }),
+      sendOverHttp: () => getHttp().submit(ticket, head, io),
+    });
+  }
+
+  function release(ticket: Ticket): void {
+    void exchange({ step: Step.Release, ticket }, {
+      sendOverHttp: () => {
+        getHttp().release(ticket);
+        return Promise.resolve(toFailure("released over HTTP", false));
+      },
+    });
+  }
+
+  function exchange(
+    head: RequestFrameHead,
+    io: ExchangeIo,
+  ): Promise<GuardReply> {
+    const { forward } = io;
+    const body = forward?.body ?? null;
+    const isSmall = body === null ||
+      (Buffer.isBuffer(body) && body.length <= MAX_REQUEST_BODY_BYTES);
+    if (!isSmall || performance.now() < httpUntil) return io.sendOverHttp();
+    const text = JSON.stringify(
+      forward === undefined ? head : {
+        ...head,
+        method: forward.method,
+        path: forward.path,
+        headers: forward.headers,
+      },
+    );
+    const frame = encodeFrame(
+      FrameKind.Request,
+      text,
+      body === null ? undefined : body,
+    );
+    return new Promise((resolve) => {
+      const reader = createReplyReader({ metadata, onLinkError, resolve });
+      const sent = frames.send(frame, {
+        onFrame: (received) => {
+          if (received.kind !== FrameKind.Accepted) {
+            return reader.read(received, sent);
+          }
+          io.onAccepted?.();
+          return false;
+        },
+        onFailure: (failure) => {
+          if (!failure.isHttpPeer) return reader.fail(failure);
+          httpUntil = performance.now() + HTTP_PEER_MS;
+          void io.sendOverHttp().then(resolve);
+        },
+      });
+      forward?.signal.once("abort", sent.cancel);
+    });
+  }
+
+  function onLinkError(message: string): void {
+    options.onLinkError(message);
+  }
+}
+
+/** What an exchange needs beside the head of its request. */
+interface ExchangeIo {
+  readonly forward?: ForwardRequest;
+  onAccepted?(): void;
+  sendOverHttp(): Promise<GuardReply>;
+}
+
+/** Reads the frames of one reply. */
+interface ReplyReader {
+  /** Returns true for the last frame. */
+  read(frame: Frame, from: FrameExchange): boolean;
+  fail(failure: ExchangeFailure): void;
+}
+
+function createReplyReader(options: {
+  readonly metadata: ReplyMetadata;
+  onLinkError(message: string): void;
+  resolve(reply: GuardReply): void;
+}): ReplyReader {
+  const { metadata, resolve } = options;
+  let parts: Readable | undefined;
+  return { read, fail };
+
+  function read(frame: Frame, from: FrameExchange): boolean {
+    if (parts !== undefined) return readPart(parts, frame, from);
+    const reply = frame.kind === FrameKind.Reply
+      ? decodeReplyFrame(frame.head)
+      : undefined;
+    if (reply === undefined) {
+      options.onLinkError(`malformed reply in a frame of kind ${frame.kind}`);
+      from.cancel();
+      return false;
+    }
+    metadata.report(reply.meta);
+    if (reply.hasParts) {
+      parts = createParts(from);
+      resolve(createResponse(reply, { ...getHead(reply), body: parts }));
+      return false;
+    }
+    resolve(toReply(reply, frame.body));
+    return true;
+  }
+
+  function readPart(
+    body: Readable,
+    { kind, body: bytes }: Frame,
+    from: FrameExchange,
+  ): boolean {
+    if (kind === FrameKind.End) {
+      body.push(null);
+      return true;
+    }
+    if (kind !== FrameKind.Part) from.cancel();
+    else if (!body.push(bytes)) from.pause();
+    return false;
+  }
+
+  function toReply(reply: ReplyFrameHead, body: Buffer): GuardReply {
+    const { verdict, grant, key = "", ticket = "", replay } = reply;
+    if (verdict !== undefined) return metadata.decodeRefusal(verdict, grant);
+    if (replay !== undefined) {
+      const response = tryDecodeReplay(replay);
+      return response === undefined
+        ? toFailure("a malformed replay", true)
+        : { kind: ReplyKind.Replay, ticket, response };
+    }
+    if (grant !== undefined) return { kind: ReplyKind.Granted, grant, key };
+    return createResponse(reply, createSmallResponse(getHead(reply), body));
+  }
+
+  function fail({ wasSent, message }: ExchangeFailure): void {
+    if (parts === undefined) return resolve(toFailure(message, wasSent));
+    parts.destroy(new Error(message));
+  }
+}
+
+/** The body of a reply in parts; destroying it before its end closes the connection. */
+function createParts(from: FrameExchange): Readable {
+  return new Readable({
+    highWaterMark: MAX_READ_BYTES,
+    read: from.resume,
+    destroy(error, done) {
+      if (!this.readableEnded) from.cancel();
+      done(error);
+    },
+  });
+}
+
+function getHead({ status = 0, headers = {} }: ReplyFrameHead) {
+  return { status, headers: headers as IncomingHttpHeaders };
+}
+
+function createResponse(
+  { ticket = "" }: ReplyFrameHead,
+  response: StreamedResponse,
+): GuardReply {
+  return { kind: ReplyKind.Response, ticket, response };
+}
+
+function tryDecodeReplay(value: unknown) {
+  try {
+    return decodeReplay(value);
+  } catch {
+    return undefined;
+  }
+}
+
+function toFailure(message: string, mayHaveArrived: boolean): GuardReply {
+  return { kind: ReplyKind.Failed, mayHaveArrived, message };
+}
--- /dev/null
+++ b/src/link/frame_pool.ts
@@ -0,0 +1,174 @@
+/** Connections to one peer that carry frames, one exchange at a time each. */
+
+import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import type { Millis } from "../core/types.ts";
+import { splitAddress } from "./address.ts";
+import {
+  createFrameReader,
+  type Frame,
+  FrameKind,
+  HTTP_FIRST_BYTE,
+} from "./frames.ts";
+import { connectQuickly } from "./quick_connector.ts";
+import { createSmallReads } from "./small_reads.ts";
+
+/** Idle time after which a connection is closed, in ms; shorter than servers keep it. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** Why an exchange ended without its last frame. */
+export interface ExchangeFailure {
+  /** False if no byte of the request was sent. */
+  readonly wasSent: boolean;
+  /** True if the peer knows no frames and has read no request. */
+  readonly isHttpPeer: boolean;
+  readonly message: string;
+}
+
+/** Receives what happens in an exchange. */
+export interface ExchangeHandlers {
+  /** Returns true for the last frame of the exchange, after which the connection serves another one. */
+  onFrame(frame: Frame): boolean;
+  /** Called at most once, and not after the last frame. */
+  onFailure(failure: ExchangeFailure): void;
+}
+
+/** An exchange in progress. */
+export interface FrameExchange {
+  /** Closes its connection; the handlers get the failure. */
+  cancel(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** Connections to one peer. */
+export interface FramePool {
+  send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange;
+  /** New exchanges use new connections; those in progress finish on the old ones. */
+  replaceConnections(): void;
+  close(): void;
+}
+
+/** Settings of a pool. */
+export interface FramePoolOptions {
+  /** IP address and port of the peer. */
+  readonly address: string;
+  readonly connectTimeoutMs: Millis;
+  /** Called for each connection that is opened. */
+  onConnect?(): void;
+}
+
+/** A connection; `handlers` belong to its exchange, none while it is idle. */
+interface Connection {
+  readonly generation: number;
+  socket?: Socket;
+  handlers?: ExchangeHandlers | undefined;
+  isCancelled?: boolean;
+}
+
+/** Creates a pool without connections. */
+export function createFramePool(options: FramePoolOptions): FramePool {
+  const { host, port } = splitAddress(options.address);
+  const smallReads = createSmallReads();
+  const idle: Connection[] = [];
+  const all = new Set<Connection>();
+  let generation = 0;
+  return { send, replaceConnections, close };
+
+  function send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange {
+    const connection = idle.pop() ?? open(frame);
+    connection.handlers = handlers;
+    connection.socket?.write(frame);
+    return {
+      cancel: () => {
+        if (connection.handlers !== handlers) return;
+        connection.isCancelled = true;
+        connection.socket?.destroy();
+      },
+      pause: () => connection.socket?.pause(),
+      resume: () => connection.socket?.resume(),
+    };
+  }
+
+  function open(first: Buffer): Connection {
+    options.onConnect?.();
+    const connection: Connection = { generation };
+    all.add(connection);
+    connectQuickly({
+      ...smallReads,
+      host,
+      port,
+      timeoutMs: options.connectTimeoutMs,
+    }, (error, socket) => {
+      if (socket === null) {
+        all.delete(connection);
+        return fail(connection, { wasSent: false, message: String(error) });
+      }
+      attach(connection, socket);
+      if (connection.isCancelled) socket.destroy();
+      else socket.write(first);
+    });
+    return connection;
+  }
+
+  function attach(connection: Connection, socket: Socket): void {
+    connection.socket = socket;
+    let message = "the connection was closed";
+    let isHttpPeer = false;
+    const reader = createFrameReader((frame) => receive(connection, frame));
+    socket.setTimeout(KEEP_ALIVE_MS, () => {
+      if (connection.handlers === undefined) socket.destroy();
+    });
+    socket.on("data", (chunk: Buffer) => {
+      if (reader.read(chunk)) return;
+      isHttpPeer = chunk[0] === HTTP_FIRST_BYTE;
+      message = "the peer sent no frame";
+      socket.destroy();
+    });
+    socket.on("error", (error) => message = String(error));
+    socket.once("end", () => socket.destroy());
+    socket.once("close", () => {
+      all.delete(connection);
+      const index = idle.indexOf(connection);
+      if (index >= 0) idle.splice(index, 1);
+      const wasSent = connection.isCancelled !== true ||
+        socket.bytesWritten > 0;
+      fail(connection, { wasSent, isHttpPeer, message });
+    });
+  }
+
+  /** A frame without an exchange belongs to no request; its connection is closed. */
+  function receive(connection: Connection, frame: Frame): void {
+    const { handlers, socket } = connection;
+    const isExpected = handlers !== undefined &&
+      frame.kind !== FrameKind.Request;
+    if (!isExpected) return void socket!.destroy();
+    if (!handlers.onFrame(frame)) return;
+    connection.handlers = undefined;
+    if (connection.generation === generation) idle.push(connection);
+    else socket!.destroy();
+  }
+
+  function fail(
+    connection: Connection,
+    failure: Omit<ExchangeFailure, "isHttpPeer"> & { isHttpPeer?: boolean },
+  ): void {
+    const { handlers } = connection;
+    connection.handlers = undefined;
+    handlers?.onFailure({ isHttpPeer: false, ...failure });
+  }
+
+  function replaceConnections(): void {
+    generation += 1;
+    for (const { socket } of idle.splice(0)) socket!.destroy();
+  }
+
+  function close(): void {
+    generation += 1;
+    idle.length = 0;
+    for (const connection of all) {
+      connection.isCancelled = true;
+      connection.socket?.destroy();
+    }
+  }
+}
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -1,19 +1,15 @@
 /** A link to the guard of another host over HTTP/1.1 with keep-alive connections. */
 
-import type { IncomingHttpHeaders } from "node:http";
 import { performance } from "node:perf_hooks";
 import { Client, type Dispatcher, Pool } from "undici";
 import { z } from "zod";
-import { Diagnostics } from "../core/diagnostics.ts";
 import type {
   AccountName,
   HostId,
   LoadReport,
   RequestHead,
   Ticket,
-  Verdict,
 } from "../core/types.ts";
-import { Execution } from "../core/types.ts";
 import { getHeader } from "./http_headers.ts";
 import {
   CONNECT_TIMEOUT_CODE,
@@ -26,21 +22,14 @@
   type GuardReply,
   ReplyKind,
 } from "./types.ts";
-import {
-  decodeNotice,
-  decodeReport,
-  decodeStartsIn,
-  decodeVerdict,
-  encodeHead,
-  Header,
-  Step,
-} from "./wire.ts";
+import { createReplyMetadata, decodeReplay } from "./reply_metadata.ts";
+import { encodeHead, Header, Step } from "./wire.ts";
 
 /**
  * Timeout of a new connection, in ms: some round trips between regions (70 ms),
  * and far below the second after which a lost first packet is sent again.
  */
-const CONNECT_TIMEOUT_MS = 150;
+export const CONNECT_TIMEOUT_MS = 150;
 const SETTLE_TIMEOUT_MS = 1_000;
 /** Timeout of an exchange of what is known, in ms; it is tried again. */
 const EXCHANGE_TIMEOUT_MS = 500;
@@ -65,26 +54,13 @@
   onLinkError(message: string): void;
 }
 
-const replaySchema = z.object({
-  status: z.int(),
-  contentType: z.string(),
-  body: z.string(),
-  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())]))
-    .optional(),
-});
-
-/** Stands in for a malformed verdict, which does not prove that nothing ran. */
-const UNREADABLE_VERDICT: Verdict = {
-  execution: Execution.MayHaveRun,
-  diagnostic: Diagnostics.answer_mismatch,
-};
-
 type Response = Dispatcher.ResponseData;
 
 /** Creates a link; connections are opened on demand. */
 export function createHttpLink(options: HttpLinkOptions): GuardLink {
   const origin = `http://${options.address}`;
   const smallReads = createSmallReads();
+  const metadata = createReplyMetadata(options);
   let pool = createPool();
   let lastRevisions = { revisions: "", at: -Infinity };
   return {
@@ -289,16 +265,16 @@
   }
 
   async function parseReply(res: Response): Promise<GuardReply> {
-    reportMetadata(res.headers);
+    metadata.report(res.headers);
     const verdictText = getHeader(res.headers, Header.VerdictJson);
     if (verdictText !== undefined) {
       await res.body.dump();
-      return parseVerdict(verdictText, getHeader(res.headers, Header.Grant));
+      const grant = getHeader(res.headers, Header.Grant);
+      return metadata.decodeRefusal(verdictText, grant);
     }
     const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
-      const { headers, ...rest } = replaySchema.parse(await res.body.json());
-      const response = headers === undefined ? rest : { ...rest, headers };
+      const response = decodeReplay(await res.body.json());
       return { kind: ReplyKind.Replay, ticket, response };
     }
     const grant = getHeader(res.headers, Header.Grant);
@@ -314,53 +290,6 @@
     };
     return { kind: ReplyKind.Response, ticket, response };
   }
-
-  function parseVerdict(text: string, grant: string | undefined): GuardReply {
-    const decoded = decodeVerdict(text);
-    if (decoded.err) options.onLinkError(`malformed verdict: ${decoded.val}`);
-    return {
-      kind: ReplyKind.Refused,
-      verdict: decoded.ok ? decoded.val : UNREADABLE_VERDICT,
-      ...(grant !== undefined && { grant }),
-    };
-  }
-
-  function reportMetadata(headers: IncomingHttpHeaders): void {
-    const revisions = getHeader(headers, Header.Revisions);
-    const report = tryReadReport(headers);
-    options.onReplyMetadata({
-      ...(report !== undefined && { report }),
-      ...(revisions !== undefined && { revisions }),
-    });
-  }
-
-  function tryReadReport(headers: IncomingHttpHeaders): LoadReport | undefined {
-    const text = getHeader(headers, Header.Report);
-    if (text === undefined) return undefined;
-    const report = decodeReport(text, options.peer);
-    if (report.err) {
-      options.onLinkError(`malformed report: ${report.val}`);
-      return undefined;
-    }
-    const startsInMs = decodeStartsIn(
-      getHeader(headers, Header.StartsInMs) ?? "",
-    );
-    return {
-      ...addNotice(report.val, headers),
-      ...(startsInMs !== undefined && { startsInMs }),
-    };
-  }
-
-  function addNotice(
-    report: LoadReport,
-    headers: IncomingHttpHeaders,
-  ): LoadReport {
-    const noticeText = getHeader(headers, Header.Notice);
-    if (noticeText === undefined) return report;
-    const notice = decodeNotice(noticeText);
-    if (notice.err) options.onLinkError(`malformed notice: ${notice.val}`);
-    return notice.ok ? { ...report, ...notice.val } : report;
-  }
 }
 
 function toFailure(error: unknown): GuardReply {
--- a/src/link/types.ts
+++ b/src/link/types.ts
@@ -42,6 +42,8 @@
   readonly body: Readable;
   /** True if the whole body has been received already. */
   readonly isComplete?: boolean;
+  /** The whole body, if it is small; `body` is not used then. */
+  readonly bytes?: Buffer;
 }
 
 /** Outcome of a message to a guard. */
--- a/src/upstream/response_reader.ts
+++ b/src/upstream/response_reader.ts
@@ -4,7 +4,7 @@
  * for buffered bytes is used up. Each kind of body has a bound.
  */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { Diagnostic } from "../core/diagnostics.ts";
 import { Diagnostics } from "../core/diagnostics.ts";
@@ -13,6 +13,10 @@
 import type { Clock } from "../daemon/clock.ts";
 import { type ByteBuffer, createByteBuffer } from "../link/byte_buffer.ts";
 import { getHeader } from "../link/http_headers.ts";
+import {
+  createSmallResponse,
+  MAX_SMALL_RESPONSE_BYTES,
+} from "../link/small_response.ts";
 import type { StreamedResponse } from "../link/types.ts";
 import { Header } from "../link/wire.ts";
 import { createResponseBody } from "./response_body.ts";
@@ -175,6 +179,11 @@
     const headers = markUnframed(response.headers);
     if (headers[Header.Unframed] === undefined) {
       headers["content-length"] = String(buffered.size());
+      const isSmall = buffered.size() <= MAX_SMALL_RESPONSE_BYTES;
+      const bytes = isSmall ? buffered.take() ?? Buffer.alloc(0) : undefined;
+      if (bytes !== undefined) {
+        return createSmallResponse({ status: response.status, headers }, bytes);
+      }
     }
     const body = createResponseBody({ clock: options.clock, buffered });
     return { status: response.status, headers, body, isComplete: true };
