Daemon: late timers show that it was held up; no timer of its own for that

An idle daemon woke ten times a second to see whether it was late, and as often to write its lines. The timers of requests show it as well, and lines are written four times a second.

--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -72,6 +72,8 @@
   readonly host: CoreHost;
   readonly getLink: GetLink;
   readonly logger: Logger;
+  /** Called for a timer that fires 50 ms or more too late; with that time in ms. */
+  onLate?(lateMs: Millis): void;
   /** Awaited before a request is sent to another host's guard, so that a close that arrived with it is known. */
   waitForSockets?(): Promise<void>;
   /** Called for each response that is delivered to a caller. */
@@ -144,6 +146,7 @@
   const waker = createWaker(clock, {
     getNextWake: gateway.getNextWake,
     tick: () => dispatch({ kind: GatewayMessageKind.Tick }),
+    onLate: options.onLate,
   });
   const handlers: ActionHandlers = {
     [GatewayActionKind.Reserve]: (action) => void reserve(action),
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -41,7 +41,7 @@
 import { createPeerApp } from "./peer_app.ts";
 import { createPlatformTask } from "./platform_task.ts";
 import { createProbeTask } from "./probe_task.ts";
-import { observeProcessDelay, waitForSockets } from "./unread_sockets.ts";
+import { createDelayListener, waitForSockets } from "./unread_sockets.ts";
 
 /** Attempts of one request at most, hedges and refused attempts included. */
 const MAX_ATTEMPTS = 4;
@@ -111,11 +111,9 @@
     onAccepted,
     onRejected,
   });
-  lifecycle.add(
-    "process delay",
-    observeProcessDelay(clock, { counters, logger }),
-  );
+  const onLate = createDelayListener(clock, { counters, logger });
   const guardTask = createGuardTask(clock, {
+    onLate,
     host,
     logger,
     waitForSockets,
@@ -150,6 +148,7 @@
     },
   });
   const gatewayTask = createGatewayTask(clock, {
+    onLate,
     host,
     logger,
     getLink: links.get,
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -55,6 +55,8 @@
   readonly host: CoreHost;
   readonly upstream: UpstreamClient;
   readonly logger: Logger;
+  /** Called for a timer that fires 50 ms or more too late; with that time in ms. */
+  onLate?(lateMs: Millis): void;
   /** Awaited before admission of a request that may start, to update the upstream's load. */
   readonly beforeAdmission?: BeforeAdmission;
   /** Awaited before a grant is used, if a reading of the upstream is due; undefined if none is. */
@@ -128,6 +130,7 @@
   const waker = createWaker(clock, {
     getNextWake: guard.getNextWake,
     tick: () => dispatch({ kind: GuardMessageKind.Tick }),
+    onLate: options.onLate,
   });
   const handlers: ActionHandlers = {
     [GuardActionKind.Grant]: ({ ticket, grant, key }) => {
--- a/src/daemon/line_output.ts
+++ b/src/daemon/line_output.ts
@@ -8,7 +8,7 @@
 import { Buffer } from "node:buffer";
 
 /** Delay before buffered lines are written, and before a write that failed with EAGAIN is repeated, in ms. */
-const FLUSH_MS = 100;
+const FLUSH_MS = 250;
 /** Size of the buffer, in characters; a few seconds of a busy daemon's lines. */
 const MAX_BUFFERED_CHARS = 1_048_576;
 /** Longest time that closing waits for the reader, in ms. */
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -47,7 +47,7 @@
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
-import { observeProcessDelay, waitForSockets } from "./unread_sockets.ts";
+import { createDelayListener, waitForSockets } from "./unread_sockets.ts";
 import type { Logger } from "./logger.ts";
 import { formatMetrics } from "./metrics_text.ts";
 import { startPeerListener } from "./peer_listener.ts";
@@ -143,10 +143,7 @@
   const counters = createCounters();
   const latencies = createLatencyMetrics();
   const lifecycle = createLifecycle();
-  lifecycle.add(
-    "process delay",
-    observeProcessDelay(clock, { counters, logger }),
-  );
+  const onLate = createDelayListener(clock, { counters, logger });
   const memory = createMemoryBudget({
     limitBytes: computeBufferLimit(settings.memoryMb),
     onStateChange: logBufferState,
@@ -214,6 +211,7 @@
     onNotice: (notice, source) => guardTask.recordNotice(notice, source),
   });
   const guardTask: GuardTask = createGuardTask(clock, {
+    onLate,
     host,
     logger,
     upstream: createUpstreamClient({
@@ -277,6 +275,7 @@
   });
   lifecycle.add("crash protection", protection.close);
   const gatewayTask = createGatewayTask(clock, {
+    onLate,
     host,
     logger,
     getLink: links.get,
--- a/src/daemon/unread_sockets.ts
+++ b/src/daemon/unread_sockets.ts
@@ -31,37 +31,22 @@
   return socket.destroyed || socket.readableEnded;
 }
 
-/** Interval of the timer that shows whether the process is held up, in ms. */
-const CHECK_MS = 100;
-/** Delay of that timer from which the process counts as held up, in ms: a tenth of the time within which work for a departed caller has to end. */
-const LATE_MS = 50;
-/** Shortest time between two log lines about it, in ms. */
+/** Shortest time between two log lines about a late timer, in ms. */
 const LOG_INTERVAL_MS = 1_000;
 
-/** Settings of the observation. */
-export interface ProcessDelayOptions {
-  readonly counters: Counters;
-  readonly logger: Logger;
-}
-
-/** Logs and counts delays of the process; returns a function that ends it. */
-export function observeProcessDelay(
+/** Creates a listener for late timers, which counts and logs that the process was held up. */
+export function createDelayListener(
   clock: Clock,
-  { counters, logger }: ProcessDelayOptions,
-): () => void {
-  let dueAt = clock.now() + CHECK_MS;
+  { counters, logger }: {
+    readonly counters: Counters;
+    readonly logger: Logger;
+  },
+): (lateMs: Millis) => void {
   let loggedAt: Millis = -Infinity;
-  const timer = setInterval(check, CHECK_MS);
-  timer.unref();
-  return () => clearInterval(timer);
-
-  function check(): void {
-    const lateMs = clock.now() - dueAt;
-    dueAt = clock.now() + CHECK_MS;
-    if (lateMs < LATE_MS) return;
+  return (lateMs) => {
     counters.add("process_held_up");
     if (clock.now() - loggedAt < LOG_INTERVAL_MS) return;
     loggedAt = clock.now();
     logger.warn("process_held_up", { lateMs: Math.round(lateMs) });
-  }
+  };
 }
