--- a/src/daemon/logger.ts
+++ b/src/daemon/logger.ts
@@ -23,6 +23,7 @@
   "name",
   "level",
   "msg",
+  "time",
 ]);
 
 /** Fields of an event; undefined ones are not written. */
@@ -70,16 +71,18 @@
   const time = record["time"] instanceof Date
     ? record["time"].toISOString()
     : String(record["time"]);
-  const pairs = [
-    `time=${time}`,
-    `level=${LEVEL_NAMES[Number(record["level"])] ?? record["level"]}`,
-    `event=${quote(String(record["msg"]))}`,
-  ];
-  for (const [key, value] of Object.entries(record)) {
-    if (RESERVED.has(key) || key === "time" || value === undefined) continue;
-    pairs.push(`${key}=${quote(String(value))}`);
+  const level = LEVEL_NAMES[Number(record["level"])] ?? record["level"];
+  let line = `time=${time} level=${level} event=${
+    quote(String(record["msg"]))
+  }`;
+  for (const key in record) {
+    const value = record[key];
+    if (value === undefined || RESERVED.has(key)) continue;
+    line += ` ${key}=${
+      typeof value === "number" ? value : quote(String(value))
+    }`;
   }
-  return pairs.join(" ");
+  return line;
 }
 
 /**
