--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -37,6 +37,9 @@
 const EVACUATION_TEST = "test/evacuation_test.ts";
 const COLD_STARTS_TEST = "test/cold_starts_test.ts";
 const CALLED_SERVICES_TEST = "test/called_services_test.ts";
+const FRAMES_TEST = "test/frames_test.ts";
+const REFUSAL_COPIES_TEST = "test/refusal_copies_test.ts";
+const WAKES_TEST = "test/wakes_test.ts";
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
@@ -410,9 +413,8 @@
     guarantee: "goodput under overload",
     file: "src/daemon/waker.ts",
     edits: [{
-      find: "if (clock.now() - timerAt < LATE_TIMER_MS) return tick();",
-      replace:
-        "if (clock.now() - timerAt < LATE_TIMER_MS * 100) return tick();",
+      find: "if (lateMs < LATE_TIMER_MS) return tick();",
+      replace: "if (lateMs < LATE_TIMER_MS * 100) return tick();",
     }],
     testFile: "test/waker_test.ts",
   },
@@ -1109,16 +1111,87 @@
     }],
     testFile: CORE_TEST,
   },
+  {
+    name: "refusals_close_their_connection",
+    guarantee: "a refusal counts once",
+    file: "src/upstream/upstream_client.ts",
+    edits: [{
+      find: 'body.on("error", ignoreError);\n  body.destroy();',
+      replace: 'body.on("error", ignoreError);\n  body.resume();',
+    }],
+    testFile: REFUSAL_COPIES_TEST,
+  },
   {
     name: "refusals_are_read_to_a_bound",
     guarantee: "bounded memory",
     file: "src/upstream/upstream_client.ts",
     edits: [{
-      find: "if (size > MAX_DISCARDED_BYTES) body.destroy();",
-      replace: "",
+      find: 'body.on("error", ignoreError);\n  body.destroy();',
+      replace: 'body.on("error", ignoreError);\n  body.resume();',
     }],
     testFile: LARGE_RESPONSES_TEST,
   },
+  {
+    name: "refusals_name_their_request",
+    guarantee: "a refusal counts only for its request",
+    file: "platform/upstreams.ts",
+    edits: [{
+      find: "if (echoedId !== sentId) return ResponseClass.Mismatched;",
+      replace: "",
+    }],
+    testFile: REFUSAL_COPIES_TEST,
+  },
+  {
+    name: "unneeded_wakes_are_dropped",
+    guarantee: "a daemon is not busy with what has ended",
+    file: "src/core/wake_queue.ts",
+    edits: [{
+      find:
+        "if (first === undefined || isNeeded(first.item, first.at)) return first;",
+      replace: "if (isNeeded !== undefined) return first;",
+    }],
+    testFile: WAKES_TEST,
+  },
+  {
+    name: "tickets_are_forgotten_together",
+    guarantee: "a daemon is not busy with what has ended",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "Math.ceil(forgetAt / FORGET_STEP_MS) * FORGET_STEP_MS",
+      replace: "forgetAt + 0 * FORGET_STEP_MS",
+    }],
+    testFile: WAKES_TEST,
+  },
+  {
+    name: "found_values_are_pruned",
+    guarantee: "no entry of the store ends a daemon",
+    file: "src/settings/decode.ts",
+    edits: [{
+      find: "JSON.stringify(prune(value, MAX_VALUE_DEPTH))",
+      replace: "JSON.stringify(value)",
+    }],
+    testFile: "test/platform_decode_test.ts",
+  },
+  {
+    name: "frames_without_a_request_close",
+    guarantee: "each reply belongs to one attempt",
+    file: "src/link/frame_pool.ts",
+    edits: [{
+      find: "if (!isExpected) return void socket!.destroy();",
+      replace: "if (!isExpected) return;",
+    }],
+    testFile: FRAMES_TEST,
+  },
+  {
+    name: "cut_parts_are_no_end",
+    guarantee: "no response that was cut looks complete",
+    file: "src/link/frame_link.ts",
+    edits: [{
+      find: "parts.destroy(new Error(message));",
+      replace: "parts.push(null);",
+    }],
+    testFile: FRAMES_TEST,
+  },
   {
     name: "health_checks_are_bounded",
     guarantee: "bounded memory",
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -115,13 +115,17 @@
     connection.socket = socket;
     let message = "the connection was closed";
     let isHttpPeer = false;
-    const reader = createFrameReader((frame) => receive(connection, frame));
+    let hasReceived = false;
+    const reader = createFrameReader((frame) => {
+      hasReceived = true;
+      receive(connection, frame);
+    });
     socket.setTimeout(KEEP_ALIVE_MS, () => {
       if (connection.handlers === undefined) socket.destroy();
     });
     socket.on("data", (chunk: Buffer) => {
       if (reader.read(chunk)) return;
-      isHttpPeer = chunk[0] === HTTP_FIRST_BYTE;
+      isHttpPeer = !hasReceived && chunk[0] === HTTP_FIRST_BYTE;
       message = "the peer sent no frame";
       socket.destroy();
     });
--- /dev/null
+++ b/test/frames_test.ts
@@ -0,0 +1,308 @@
+/** Frames between daemons: their bytes, and links over real sockets to peers that misbehave. */
+
+import { Buffer } from "node:buffer";
+import { EventEmitter, once } from "node:events";
+import { createServer as createHttpServer } from "node:http";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { Diagnostics } from "../src/core/diagnostics.ts";
+import { Execution, Repeatability } from "../src/core/types.ts";
+import {
+  decodeReplyFrame,
+  decodeRequestFrame,
+} from "../src/link/frame_heads.ts";
+import { createFrameLink } from "../src/link/frame_link.ts";
+import {
+  createFrameReader,
+  encodeFrame,
+  type Frame,
+  FrameKind,
+  MAX_FRAME_BODY_BYTES,
+  MAX_FRAME_HEAD_BYTES,
+} from "../src/link/frames.ts";
+import {
+  type ForwardRequest,
+  type GuardLink,
+  ReplyKind,
+} from "../src/link/types.ts";
+import { encodeVerdict, Header, Step } from "../src/link/wire.ts";
+
+const HEAD = {
+  account: "all",
+  service: "shop",
+  repeatability: Repeatability.Idempotent,
+  fingerprint: "",
+  timeoutMs: 1_000,
+};
+
+let server: Server | undefined;
+let link: GuardLink | undefined;
+const sockets = new Set<Socket>();
+
+afterEach(async () => {
+  await link?.close();
+  for (const socket of sockets) socket.destroy();
+  sockets.clear();
+  server?.close();
+});
+
+/** Starts a peer that handles each frame; `count` is the number of frames before it on all connections. */
+async function startPeer(
+  onFrame: (socket: Socket, frame: Frame, count: number) => void,
+): Promise<void> {
+  let count = 0;
+  server = createServer((socket) => {
+    sockets.add(socket);
+    const reader = createFrameReader((frame) =>
+      onFrame(socket, frame, count++)
+    );
+    socket.on("error", () => {});
+    socket.on("data", (chunk: Buffer) => reader.read(chunk));
+  });
+  await connectLink(server);
+}
+
+async function connectLink(to: Server): Promise<void> {
+  to.listen(0, "127.0.0.1");
+  await once(to, "listening");
+  const { port } = to.address() as AddressInfo;
+  link = createFrameLink({
+    address: `127.0.0.1:${port}`,
+    self: "caller",
+    peer: "peer",
+    connections: 4,
+    getRevisions: () => "1",
+    onReplyMetadata: () => {},
+    onLinkError: () => {},
+  });
+}
+
+function createForward(body: Buffer | null = null): ForwardRequest {
+  return {
+    method: "POST",
+    path: "/order/1",
+    headers: { "x-own": "1" },
+    body,
+    signal: new EventEmitter(),
+  };
+}
+
+const submit = (ticket: string, forward = createForward()) =>
+  link!.submit(ticket, HEAD, { forward });
+
+function createReply(ticket: string, body: string): Buffer {
+  const head = { meta: {}, ticket, status: 200, headers: {} };
+  const text = JSON.stringify(head);
+  return encodeFrame(FrameKind.Reply, text, Buffer.from(body));
+}
+
+test("frames are read from any split of their bytes", () => {
+  const bytes = Buffer.concat([
+    encodeFrame(FrameKind.Request, '{"step":"submit"}', Buffer.from("body")),
+    encodeFrame(FrameKind.Accepted),
+    encodeFrame(FrameKind.Part, "", Buffer.from("more \u2603")),
+  ]);
+  for (let size = 1; size <= bytes.length; size++) {
+    const frames: Frame[] = [];
+    const reader = createFrameReader((frame) => frames.push(frame));
+    for (let at = 0; at < bytes.length; at += size) {
+      expect(reader.read(bytes.subarray(at, at + size))).toBe(true);
+    }
+    expect(frames.map(({ kind, head, body }) => [kind, head, String(body)]))
+      .toEqual([
+        [FrameKind.Request, '{"step":"submit"}', "body"],
+        [FrameKind.Accepted, "", ""],
+        [FrameKind.Part, "", "more \u2603"],
+      ]);
+  }
+});
+
+test("bytes that are no frames, and frames beyond their bounds, are not read", () => {
+  const read = (bytes: Buffer) => createFrameReader(() => {}).read(bytes);
+  expect(read(Buffer.from("HTTP/1.1 400 Bad Request"))).toBe(false);
+  expect(read(Buffer.from([0]))).toBe(false);
+  const large = encodeFrame(FrameKind.Reply);
+  large.writeUInt32BE(MAX_FRAME_HEAD_BYTES + 1, 1);
+  expect(read(large)).toBe(false);
+  const long = encodeFrame(FrameKind.Part);
+  long.writeUInt32BE(MAX_FRAME_BODY_BYTES + 1, 5);
+  expect(read(long)).toBe(false);
+});
+
+test.each([
+  "",
+  "[]",
+  "{",
+  '{"step":"submit"}',
+  '{"step":"odd","ticket":"t"}',
+  '{"step":"submit","ticket":"t","head":{}}',
+  '{"step":"submit","ticket":"t","path":"no slash"}',
+  '{"step":"submit","ticket":"t","headers":{"a":1}}',
+  `{"step":"submit","ticket":"t","head":${
+    JSON.stringify({ ...HEAD, timeoutMs: "1" })
+  }}`,
+  `{"step":"submit","ticket":"t","head":${
+    JSON.stringify(HEAD).replace("1000", "1e400")
+  }}`,
+])("a malformed head of a request is refused: %s", (text) => {
+  expect(decodeRequestFrame(text)).toBeUndefined();
+});
+
+test("heads are decoded, and fields that are not known are ignored", () => {
+  const head = { step: Step.Submit, ticket: "t", head: HEAD, later: 1 };
+  expect(decodeRequestFrame(JSON.stringify(head))).toEqual(head);
+  const reply = { meta: {}, status: 200, headers: { a: ["b"] } };
+  expect(decodeReplyFrame(JSON.stringify(reply))).toEqual(reply);
+  expect(decodeReplyFrame('{"status":200}')).toBeUndefined();
+});
+
+test("exchanges use one connection after the other, and each gets its own reply", async () => {
+  await startPeer((socket, { head, body }) => {
+    const { ticket } = decodeRequestFrame(head)!;
+    socket.write(encodeFrame(FrameKind.Accepted));
+    setTimeout(() => socket.write(createReply(ticket, String(body))), 5);
+  });
+  for (let round = 0; round < 3; round++) {
+    const bodies = ["a", "b", "c"];
+    const replies = await Promise.all(
+      bodies.map((it) => submit(`t/${it}`, createForward(Buffer.from(it)))),
+    );
+    expect(replies.map((it) =>
+      it.kind === ReplyKind.Response && [
+        it.ticket,
+        String(it.response.bytes),
+      ]
+    )).toEqual(bodies.map((it) => [`t/${it}`, it]));
+  }
+  expect(sockets.size).toBe(3);
+});
+
+test("a reply that comes without a request closes its connection and belongs to none", async () => {
+  await startPeer((socket, { head }) => {
+    const { ticket } = decodeRequestFrame(head)!;
+    socket.write(createReply(ticket, "own"));
+    setTimeout(() => socket.write(createReply(ticket, "again")), 1);
+  });
+  for (let i = 0; i < 5; i++) {
+    const reply = await submit(`t/${i}`);
+    expect(reply.kind === ReplyKind.Response && reply.ticket).toBe(`t/${i}`);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  expect(sockets.size).toBe(5);
+});
+
+test.each([
+  ["closes", (socket: Socket) => void socket.end()],
+  ["resets", (socket: Socket) => void socket.resetAndDestroy()],
+  ["sends half a reply", (socket: Socket) => {
+    socket.end(createReply("t", "body").subarray(0, 20));
+  }],
+  ["sends no frame", (socket: Socket) => void socket.end("\u0000")],
+  ["sends a malformed reply", (socket: Socket) => {
+    socket.write(encodeFrame(FrameKind.Reply, "{}"));
+  }],
+  ["sends a part first", (socket: Socket) => {
+    socket.write(encodeFrame(FrameKind.Part, "", Buffer.from("x")));
+  }],
+])("an attempt at a peer that %s is in doubt", async (_name, act) => {
+  await startPeer(act);
+  const reply = await submit("t");
+  expect(reply).toMatchObject({ kind: ReplyKind.Failed, mayHaveArrived: true });
+});
+
+test("an attempt at a peer that doesn't listen has not arrived", async () => {
+  await startPeer(() => {});
+  server!.close();
+  await once(server!, "close");
+  const reply = await submit("t");
+  expect(reply).toMatchObject({
+    kind: ReplyKind.Failed,
+    mayHaveArrived: false,
+  });
+});
+
+test("a body in parts ends with its last frame, and a cut is no end", async () => {
+  const head = JSON.stringify({
+    meta: {},
+    ticket: "t",
+    status: 200,
+    headers: {},
+    hasParts: true,
+  });
+  await startPeer((socket, _frame, count) => {
+    socket.write(encodeFrame(FrameKind.Reply, head));
+    socket.write(encodeFrame(FrameKind.Part, "", Buffer.from("first ")));
+    setTimeout(() => {
+      if (count > 0) return void socket.end();
+      socket.write(encodeFrame(FrameKind.Part, "", Buffer.from("second")));
+      socket.write(encodeFrame(FrameKind.End));
+    }, 5);
+  });
+  const read = async () => {
+    const reply = await submit("t");
+    if (reply.kind !== ReplyKind.Response) throw new Error(reply.kind);
+    let text = "";
+    for await (const chunk of reply.response.body) text += chunk;
+    return text;
+  };
+  expect(await read()).toBe("first second");
+  await expect(read()).rejects.toThrow();
+});
+
+test("a cancelled attempt closes its connection, and the others go on", async () => {
+  await startPeer((socket, { head }) => {
+    const { ticket } = decodeRequestFrame(head)!;
+    setTimeout(() => socket.write(createReply(ticket, "late")), 50);
+  });
+  const forward = createForward();
+  const cancelled = submit("cancelled", forward);
+  const other = submit("other");
+  await expect.poll(() => sockets.size).toBe(2);
+  forward.signal.emit("abort");
+  expect((await cancelled).kind).toBe(ReplyKind.Failed);
+  expect((await other).kind).toBe(ReplyKind.Response);
+});
+
+test("after a replacement, new exchanges use new connections", async () => {
+  await startPeer((socket, { head }) => {
+    const { ticket } = decodeRequestFrame(head)!;
+    setTimeout(() => socket.write(createReply(ticket, "")), 20);
+  });
+  await submit("before");
+  const open = submit("open");
+  link!.replaceConnections();
+  expect((await submit("after")).kind).toBe(ReplyKind.Response);
+  expect((await open).kind).toBe(ReplyKind.Response);
+  expect(sockets.size).toBe(2);
+});
+
+test("a peer that knows no frames gets the attempt over HTTP", async () => {
+  const steps: unknown[] = [];
+  const http = createHttpServer((req, res) => {
+    steps.push(req.headers[Header.Step]);
+    req.resume();
+    const verdict = encodeVerdict({
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.no_room_now,
+    });
+    res.writeHead(503, { [Header.VerdictJson]: verdict }).end();
+  });
+  server = http;
+  await connectLink(http);
+  for (const ticket of ["first", "second"]) {
+    expect(await submit(ticket)).toMatchObject({
+      kind: ReplyKind.Refused,
+      verdict: { execution: Execution.NotRun },
+    });
+  }
+  expect(await link!.reserve("third", HEAD)).toMatchObject({
+    kind: ReplyKind.Refused,
+  });
+  expect(steps).toEqual([Step.Submit, Step.Submit, Step.Reserve]);
+  http.closeAllConnections();
+});
--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -49,6 +49,14 @@
   expect(platformUpstreams.readNotice(headers)).toEqual(expected);
 });
 
+test("values that are nested deeply are shown in part", () => {
+  const nested = "[".repeat(100_000) + "]".repeat(100_000);
+  const { problems } = decodeRouting(`{"version":${nested},"routes":{}}`)
+    .unwrapOr({ problems: [] });
+  expect(decodeRouting(`{"version":${nested}}`).err).toBe(true);
+  expect(problems.length).toBeLessThan(3);
+});
+
 test("settings are decoded, and fields that are not known are ignored", () => {
   const settings = decodeSettings(SETTINGS, "local.yaml").unwrap();
   expect(settings).toMatchObject({
@@ -239,9 +247,14 @@
     .toBe(ResponseClass.Malformed);
   expect(classify(200, { ...own, "content-encoding": "gzip" }))
     .toBe(ResponseClass.Malformed);
-  expect(classify(421, {})).toBe(ResponseClass.WrongInstance);
-  expect(classify(503, { "x-vanillarock-not-executed": "1" }))
+  const echo = { "x-vanillarock-attempt-id": "id-1" };
+  const refusal = { "x-vanillarock-not-executed": "1" };
+  expect(classify(421, echo)).toBe(ResponseClass.WrongInstance);
+  expect(classify(503, { ...echo, ...refusal }))
     .toBe(ResponseClass.NotExecuted);
+  // Without its id a refusal may be that of an earlier request.
+  expect(classify(421, {})).toBe(ResponseClass.Mismatched);
+  expect(classify(503, refusal)).toBe(ResponseClass.Mismatched);
   expect(classify(503, {})).toBe(ResponseClass.Malformed);
 });
 
