--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -103,16 +103,17 @@
 
   function accept(socket: Socket, first: Buffer): void {
     sockets.add(socket);
-    let open: EventEmitter | undefined;
+    /** Signal of the exchange in progress. */
+    let openSignal: EventEmitter | undefined;
     const reader = createFrameReader(receive);
     socket.setTimeout(IDLE_MS, () => {
-      if (open === undefined) socket.destroy();
+      if (openSignal === undefined) socket.destroy();
     });
     socket.on("error", () => {});
     socket.on("end", () => socket.destroy());
     socket.once("close", () => {
       sockets.delete(socket);
-      open?.emit("abort");
+      openSignal?.emit("abort");
     });
     socket.on("data", read);
     read(first);
@@ -127,14 +128,14 @@
       const head = frame.kind === FrameKind.Request
         ? decodeRequestFrame(frame.head)
         : undefined;
-      if (head === undefined || open !== undefined) {
+      if (head === undefined || openSignal !== undefined) {
         reportMalformed("a frame that is no request, or within an exchange");
         return void socket.destroy();
       }
       const signal = new EventEmitter();
       const end = options.trackExchange();
       let isFinished = false;
-      open = signal;
+      openSignal = signal;
       signal.once("abort", end);
       void serve({ socket, head, body: frame.body, signal, finish });
 
@@ -142,7 +143,7 @@
         if (isFinished || socket.destroyed) return;
         isFinished = true;
         // The next request may arrive before the callback of the write.
-        open = undefined;
+        openSignal = undefined;
         socket.write(last, end);
       }
     }
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -126,7 +126,7 @@
     void exchange({ step: Step.Release, ticket }, {
       sendOverHttp: () => {
         getHttp().release(ticket);
-        return Promise.resolve(toFailure("released over HTTP", false));
+        return Promise.resolve(toFailure("a release has no reply", false));
       },
     });
   }
@@ -154,7 +154,11 @@
       body === null ? undefined : body,
     );
     return new Promise((resolve) => {
-      const reader = createReplyReader({ metadata, onLinkError, resolve });
+      const reader = createReplyReader({
+        metadata,
+        onLinkError: (message) => options.onLinkError(message),
+        resolve,
+      });
       const sent = frames.send(frame, {
         onFrame: (received) => {
           if (received.kind !== FrameKind.Accepted) {
@@ -172,10 +176,6 @@
       forward?.signal.once("abort", sent.cancel);
     });
   }
-
-  function onLinkError(message: string): void {
-    options.onLinkError(message);
-  }
 }
 
 /** What an exchange needs beside the head of its request. */
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -16,6 +16,9 @@
 /** Idle time after which a connection is closed, in ms; shorter than servers keep it. */
 const KEEP_ALIVE_MS = 30_000;
 
+/** Of all connections of the process, as each read is copied at once. */
+const smallReads = createSmallReads();
+
 /** Why an exchange ended without its last frame. */
 export interface ExchangeFailure {
   /** False if no byte of the request was sent. */
@@ -69,14 +72,13 @@
 /** Creates a pool without connections. */
 export function createFramePool(options: FramePoolOptions): FramePool {
   const { host, port } = splitAddress(options.address);
-  const smallReads = createSmallReads();
   const idle: Connection[] = [];
   const all = new Set<Connection>();
   let generation = 0;
   return { send, replaceConnections, close };
 
   function send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange {
-    const connection = idle.pop() ?? open(frame);
+    const connection = takeIdle() ?? open(frame);
     connection.handlers = handlers;
     connection.socket?.write(frame);
     return {
@@ -90,6 +92,14 @@
     };
   }
 
+  /** A connection that is closing is still in the list until it has closed. */
+  function takeIdle(): Connection | undefined {
+    for (;;) {
+      const connection = idle.pop();
+      if (connection?.socket?.destroyed !== true) return connection;
+    }
+  }
+
   function open(first: Buffer): Connection {
     options.onConnect?.();
     const connection: Connection = { generation };
