Links: a peer gets at most 64 connections for frames, and parts are passed on as they arrive

Streams that nobody reads held 281 to 311 MB where 250 are allowed: over HTTP a link has 64 connections, frames had no limit.

--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -13,6 +13,7 @@
 import {
   createFrameReader,
   encodeFrame,
+  encodePartPrefix,
   type Frame,
   FrameKind,
   MAX_FRAME_BODY_BYTES,
@@ -238,8 +239,10 @@
   body.on("data", (chunk: Buffer) => {
     for (let at = 0; at < chunk.length; at += MAX_FRAME_BODY_BYTES) {
       const part = chunk.subarray(at, at + MAX_FRAME_BODY_BYTES);
-      const hasRoom = socket.write(encodeFrame(FrameKind.Part, "", part));
-      if (!hasRoom) body.pause();
+      socket.cork();
+      socket.write(encodePartPrefix(part.length));
+      if (!socket.write(part)) body.pause();
+      socket.uncork();
     }
   });
   body.once("end", () => finish(END));
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -58,6 +58,7 @@
   const frames = createFramePool({
     address,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxConnections: options.connections,
     ...(onConnect && { onConnect }),
   });
   const metadata = createReplyMetadata(options);
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -57,6 +57,8 @@
   /** IP address and port of the peer. */
   readonly address: string;
   readonly connectTimeoutMs: Millis;
+  /** Connections at most; further exchanges wait, as streams that nobody reads hold memory. */
+  readonly maxConnections: number;
   /** Called for each connection that is opened. */
   onConnect?(): void;
 }
@@ -69,27 +71,60 @@
   isCancelled?: boolean;
 }
 
+/** A request and the connection that it uses, none while it waits for one. */
+interface Exchange {
+  readonly frame: Buffer;
+  readonly handlers: ExchangeHandlers;
+  connection?: Connection;
+}
+
 /** Creates a pool without connections. */
 export function createFramePool(options: FramePoolOptions): FramePool {
   const { host, port } = splitAddress(options.address);
   const idle: Connection[] = [];
+  /** Exchanges for which no connection is free, the oldest first. */
+  const waiting = new Set<Exchange>();
   const all = new Set<Connection>();
   let generation = 0;
   return { send, replaceConnections, close };
 
   function send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange {
+    const exchange: Exchange = { frame, handlers };
+    if (idle.length > 0 || all.size < options.maxConnections) start(exchange);
+    else waiting.add(exchange);
+    return {
+      cancel: () => cancel(exchange),
+      pause: () => exchange.connection?.socket?.pause(),
+      resume: () => exchange.connection?.socket?.resume(),
+    };
+  }
+
+  function start(exchange: Exchange): void {
+    const { frame, handlers } = exchange;
     const connection = takeIdle() ?? open(frame);
+    exchange.connection = connection;
     connection.handlers = handlers;
     connection.socket?.write(frame);
-    return {
-      cancel: () => {
-        if (connection.handlers !== handlers) return;
-        connection.isCancelled = true;
-        connection.socket?.destroy();
-      },
-      pause: () => connection.socket?.pause(),
-      resume: () => connection.socket?.resume(),
-    };
+  }
+
+  /** Starts the exchange that has waited longest, if a connection is free or may be opened. */
+  function startWaiting(): void {
+    const [next] = waiting;
+    const mayStart = idle.length > 0 || all.size < options.maxConnections;
+    if (next === undefined || !mayStart) return;
+    waiting.delete(next);
+    start(next);
+  }
+
+  function cancel(exchange: Exchange): void {
+    const { connection, handlers } = exchange;
+    if (waiting.delete(exchange)) {
+      const message = "cancelled before a connection was free";
+      handlers.onFailure({ wasSent: false, isHttpPeer: false, message });
+    } else if (connection?.handlers === handlers) {
+      connection.isCancelled = true;
+      connection.socket?.destroy();
+    }
   }
 
   /** A connection that is closing is still in the list until it has closed. */
@@ -161,6 +196,7 @@
     connection.handlers = undefined;
     if (connection.generation === generation) idle.push(connection);
     else socket!.destroy();
+    startWaiting();
   }
 
   function fail(
@@ -170,6 +206,7 @@
     const { handlers } = connection;
     connection.handlers = undefined;
     handlers?.onFailure({ isHttpPeer: false, ...failure });
+    startWaiting();
   }
 
   function replaceConnections(): void {
@@ -178,6 +215,7 @@
   }
 
   function close(): void {
+    for (const exchange of [...waiting]) cancel(exchange);
     generation += 1;
     idle.length = 0;
     for (const connection of all) {
--- a/src/link/frames.ts
+++ b/src/link/frames.ts
@@ -47,48 +47,89 @@
 ): Buffer {
   const headBytes = Buffer.byteLength(head);
   const frame = Buffer.allocUnsafe(PREFIX_BYTES + headBytes + body.length);
-  frame[0] = kind;
-  frame.writeUInt32BE(headBytes, HEAD_LENGTH_AT);
-  frame.writeUInt32BE(body.length, BODY_LENGTH_AT);
+  writePrefix(frame, kind, { headBytes, bodyBytes: body.length });
   frame.write(head, PREFIX_BYTES);
   body.copy(frame, PREFIX_BYTES + headBytes);
   return frame;
 }
 
+/** Encodes what precedes the bytes of a part, which need no copy. */
+export function encodePartPrefix(bodyBytes: number): Buffer {
+  const prefix = Buffer.allocUnsafe(PREFIX_BYTES);
+  writePrefix(prefix, FrameKind.Part, { headBytes: 0, bodyBytes });
+  return prefix;
+}
+
+function writePrefix(
+  to: Buffer,
+  kind: FrameKind,
+  { headBytes, bodyBytes }: { headBytes: number; bodyBytes: number },
+): void {
+  to[0] = kind;
+  to.writeUInt32BE(headBytes, HEAD_LENGTH_AT);
+  to.writeUInt32BE(bodyBytes, BODY_LENGTH_AT);
+}
+
 /** Reads frames from the bytes of one connection. */
 export interface FrameReader {
   /** Reads a chunk; false once the bytes are no frames, after which nothing more is read. */
   read(chunk: Buffer): boolean;
 }
 
-/** Creates a reader; `onFrame` is called for each whole frame. */
+/**
+ * Creates a reader; `onFrame` is called for each whole frame, but for a part of a
+ * body with its bytes as they arrive: streams that wait hold one read each.
+ */
 export function createFrameReader(
   onFrame: (frame: Frame) => void,
 ): FrameReader {
+  /** Bytes of a frame that is not whole. */
   let pending: Buffer = NO_BYTES;
+  /** Bytes of the present part that have not arrived. */
+  let partBytes = 0;
   return { read };
 
   function read(chunk: Buffer): boolean {
-    pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-    while (pending.length > 0) {
-      if (!(pending[0]! in FrameKind)) return false;
-      if (pending.length < PREFIX_BYTES) return true;
-      const headBytes = pending.readUInt32BE(HEAD_LENGTH_AT);
-      const bodyBytes = pending.readUInt32BE(BODY_LENGTH_AT);
-      const isInBounds = headBytes <= MAX_FRAME_HEAD_BYTES &&
-        bodyBytes <= MAX_FRAME_BODY_BYTES;
-      if (!isInBounds) return false;
-      const bodyAt = PREFIX_BYTES + headBytes;
-      const end = bodyAt + bodyBytes;
-      if (pending.length < end) return true;
-      const frame = {
-        kind: pending[0]! as FrameKind,
-        head: pending.toString("utf8", PREFIX_BYTES, bodyAt),
-        body: pending.subarray(bodyAt, end),
-      };
-      pending = pending.subarray(end);
-      onFrame(frame);
+    let rest = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+    pending = NO_BYTES;
+    while (rest.length > 0) {
+      const taken = partBytes > 0 ? takePart(rest) : takeFrame(rest);
+      if (taken === undefined) return false;
+      if (taken === 0) {
+        pending = rest.length < PREFIX_BYTES ? Buffer.from(rest) : rest;
+        return true;
+      }
+      rest = rest.subarray(taken);
     }
     return true;
   }
+
+  function takePart(bytes: Buffer): number {
+    const body = bytes.subarray(0, partBytes);
+    partBytes -= body.length;
+    onFrame({ kind: FrameKind.Part, head: "", body });
+    return body.length;
+  }
+
+  /** Returns the number of bytes taken, 0 if the frame is not whole, undefined if it is none. */
+  function takeFrame(bytes: Buffer): number | undefined {
+    const kind = bytes[0]! as FrameKind;
+    if (!(kind in FrameKind)) return undefined;
+    if (bytes.length < PREFIX_BYTES) return 0;
+    const headBytes = bytes.readUInt32BE(HEAD_LENGTH_AT);
+    const bodyBytes = bytes.readUInt32BE(BODY_LENGTH_AT);
+    const isInBounds = headBytes <= MAX_FRAME_HEAD_BYTES &&
+      bodyBytes <= MAX_FRAME_BODY_BYTES;
+    if (!isInBounds) return undefined;
+    if (kind === FrameKind.Part && headBytes === 0) {
+      partBytes = bodyBytes;
+      return PREFIX_BYTES;
+    }
+    const bodyAt = PREFIX_BYTES + headBytes;
+    const end = bodyAt + bodyBytes;
+    if (bytes.length < end) return 0;
+    const head = bytes.toString("utf8", PREFIX_BYTES, bodyAt);
+    onFrame({ kind, head, body: bytes.subarray(bodyAt, end) });
+    return end;
+  }
 }
