--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -65,7 +65,6 @@
 
 /** A connection; `handlers` belong to its exchange, none while it is idle. */
 interface Connection {
-  readonly generation: number;
   socket?: Socket;
   handlers?: ExchangeHandlers | undefined;
   isCancelled?: boolean;
@@ -85,12 +84,13 @@
   /** Exchanges for which no connection is free, the oldest first. */
   const waiting = new Set<Exchange>();
   const all = new Set<Connection>();
-  let generation = 0;
+  /** Those that new exchanges may use; the others finish theirs. */
+  let current = new Set<Connection>();
   return { send, replaceConnections, close };
 
   function send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange {
     const exchange: Exchange = { frame, handlers };
-    if (idle.length > 0 || all.size < options.maxConnections) start(exchange);
+    if (mayStart()) start(exchange);
     else waiting.add(exchange);
     return {
       cancel: () => cancel(exchange),
@@ -107,13 +107,17 @@
     connection.socket?.write(frame);
   }
 
-  /** Starts the exchange that has waited longest, if a connection is free or may be opened. */
+  function mayStart(): boolean {
+    return idle.length > 0 || current.size < options.maxConnections;
+  }
+
+  /** Starts the exchanges that have waited longest, as far as connections are free or may be opened. */
   function startWaiting(): void {
-    const [next] = waiting;
-    const mayStart = idle.length > 0 || all.size < options.maxConnections;
-    if (next === undefined || !mayStart) return;
-    waiting.delete(next);
-    start(next);
+    for (const next of waiting) {
+      if (!mayStart()) return;
+      waiting.delete(next);
+      start(next);
+    }
   }
 
   function cancel(exchange: Exchange): void {
@@ -137,8 +141,9 @@
 
   function open(first: Buffer): Connection {
     options.onConnect?.();
-    const connection: Connection = { generation };
+    const connection: Connection = {};
     all.add(connection);
+    current.add(connection);
     connectQuickly({
       ...smallReads,
       host,
@@ -146,7 +151,7 @@
       timeoutMs: options.connectTimeoutMs,
     }, (error, socket) => {
       if (socket === null) {
-        all.delete(connection);
+        remove(connection);
         return fail(connection, { wasSent: false, message: String(error) });
       }
       attach(connection, socket);
@@ -177,15 +182,20 @@
     socket.on("error", (error) => message = String(error));
     socket.once("end", () => socket.destroy());
     socket.once("close", () => {
-      all.delete(connection);
-      const index = idle.indexOf(connection);
-      if (index >= 0) idle.splice(index, 1);
+      remove(connection);
       const wasSent = connection.isCancelled !== true ||
         socket.bytesWritten > 0;
       fail(connection, { wasSent, isHttpPeer, message });
     });
   }
 
+  function remove(connection: Connection): void {
+    all.delete(connection);
+    current.delete(connection);
+    const index = idle.indexOf(connection);
+    if (index >= 0) idle.splice(index, 1);
+  }
+
   /** A frame without an exchange belongs to no request; its connection is closed. */
   function receive(connection: Connection, frame: Frame): void {
     const { handlers, socket } = connection;
@@ -194,7 +204,7 @@
     if (!isExpected) return void socket!.destroy();
     if (!handlers.onFrame(frame)) return;
     connection.handlers = undefined;
-    if (connection.generation === generation) idle.push(connection);
+    if (current.has(connection)) idle.push(connection);
     else socket!.destroy();
     startWaiting();
   }
@@ -210,13 +220,14 @@
   }
 
   function replaceConnections(): void {
-    generation += 1;
+    current = new Set();
     for (const { socket } of idle.splice(0)) socket!.destroy();
+    startWaiting();
   }
 
   function close(): void {
     for (const exchange of [...waiting]) cancel(exchange);
-    generation += 1;
+    current = new Set();
     idle.length = 0;
     for (const connection of all) {
       connection.isCancelled = true;
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -291,6 +291,22 @@
   expect(seen).toHaveLength(10);
 });
 
+test("silent connections that were replaced keep no exchange waiting", async () => {
+  await startPeer((socket, { head }, count) => {
+    if (count < 4) return;
+    const { ticket } = decodeRequestFrame(head)!;
+    socket.write(createReply(ticket, ""));
+  });
+  const silent = Array.from({ length: 4 }, () => createForward());
+  const ended = silent.map((it, i) => submit(`silent/${i}`, it));
+  await expect.poll(() => sockets.size).toBe(4);
+  const waiting = submit("waiting");
+  link!.replaceConnections();
+  expect((await waiting).kind).toBe(ReplyKind.Response);
+  for (const { signal } of silent) signal.emit("abort");
+  await Promise.all(ended);
+});
+
 test("after a replacement, new exchanges use new connections", async () => {
   await startPeer((socket, { head }) => {
     const { ticket } = decodeRequestFrame(head)!;
