--- a/review/support/world.ts
+++ b/review/support/world.ts
@@ -66,6 +66,7 @@
   readonly kind: "safe" | "unsafe" | "upload";
   readonly service: string;
   readonly timeoutS?: number;
+  readonly sloS?: number;
   readonly attempts?: number;
 }
 
@@ -214,7 +215,7 @@
           it.prefix,
           it.kind,
           it.timeoutS ?? 2,
-          0.4,
+          it.sloS ?? 0.4,
           1,
           it.attempts ?? 3,
           it.service,
