--- a/review/4/main.ts
+++ b/review/4/main.ts
@@ -1,12 +1,13 @@
 /**
- * DRAIN: the backends of a service hang on part of their requests, so that others
- * wait for a slot at the guards beside them. One of the backends begins to leave.
- * Orders that were waiting there are sent to it later than `drainS` after that,
- * and some are cut off as it exits.
+ * CONFIG: the open connections between the daemons and the store go silent, new
+ * ones work. A configuration that is acknowledged just after that is not in
+ * force when the machines are in touch again.
  */
 
+import { type Relay, startRelay } from "../../test/support/relay.ts";
 import { Buffer } from "node:buffer";
-import { createClient, type Ending } from "../support/client.ts";
+import type { StoreStandIn } from "../../test/platform/store_stand_in.ts";
+import { createClient } from "../support/client.ts";
 import { type Backend, startBackend } from "../support/upstream.ts";
 import {
   createWorld,
@@ -14,149 +15,134 @@
   now,
   Outcome,
   pause,
+  type Route,
   runCase,
-  type World,
 } from "../support/world.ts";
 
-const SERVICE = "normativa";
-const OTHER = "consulta";
-const SLOTS = 6;
-const WORK_MS = 300;
-/** Share of their requests that the faulty backends never answer (`srv_grey`, how hang all, x = .55). */
-const HANGING_SHARE = 0.55;
-const TIMEOUT_MS = 6_000;
-const DRAIN_MS = 2_000;
-/** Added to the bound: more than a message takes here. */
+const OLD = "orders";
+const NEW = "boards";
+const CONFIG_MS = 2_000;
+const STABLE_MS = 3_000;
+/** Added to both bounds: more than any request takes on its way here. */
 const MARGIN_MS = 100;
-/** How much longer than `drainS` the leaving backend runs, in ms; "at times many seconds". */
-const LINGER_MS = 4_000;
-const CALM_MS = 4_000;
-/** The backend begins to leave once so many of its six slots are held by requests that hang. */
-const HELD_SLOTS = 5;
-/** And after so much more time, in ms, in which others arrive. */
-const FULL_MS = 800;
-/** It begins to leave after this time at the latest, in ms. */
-const LEAVES_WITHIN_MS = 12_000;
-const WATCHED_MS = 6_500;
-const CLIENTS_PER_HOST = 6;
-const PAUSE_MS = 1_600;
+/** From the silence to the acknowledgement of the configuration. */
+const PUBLISH_AFTER_MS = 50;
+const CALM_MS = 3_500;
+const WATCHED_MS = 6_000;
+const REQUEST_EVERY_MS = 50;
+const ROUNDS = 3;
+const WATCH_PATH = "/-/kv-watch";
+/** Longer than any watch of a daemon. */
+const LONGEST_WAIT_MS = 4_500;
+
+interface Sent {
+  readonly id: string;
+  readonly at: number;
+}
 
 runCase(async (folder, onWorld) => {
-  const services = [SERVICE, SERVICE, SERVICE, OTHER, OTHER, OTHER, OTHER];
-  const world = await createWorld({ folder, services, slots: SLOTS });
+  const relays: Relay[] = [];
+  const world = await createWorld({
+    folder,
+    services: [OLD, OLD, NEW, NEW],
+    async getStoreAddress(_host, store) {
+      const [ip, port] = store.address.split(":") as [string, string];
+      const from = { ip: "127.0.0.1", port: await findPort() };
+      relays.push(await startRelay(from, { ip, port: Number(port) }));
+      return `${from.ip}:${from.port}`;
+    },
+  });
   onWorld(world);
   const backends: Backend[] = [];
-  let isHanging = false;
-  let isLeaving = false;
-  /** Requests that hang now. */
-  const hanging = new Set<string>();
-  for (const [index, host] of world.hosts.entries()) {
-    let answers = 0;
+  for (const host of world.hosts) {
     backends.push(
       await startBackend({
         instance: host.instance,
         address: host.upstreamAddress,
-        slots: SLOTS,
-        workMs: WORK_MS,
-        isDraining: () => index === 0 && isLeaving,
-        onRun: ({ id }) => world.record("run", { instance: host.instance, id }),
-        respond: async (run, res) => {
-          answers += 1;
-          const isLost = host.service === SERVICE && isHanging &&
-            Math.floor(answers * HANGING_SHARE) >
-              Math.floor((answers - 1) * HANGING_SHARE);
-          if (!isLost) {
-            res.writeHead(200).end(`answer to ${run.id}`);
-            return;
-          }
-          world.record("hangs", { instance: host.instance, id: run.id });
-          if (index === 0) hanging.add(run.id);
-          await new Promise((resolve) => res.once("close", resolve));
-          hanging.delete(run.id);
-        },
+        onRun: ({ id }) =>
+          world.record("run", { id, by: host.service, at: host.instance }),
       }),
     );
   }
-  world.publish(7, [{
-    name: "r-fees",
-    prefix: "/fee/",
-    kind: "unsafe",
-    service: SERVICE,
-    timeoutS: TIMEOUT_MS / 1_000,
-    sloS: 2,
-  }]);
+  let version = 7;
+  world.publish(version, [createRoute(OLD)]);
   for (const host of world.hosts) world.startDaemon(host);
   for (const host of world.hosts) await world.waitUntilReady(host);
-  const endings: Ending[] = [];
-  let until = Infinity;
-  const traffic = Promise.all(
-    world.hosts.flatMap((host, at) =>
-      Array.from({ length: CLIENTS_PER_HOST }, async (_, index) => {
-        const client = createClient(world, host.ip);
-        await pause(Math.random() * PAUSE_MS);
-        for (let i = 1; now() < until; i++) {
-          const id = `h${at + 1}c${index}-${i}`;
-          endings.push(
-            await client.send({
-              id,
-              path: `/fee/${i}`,
-              method: "POST",
-              body: Buffer.from(`fee ${id}`),
-              timeoutMs: TIMEOUT_MS,
-            }),
-          );
-          await pause(PAUSE_MS);
-        }
-        client.close();
-      })
-    ),
-  );
-  await pause(CALM_MS);
-  isHanging = isTroubled;
-  world.record("backends hang on part of their requests", { isHanging });
-  const leavesBy = now() + LEAVES_WITHIN_MS;
-  while (hanging.size < HELD_SLOTS && now() < leavesBy) await pause(10);
-  await pause(FULL_MS);
-  isLeaving = true;
-  const ackedAt = now();
-  world.list(world.hosts[0]!, { state: "draining" });
-  until = ackedAt + WATCHED_MS;
-  await pause(DRAIN_MS + LINGER_MS);
-  world.record("backend exits", { instance: world.hosts[0]!.instance });
-  await backends[0]!.end();
-  await traffic;
-  const isBroken = findLate(world, { ackedAt, endings, left: backends[0]! });
-  for (const backend of backends.slice(1)) await backend.end();
-  return isBroken ? Outcome.Broken : Outcome.Held;
+  const late: string[] = [];
+  for (let round = 1; round <= ROUNDS; round++) {
+    await pause(CALM_MS);
+    const [from, to] = round % 2 === 1 ? [OLD, NEW] : [NEW, OLD];
+    await waitForWatches(world.store, world.hosts.length);
+    const silencedAt = now();
+    if (isTroubled) {
+      for (const relay of relays) relay.silence();
+      world.record("silenced", { connections: "all daemons to the store" });
+    }
+    await pause(PUBLISH_AFTER_MS);
+    version += 3;
+    world.publish(version, [createRoute(to)]);
+    const boundAt = Math.max(
+      now() + CONFIG_MS,
+      silencedAt + (isTroubled ? STABLE_MS : 0),
+    ) + MARGIN_MS;
+    const sent: Sent[] = [];
+    const until = now() + WATCHED_MS;
+    await Promise.all(world.hosts.map(async ({ ip }, index) => {
+      const client = createClient(world, ip);
+      for (let i = 1; now() < until; i++) {
+        const id = `r${round}h${index + 1}-${i}`;
+        sent.push({ id, at: now() });
+        await client.send({
+          id,
+          path: `/order/${i}`,
+          method: "POST",
+          body: Buffer.from(`order ${id}`),
+          timeoutMs: 800,
+        });
+        await pause(REQUEST_EVERY_MS);
+      }
+      client.close();
+    }));
+    const oldRuns = new Set(
+      backends.filter((_, at) => world.hosts[at]!.service === from)
+        .flatMap((it) => it.runs).map((it) => it.id),
+    );
+    const breaches = sent.filter((it) => it.at > boundAt && oldRuns.has(it.id));
+    for (const { id, at } of breaches) {
+      const afterBoundMs = Math.round(at - boundAt);
+      world.record("CONFIG", { id, by: from, afterBoundMs });
+      late.push(id);
+    }
+    world.record("round", { round, breaches: breaches.length });
+  }
+  for (const backend of backends) await backend.end();
+  for (const relay of relays) await relay.close();
+  return late.length > 0 ? Outcome.Broken : Outcome.Held;
 });
 
-/** Requests that began at the leaving backend later than the bound. */
-function findLate(
-  world: World,
-  { ackedAt, endings, left }: {
-    ackedAt: number;
-    endings: readonly Ending[];
-    left: Backend;
-  },
-): boolean {
-  const late = left.runs.filter((it) => it.at > ackedAt + DRAIN_MS + MARGIN_MS);
-  for (const { id, at, isAnswered } of late) {
-    const ending = endings.find((it) => it.id === id);
-    world.record("DRAIN", {
-      id,
-      afterAckMs: Math.round(at - ackedAt),
-      isAnswered,
-      status: ending?.status ?? "none",
+function createRoute(service: string): Route {
+  return { name: "r-orders", prefix: "/order/", kind: "unsafe", service };
+}
+
+/** Resolves once each daemon has begun another watch, at the latest after one whole wait. */
+async function waitForWatches(
+  store: StoreStandIn,
+  daemons: number,
+): Promise<void> {
+  const count = () => store.calls.get(WATCH_PATH) ?? 0;
+  const before = count();
+  const until = now() + LONGEST_WAIT_MS;
+  while (count() < before + daemons && now() < until) await pause(10);
+}
+
+/** A free port of the loopback address. */
+async function findPort(): Promise<number> {
+  const { createServer } = await import("node:net");
+  return await new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as { port: number };
+      server.close(() => resolve(port));
     });
-  }
-  const ended = new Map<string, number>();
-  for (const { status = 0 } of endings) {
-    ended.set(String(status), (ended.get(String(status)) ?? 0) + 1);
-  }
-  world.record("sum", {
-    requests: endings.length,
-    late: late.length,
-    byStatus: Object.fromEntries(ended),
   });
-  return late.length > 0;
 }
