--- a/review/build.sh
+++ b/review/build.sh
@@ -12,3 +12,4 @@
   bundle "$main" "case-$(basename "$(dirname "$main")")"
 done
 bundle review/2/foreign.ts case-2-foreign
+bundle review/entries/leaving.ts entry-leaving
