--- a/review/support/upstream.ts
+++ b/review/support/upstream.ts
@@ -114,12 +114,14 @@
     options.onRun?.(run);
     running += 1;
     await pause(workMs);
-    running -= 1;
-    res.setHeader("X-Vanillarock-Server-Load", `${running},0,${slots},100`);
+    const others = running - 1;
+    res.setHeader("X-Vanillarock-Server-Load", `${others},0,${slots},100`);
     res.setHeader("X-Vanillarock-Response-Signature", `sig.${id}`);
     res.once("finish", () => run.isAnswered = true);
     if (options.respond !== undefined) await options.respond(run, res);
     else res.writeHead(200).end(`answer to ${id}`);
+    // A request that hangs is running until its connection closes.
+    running -= 1;
   }
 
   function end(): Promise<void> {
