--- a/review/2/foreign.ts
+++ b/review/2/foreign.ts
@@ -23,10 +23,12 @@
 const SERVICE = "boards";
 /** One in so many answers of the faulty backend is spoilt (`garble`, x = .02). */
 const SPOILT_ONE_IN = 50;
+/** For so long (`garble`, for_s = 5), in ms. */
+const SPOILT_MS = 5_000;
 const WORK_MS = 40;
 const TIMEOUT_MS = 800;
 const CALM_MS = 4_000;
-const TRAFFIC_MS = 10_000;
+const TRAFFIC_MS = 7_000;
 const CLIENTS_PER_HOST = 4;
 /** Requests that a client sends together. */
 const TOGETHER = 3;
@@ -36,6 +38,7 @@
   const world = await createWorld({ folder, services: [SERVICE, SERVICE] });
   onWorld(world);
   const backends: Backend[] = [];
+  let isSpoiling = false;
   for (const [index, host] of world.hosts.entries()) {
     let answers = 0;
     backends.push(
@@ -46,7 +49,7 @@
         onRun: ({ id }) => world.record("run", { instance: host.instance, id }),
         respond: (run, res) => {
           answers += 1;
-          const isSpoilt = isTroubled && index === 0 &&
+          const isSpoilt = isSpoiling && index === 0 &&
             answers % SPOILT_ONE_IN === 0;
           if (!isSpoilt) {
             res.writeHead(200).end(`answer to ${run.id}`);
@@ -74,6 +77,8 @@
   for (const host of world.hosts) world.startDaemon(host);
   for (const host of world.hosts) await world.waitUntilReady(host);
   await pause(CALM_MS);
+  isSpoiling = isTroubled;
+  setTimeout(() => isSpoiling = false, SPOILT_MS);
   const exchanges: Exchange[] = [];
   const until = now() + TRAFFIC_MS;
   await Promise.all(
--- a/review/2/main.ts
+++ b/review/2/main.ts
@@ -21,12 +21,14 @@
 const ORDERS = "orders";
 /** One in so many answers of the faulty backend is spoilt (`garble`, x = .02). */
 const SPOILT_ONE_IN = 50;
-const CLIENTS_PER_HOST = 6;
+/** For so long (`garble`, for_s = 5), in ms. */
+const SPOILT_MS = 5_000;
+const CLIENTS_PER_HOST = 10;
 const ORDER_WORK_MS = 150;
 const BOARD_WORK_MS = 40;
 /** `stableS` and a little more: the daemons are in touch from then on. */
 const CALM_MS = 4_000;
-const TRAFFIC_MS = 12_000;
+const TRAFFIC_MS = 8_000;
 const TIMEOUT_MS = 1_000;
 /** Pause before a daemon that has ended is started again, as the platform does. */
 const RESTART_MS = 500;
@@ -40,8 +42,15 @@
   });
   onWorld(world);
   const backends: Backend[] = [];
+  let isSpoiling = false;
   for (const [index, host] of world.hosts.entries()) {
-    backends.push(await startBoardsOrOrders(world, host, index === 0));
+    backends.push(
+      await startBoardsOrOrders(
+        world,
+        host,
+        () => index === 0 && isSpoiling,
+      ),
+    );
   }
   world.publish(7, [
     { name: "r-boards", prefix: "/board/", kind: "safe", service: BOARDS },
@@ -50,6 +59,8 @@
   for (const host of world.hosts) world.startDaemon(host);
   for (const host of world.hosts) await world.waitUntilReady(host);
   await pause(CALM_MS);
+  isSpoiling = isTroubled;
+  setTimeout(() => isSpoiling = false, SPOILT_MS);
   const endings: Ending[] = [];
   const until = performance.now() + TRAFFIC_MS;
   const restarting = restartEnded(world, until);
@@ -85,7 +96,7 @@
 function startBoardsOrOrders(
   world: World,
   host: Host,
-  isFaulty: boolean,
+  isSpoiling: () => boolean,
 ): Promise<Backend> {
   let answers = 0;
   return startBackend({
@@ -95,7 +106,7 @@
     onRun: ({ id }) => world.record("run", { instance: host.instance, id }),
     respond: (run, res) => {
       answers += 1;
-      const isSpoilt = isTroubled && isFaulty && answers % SPOILT_ONE_IN === 0;
+      const isSpoilt = isSpoiling() && answers % SPOILT_ONE_IN === 0;
       if (!isSpoilt) {
         res.writeHead(200).end(`answer to ${run.id}`);
         return;
--- a/review/5/main.ts
+++ b/review/5/main.ts
@@ -24,6 +24,8 @@
 const WORK_MS = 300;
 /** Share of their requests that the faulty backends never answer (`srv_grey`, how hang all, x = .55). */
 const HANGING_SHARE = 0.55;
+/** For so long (`srv_grey`, for_s = 8.5), in ms. */
+const HANGING_MS = 8_500;
 const TIMEOUT_MS = 6_000;
 const DRAIN_MS = 2_000;
 /** Added to the bound: more than a message takes here. */
@@ -113,6 +115,7 @@
   );
   await pause(CALM_MS);
   isHanging = isTroubled;
+  setTimeout(() => isHanging = false, HANGING_MS);
   world.record("backends hang on part of their requests", { isHanging });
   const leavesBy = now() + LEAVES_WITHIN_MS;
   while (hanging.size < HELD_SLOTS && now() < leavesBy) await pause(10);
