A status that no final response has ends no daemon

Cause: Node.js parses any three digits as a status, nothing asked whether it is a final one, writeHead throws below 100, and a handler that throws was an unhandled rejection. An upgrade, and bytes behind the response to a HEAD, ended in no event that the client of the upstream listened to: no answer at all.

Fix: a status is checked where it enters a daemon; each place that starts a handler answers its own caller if the handler throws.

--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -380,6 +380,13 @@
     421,
     "the message is for another host",
   ),
+  handler_failed: row(
+    2014,
+    Link,
+    "handler_failed",
+    502,
+    "a daemon could not handle the request or its answer",
+  ),
   config_invalid: row(
     4001,
     Config,
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -8,7 +8,7 @@
 import { v7 } from "uuid";
 import type { AccountDirectory } from "../client_account/directory.ts";
 import type { Counters } from "../core/counters.ts";
-import type { DiagnosticName } from "../core/diagnostics.ts";
+import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import {
   Execution,
   type KeptResponse,
@@ -27,6 +27,7 @@
   tryFindAccount,
 } from "./caller_admission.ts";
 import type { GatewayRequest, GatewayTask } from "./gateway_task.ts";
+import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import { canBufferBody, readBody } from "./request_body.ts";
@@ -67,8 +68,10 @@
     const { incoming, outgoing } = c.env;
     const id = getHeader(incoming.headers, Header.RequestId) ?? "";
     const req = { id: `${v7()}${id && `:${id}`}`, incoming, outgoing };
-    const reason = await handle(req);
-    if (reason !== undefined) refuse(req, reason);
+    await runHandler(async () => {
+      const reason = await handle(req);
+      if (reason !== undefined) refuse(req, reason);
+    }, (error) => fail(req, error));
     return RESPONSE_ALREADY_SENT;
   });
   return app;
@@ -153,6 +156,17 @@
     task.complete(req.id);
   }
 
+  function fail(req: CallerRequest, error: Error): void {
+    counters.add("handler_failed");
+    logHandlerFailure(logger, error, { handler: "callers", req: req.id });
+    task.abandon(req.id);
+    if (req.outgoing.headersSent) return void req.outgoing.destroy();
+    writeVerdict(req, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.handler_failed,
+    });
+  }
+
   function refuse(req: CallerRequest, name: DiagnosticName): void {
     counters.add(`refused_${name}`);
     writeVerdict(req, createCallerRefusal(name));
--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -27,6 +27,7 @@
 } from "../link/types.ts";
 import { encodeVerdict, Step } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
+import { runHandler } from "./handler_failure.ts";
 import { createReportHeaders } from "./peer_server.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
@@ -37,6 +38,8 @@
 export interface FrameServerOptions {
   readonly guard: GuardTask;
   onMalformed(diagnostic: Diagnostic, message: string): void;
+  /** Called for an exception of a handler, whose sender gets an answer or a cut. */
+  onHandlerFailure(error: Error): void;
   /** Called when an exchange begins; the result is called once its reply is sent or its connection has closed. */
   trackExchange(): () => void;
 }
@@ -138,7 +141,11 @@
       let isFinished = false;
       openSignal = signal;
       signal.once("abort", end);
-      void serve({ socket, head, body: frame.body, signal, finish });
+      const exchange = { socket, head, body: frame.body, signal, finish };
+      void runHandler(() => serve(exchange), (error) => {
+        options.onHandlerFailure(error);
+        socket.destroy();
+      });
 
       function finish(last: Buffer): void {
         if (isFinished || socket.destroyed) return;
@@ -153,12 +160,30 @@
   async function serve(exchange: Exchange): Promise<void> {
     const { socket, head } = exchange;
     const handler = steps[head.step];
-    const reply = await (handler?.(exchange) ??
-      refuseMalformed(`step ${head.step}`));
+    const reply =
+      await (handler === undefined
+        ? refuseMalformed(`step ${head.step}`)
+        : answer(handler, exchange));
     if (socket.destroyed) return discardResponse(reply);
     sendReply(exchange, reply);
   }
 
+  /** Whether the request of a handler that throws has run is not known. */
+  async function answer(
+    handler: StepHandler,
+    exchange: Exchange,
+  ): Promise<GuardReply> {
+    let reply: GuardReply = createRefusal(
+      Execution.MayHaveRun,
+      Diagnostics.handler_failed,
+    );
+    await runHandler(
+      async () => void (reply = await handler(exchange)),
+      options.onHandlerFailure,
+    );
+    return reply;
+  }
+
   function sendReply(exchange: Exchange, reply: GuardReply): void {
     const { socket, head: { ticket } } = exchange;
     switch (reply.kind) {
@@ -253,10 +278,14 @@
 }
 
 function createNotRun(diagnostic: Diagnostic): GuardReply {
-  return {
-    kind: ReplyKind.Refused,
-    verdict: { execution: Execution.NotRun, diagnostic },
-  };
+  return createRefusal(Execution.NotRun, diagnostic);
+}
+
+function createRefusal(
+  execution: Execution,
+  diagnostic: Diagnostic,
+): GuardReply {
+  return { kind: ReplyKind.Refused, verdict: { execution, diagnostic } };
 }
 
 function discardResponse(reply: GuardReply): void {
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -33,6 +33,7 @@
 } from "../link/types.ts";
 import { Header } from "../link/wire.ts";
 import type { Clock } from "./clock.ts";
+import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { LogFields, Logger } from "./logger.ts";
 import { createWaker } from "./waker.ts";
 
@@ -149,10 +150,10 @@
     onLate: options.onLate,
   });
   const handlers: ActionHandlers = {
-    [GatewayActionKind.Reserve]: (action) => void reserve(action),
-    [GatewayActionKind.Submit]: (action) => void submit(action),
-    [GatewayActionKind.Run]: (action) => void run(action),
-    [GatewayActionKind.Settle]: (action) => void settle(action),
+    [GatewayActionKind.Reserve]: (action) => exchangeWith(reserve, action),
+    [GatewayActionKind.Submit]: (action) => exchangeWith(submit, action),
+    [GatewayActionKind.Run]: (action) => exchangeWith(run, action),
+    [GatewayActionKind.Settle]: (action) => exchangeWith(settle, action),
     [GatewayActionKind.Release]: release,
     [GatewayActionKind.Cancel]: ({ id, attempt }) => {
       const io = exchanges.get(id)?.attempts.get(attempt);
@@ -186,6 +187,19 @@
     waker.update();
   }
 
+  /** Starts an exchange with a guard; one that throws counts as failed, and its request as in doubt. */
+  function exchangeWith<A extends { id: string; attempt: number }>(
+    send: (action: A) => Promise<void>,
+    action: A,
+  ): void {
+    const { id, attempt } = action;
+    void runHandler(() => send(action), (error) => {
+      const req = getCallerId(id);
+      logHandlerFailure(logger, error, { handler: "gateway", req });
+      reportLinkFailure(id, attempt, true);
+    });
+  }
+
   /** Logs each action that addresses a host. */
   function logAction(action: GatewayAction): void {
     if (!("to" in action)) return;
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -32,6 +32,7 @@
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGuardTask } from "./guard_task.ts";
 import { explainCall } from "./gossip_explain.ts";
+import { logHandlerFailure } from "./handler_failure.ts";
 import { startHttpServer, stopHttpServer } from "./http_server.ts";
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
@@ -203,6 +204,10 @@
           counters.add(reason);
           logger.warn("peer_nonsense", { reason, message });
         },
+        onHandlerFailure: (error) => {
+          counters.add("handler_failed");
+          logHandlerFailure(logger, error, { handler: "peers" });
+        },
       }),
     );
     await control.start();
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -41,6 +41,7 @@
   UpstreamFailure,
 } from "../upstream/upstream_client.ts";
 import type { Clock } from "./clock.ts";
+import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { Logger } from "./logger.ts";
 import type { UpstreamEnds } from "./upstream_ends.ts";
 import { createWaker } from "./waker.ts";
@@ -145,7 +146,11 @@
       sendReply(ticket, { kind: ReplyKind.Replay, ticket, response });
       tickets.delete(ticket);
     },
-    [GuardActionKind.Start]: ({ ticket }) => void startUpstream(ticket),
+    [GuardActionKind.Start]: ({ ticket }) =>
+      void runHandler(
+        () => startUpstream(ticket),
+        (error) => failStart(ticket, error),
+      ),
     [GuardActionKind.CancelUpstream]: ({ ticket }) => {
       tickets.get(ticket)?.signal?.emit("abort");
     },
@@ -384,6 +389,17 @@
     sendResponse(ticket, { ...response, body }, { isRecorded });
   }
 
+  function failStart(ticket: Ticket, error: Error): void {
+    const req = getRequestId(ticket);
+    logHandlerFailure(logger, error, { handler: "guard", req });
+    const failure = {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.handler_failed,
+    };
+    sendReply(ticket, { kind: ReplyKind.Refused, verdict: failure });
+    onUpstreamFailure(ticket, { ...failure, message: error.message });
+  }
+
   /** Ends a request that is not to be started once the sockets were read. */
   function endUnsent(
     ticket: Ticket,
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -14,12 +14,13 @@
 import type { Counters } from "../core/counters.ts";
 import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import type { MemoryBudget } from "../core/memory_budget.ts";
-import type {
-  Arrival,
-  CoreHost,
-  Millis,
-  ServiceName,
-  Verdict,
+import {
+  type Arrival,
+  type CoreHost,
+  Execution,
+  type Millis,
+  type ServiceName,
+  type Verdict,
 } from "../core/types.ts";
 import type { StreamedResponse } from "../link/types.ts";
 import { sendBytes } from "../link/small_response.ts";
@@ -27,6 +28,7 @@
 import { Header } from "../link/wire.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
+import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import {
   admitIngress,
   computeRetryAfter,
@@ -97,9 +99,33 @@
     const req: CallerRequest = { id, metadata, incoming, outgoing, arrivedAt };
     incoming.on("error", (error) => logRequestCutOff(req, error));
     if (options.isStopping()) outgoing.setHeader("connection", "close");
-    void handle(req);
+    void runHandler(() => handle(req), (error) => fail(req, error));
   };
 
+  /** Whether the request ran is not known. */
+  function fail(req: CallerRequest, error: Error): void {
+    const { outgoing, incoming, metadata, id } = req;
+    counters.add("handler_failed");
+    logHandlerFailure(logger, error, {
+      handler: "ingress",
+      req: metadata.id,
+    });
+    open.get(incoming.socket)?.delete(req);
+    req.kept?.release();
+    req.response?.destroy();
+    task.abandon(id);
+    if (outgoing.headersSent) return void outgoing.destroy();
+    const { status, headers } = dialect.createVerdictHead(
+      {
+        execution: Execution.MayHaveRun,
+        diagnostic: Diagnostics.handler_failed,
+      },
+      metadata.id,
+    );
+    outgoing.writeHead(status, { ...headers, "content-length": "0" });
+    outgoing.end();
+  }
+
   async function handle(req: CallerRequest): Promise<void> {
     const { incoming } = req;
     const bodyBytes = Number(incoming.headers["content-length"] ?? 0);
@@ -213,12 +239,12 @@
     });
     const { [Header.Unframed]: unframed, ...headers } = response.headers;
     if (unframed !== undefined) delimitByClose(outgoing, response.body);
+    if (bytes === undefined) req.response = response.body;
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
     if (bytes !== undefined) {
       return sendBytes(bytes, outgoing, (error) => end(error, bytes.length));
     }
     const { body } = response;
-    req.response = body;
     const getSize = measureBody(response);
     if (Number(headers["content-length"] ?? Infinity) > MAX_SENT_AT_ONCE) {
       outgoing.setTimeout(STALLED_CALLER_MS, () => outgoing.destroy());
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -22,6 +22,7 @@
   Step,
 } from "../link/wire.ts";
 import type { GuardTask } from "./guard_task.ts";
+import { runHandler } from "./handler_failure.ts";
 import { decodePosition, type PeerState } from "./peer_state.ts";
 import { canBufferBody, hasBody, readBody } from "./request_body.ts";
 import { hasEnded } from "./unread_sockets.ts";
@@ -39,6 +40,8 @@
   getRevisions(): string;
   onRevisions(from: HostId, revisions: string): void;
   onMalformed(diagnostic: Diagnostic, message: string): void;
+  /** Called for an exception of a handler, whose sender gets an answer or a cut. */
+  onHandlerFailure(error: Error): void;
   /** Handles another daemon's suspects; absent if this daemon exchanges none. */
   receiveSuspects?(body: string): string | undefined;
   /** What this daemon knows of the store after a position; absent if it reads none. */
@@ -82,9 +85,21 @@
       ? steps[step]
       : undefined;
     if (handler === undefined) refuseMalformed(outgoing, `step ${step}`);
-    else void handler({ incoming, outgoing, ticket });
+    else {
+      const msg = { incoming, outgoing, ticket };
+      void runHandler(() => handler(msg), (error) => fail(outgoing, error));
+    }
   };
 
+  function fail(outgoing: ServerResponse, error: Error): void {
+    options.onHandlerFailure(error);
+    if (outgoing.headersSent) return void outgoing.destroy();
+    refuse(outgoing, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.handler_failed,
+    });
+  }
+
   function reportRevisions(incoming: IncomingMessage): void {
     const from = getHeader(incoming.headers, Header.From);
     const revisions = getHeader(incoming.headers, Header.Revisions);
@@ -225,11 +240,16 @@
     reply: Extract<GuardReply, { kind: ReplyKind.Response }>,
   ): void {
     const { status, headers, body } = reply.response;
-    msg.outgoing.writeHead(status, {
-      ...getForwardHeaders(headers),
-      ...createHeaders(msg.incoming),
-      [Header.Ticket]: msg.ticket,
-    });
+    try {
+      msg.outgoing.writeHead(status, {
+        ...getForwardHeaders(headers),
+        ...createHeaders(msg.incoming),
+        [Header.Ticket]: msg.ticket,
+      });
+    } catch (error) {
+      discardResponse(reply);
+      throw error;
+    }
     streamBody(body, msg.outgoing, () => {});
   }
 
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -43,6 +43,7 @@
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
+import { logHandlerFailure } from "./handler_failure.ts";
 import { createIngressHandler } from "./ingress_server.ts";
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
@@ -394,6 +395,7 @@
     frames: createFrameServer({
       guard: guardTask,
       onMalformed: recordMalformed,
+      onHandlerFailure: recordPeerFailure,
       trackExchange: () => {
         pendingRequests += 1;
         return () => pendingRequests -= 1;
@@ -407,6 +409,7 @@
       tryGetState: relay.tryGetState,
       receiveSuspects: protection.receive,
       onMalformed: recordMalformed,
+      onHandlerFailure: recordPeerFailure,
     })),
   });
   const readiness = await listen(settings.listen.readiness, handleReadiness);
@@ -452,6 +455,11 @@
     logger.warn("peer_nonsense", { reason, message });
   }
 
+  function recordPeerFailure(error: Error): void {
+    counters.add("handler_failed");
+    logHandlerFailure(logger, error, { handler: "peers" });
+  }
+
   function logBufferState(isExhausted: boolean): void {
     const fields = { used: memory.getUsed(), limit: memory.getLimit() };
     if (isExhausted) logger.warn("buffers_full", fields);
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -47,6 +47,7 @@
 const WORST_LOAD_TEST = "test/worst_load_test.ts";
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
+const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
 
 /** All mutations. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -1876,4 +1877,14 @@
     }],
     testFile: HTTP_LINK_TEST,
   },
+  {
+    name: "statuses_are_final",
+    guarantee: "the whole answer, to its own caller alone",
+    file: "src/upstream/upstream_client.ts",
+    edits: [{
+      find: "if (!isFinalStatus(response.status)) {",
+      replace: "if (response.status === undefined) {",
+    }],
+    testFile: UPSTREAM_CLIENT_TEST,
+  },
 ];
--- /dev/null
+++ b/src/link/final_status.ts
@@ -0,0 +1,13 @@
+/** Statuses that a final response may have. */
+
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/**
+ * True for 200 to 599. Lower statuses announce that a final response follows or,
+ * below 100, have no meaning; Node.js parses any three digits.
+ */
+export function isFinalStatus(status: number): boolean {
+  return Number.isInteger(status) && status >= FIRST_FINAL_STATUS &&
+    status <= LAST_STATUS;
+}
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -4,6 +4,7 @@
  */
 
 import { Repeatability, type RequestHead, type Ticket } from "../core/types.ts";
+import { isFinalStatus } from "./final_status.ts";
 import { Step } from "./wire.ts";
 
 /** Header names with their values. */
@@ -88,7 +89,9 @@
   key: isOptional(isText),
   ticket: isOptional(isText),
   replay: isAnything,
-  status: isOptional(isNumber),
+  status: isOptional((value) =>
+    isNumber(value) && isFinalStatus(value as number)
+  ),
   headers: isOptional(areHeaders),
   hasParts: isOptional(isFlag),
 });
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -213,7 +213,7 @@
       return false;
     }
     metadata.report(reply.meta);
-    if (reply.hasParts) {
+    if (reply.hasParts && reply.status !== undefined) {
       parts = createParts(from);
       resolve(createResponse(reply, { ...getHead(reply), body: parts }));
       return false;
@@ -246,6 +246,9 @@
         : { kind: ReplyKind.Replay, ticket, response };
     }
     if (grant !== undefined) return { kind: ReplyKind.Granted, grant, key };
+    if (reply.status === undefined) {
+      return toFailure("a reply without a status", true);
+    }
     return createResponse(reply, createSmallResponse(getHead(reply), body));
   }
 
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -10,6 +10,7 @@
   RequestHead,
   Ticket,
 } from "../core/types.ts";
+import { isFinalStatus } from "./final_status.ts";
 import { getHeader } from "./http_headers.ts";
 import {
   CONNECT_TIMEOUT_CODE,
@@ -272,6 +273,10 @@
       const grant = getHeader(res.headers, Header.Grant);
       return metadata.decodeRefusal(verdictText, grant);
     }
+    if (!isFinalStatus(res.statusCode)) {
+      res.body.on("error", () => {}).destroy();
+      throw new Error(`a reply of status ${res.statusCode}`);
+    }
     const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
       const response = decodeReplay(await res.body.json());
--- a/src/link/reply_metadata.ts
+++ b/src/link/reply_metadata.ts
@@ -10,6 +10,7 @@
   type LoadReport,
   type Verdict,
 } from "../core/types.ts";
+import { isFinalStatus } from "./final_status.ts";
 import { getHeader } from "./http_headers.ts";
 import { type GuardReply, ReplyKind } from "./types.ts";
 import {
@@ -44,7 +45,7 @@
 };
 
 const replaySchema = z.object({
-  status: z.int(),
+  status: z.int().refine(isFinalStatus),
   contentType: z.string(),
   body: z.string(),
   headers: z.record(z.string(), z.union([z.string(), z.array(z.string())]))
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -1,5 +1,6 @@
 /** Client of the local upstream; a failure states whether the request may have run. */
 
+import { Buffer } from "node:buffer";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
@@ -13,6 +14,8 @@
 import type { Clock } from "../daemon/clock.ts";
 import type { ForwardRequest, StreamedResponse } from "../link/types.ts";
 import { splitAddress } from "../link/address.ts";
+import { isFinalStatus } from "../link/final_status.ts";
+import { createSmallResponse } from "../link/small_response.ts";
 import {
   AbortError,
   EndlessResponseError,
@@ -140,6 +143,15 @@
         );
       });
       let response: IncomingMessage | undefined;
+      // Without a listener, an accepted upgrade would end in no event but the close.
+      req.once("upgrade", (_res, socket) => {
+        socket.destroy();
+        reject(new MalformedResponseError("an upgrade that was not asked for"));
+      });
+      req.once("close", () => {
+        clearTimeout(connecting);
+        reject(new Error("closed before the response"));
+      });
       req.once("response", (res) => {
         response = res;
         res.on("error", ignoreError);
@@ -175,6 +187,9 @@
     response: StreamedResponse,
     sent: { call: UpstreamCall; sentAt: Millis },
   ): Promise<UpstreamResult> {
+    if (!isFinalStatus(response.status)) {
+      return discard(response, ResponseClass.Malformed);
+    }
     const load = protocol.readLoad(response.headers);
     if (load !== undefined) options.onLoad?.(load);
     const responseClass = protocol.classify(request, response);
@@ -182,8 +197,7 @@
     if (responseClass !== ResponseClass.Valid) {
       return discard(response, responseClass);
     }
-    // A response to HEAD may state the length of a body that it doesn't have.
-    if (request.method === "HEAD") return { response };
+    if (request.method === "HEAD") return { response: endAtHead(response) };
     return await reader.read(response);
   }
 
@@ -201,6 +215,17 @@
   }
 }
 
+/**
+ * The response to a HEAD, which may state the length of a body that it doesn't
+ * have. Bytes behind the head end the connection, not the response.
+ */
+function endAtHead(
+  { status, headers, body }: StreamedResponse,
+): StreamedResponse {
+  body.resume();
+  return createSmallResponse({ status, headers }, Buffer.alloc(0));
+}
+
 /** Classes of responses with all headers of the upstream; others may lack some. */
 const COMPLETE_CLASSES = new Set([
   ResponseClass.Valid,
@@ -210,6 +235,9 @@
 /** The connection was not established, so nothing was sent. */
 class ConnectError extends Error {}
 
+/** The upstream sent something that is no response to a request. */
+class MalformedResponseError extends Error {}
+
 function isConnectionReset(error: Error): boolean {
   return (error as { code?: string }).code === "ECONNRESET";
 }
@@ -272,6 +300,9 @@
 
 function getCause(error: unknown): Diagnostic {
   if (error instanceof AbortError) return Diagnostics.upstream_timeout;
+  if (error instanceof MalformedResponseError) {
+    return Diagnostics.answer_garbled;
+  }
   return isEndlessHead(error)
     ? Diagnostics.response_too_large
     : Diagnostics.upstream_lost;
