The client of an upstream frames each request body

Cause: the framing of the caller's connection is dropped, rightly, and nothing put one of the next connection in its place; node:http frames a body by itself only for methods that usually have one. A body in 'gzip, chunked' was passed on without its coding.

Fix: a length for what is kept, chunks for what is streamed; another transfer coding gets 501.

--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -387,6 +387,13 @@
     502,
     "a daemon could not handle the request or its answer",
   ),
+  unknown_transfer_coding: row(
+    3012,
+    Input,
+    "unknown_transfer_coding",
+    501,
+    "the request's body has a transfer coding other than chunked",
+  ),
   config_invalid: row(
     4001,
     Config,
--- a/src/daemon/caller_admission.ts
+++ b/src/daemon/caller_admission.ts
@@ -35,6 +35,8 @@
   readonly bodyBytes: number;
   /** True if the body can be buffered so that a retry can send it again. */
   readonly isBufferable: boolean;
+  /** True if the body is coded in another way than in chunks. */
+  readonly hasUnknownCoding?: boolean;
 }
 
 /** A request that the gateway gets, or the reason why it doesn't. */
@@ -54,6 +56,7 @@
   facts: CallerFacts,
   options: CallerAdmissionOptions,
 ): CallerAdmission {
+  if (facts.hasUnknownCoding) return { refusal: "unknown_transfer_coding" };
   const refusal = options.getRefusalReason();
   if (refusal !== undefined) return { refusal };
   const account = tryFindAccount(options.accounts, facts);
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -30,7 +30,7 @@
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
-import { canBufferBody, readBody } from "./request_body.ts";
+import { canBufferBody, hasUnknownCoding, readBody } from "./request_body.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
@@ -252,6 +252,7 @@
     retriesText: getHeader(headers, Header.RetriesLeft),
     bodyBytes: Number(headers["content-length"] ?? 0),
     isBufferable: canBufferBody(incoming, MAX_BUFFERED_BODY_BYTES),
+    hasUnknownCoding: hasUnknownCoding(incoming),
   };
 }
 
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -35,6 +35,8 @@
   /** Path and query. */
   readonly url: string;
   readonly bodyBytes: number;
+  /** True if the body is coded in another way than in chunks. */
+  readonly hasUnknownCoding?: boolean;
 }
 
 /** A request that the gateway gets, or the reason why it doesn't. */
@@ -44,9 +46,10 @@
 
 /** Decides whether the gateway gets a request. */
 export function admitIngress(
-  { hostname, url, bodyBytes }: IngressFacts,
+  { hostname, url, bodyBytes, hasUnknownCoding }: IngressFacts,
   options: IngressAdmissionOptions,
 ): IngressAdmission {
+  if (hasUnknownCoding) return { refusal: "unknown_transfer_coding" };
   const refusal = options.getRefusalReason();
   if (refusal !== undefined) return { refusal };
   const routes = options.getRoutes();
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -39,7 +39,12 @@
 import { createRefusal } from "./request_explanation.ts";
 import { createSignature } from "./request_signature.ts";
 import { hasEnded } from "./unread_sockets.ts";
-import { hasBody, type KeptBody, tryKeepBody } from "./request_body.ts";
+import {
+  hasBody,
+  hasUnknownCoding,
+  type KeptBody,
+  tryKeepBody,
+} from "./request_body.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
 export const MAX_BUFFERED_BODY_BYTES = 524_288;
@@ -133,6 +138,7 @@
       hostname: (incoming.headers.host ?? "").replace(/:\d+$/, ""),
       url: incoming.url ?? "/",
       bodyBytes,
+      hasUnknownCoding: hasUnknownCoding(incoming),
     }, options);
     if ("refusal" in admission) return refuse(req, admission.refusal);
     const { route, routes } = admission;
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -24,7 +24,12 @@
 import type { GuardTask } from "./guard_task.ts";
 import { runHandler } from "./handler_failure.ts";
 import { decodePosition, type PeerState } from "./peer_state.ts";
-import { canBufferBody, hasBody, readBody } from "./request_body.ts";
+import {
+  canBufferBody,
+  hasBody,
+  hasUnknownCoding,
+  readBody,
+} from "./request_body.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
 const MAX_KEYS_AT_ONCE = 1_000;
@@ -85,7 +90,9 @@
       ? steps[step]
       : undefined;
     if (handler === undefined) refuseMalformed(outgoing, `step ${step}`);
-    else {
+    else if (hasUnknownCoding(incoming)) {
+      refuseMalformed(outgoing, "a body in an unknown transfer coding");
+    } else {
       const msg = { incoming, outgoing, ticket };
       void runHandler(() => handler(msg), (error) => fail(outgoing, error));
     }
--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -13,6 +13,15 @@
     Number(headers["content-length"] ?? 0) > 0;
 }
 
+/**
+ * True if a body is coded in another way than in chunks. Its bytes mean nothing
+ * without the coding, which is valid for one connection only.
+ */
+export function hasUnknownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && coding.trim().toLowerCase() !== "chunked";
+}
+
 /** Reads a whole body; undefined if there is none, "cut-off" if it ends early. */
 export function readBody(
   incoming: IncomingMessage,
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1887,4 +1887,14 @@
     }],
     testFile: UPSTREAM_CLIENT_TEST,
   },
+  {
+    name: "streams_are_framed",
+    guarantee: "nothing runs that no caller sent",
+    file: "src/upstream/upstream_client.ts",
+    edits: [{
+      find: '? { "transfer-encoding": "chunked" }',
+      replace: "? {}",
+    }],
+    testFile: UPSTREAM_CLIENT_TEST,
+  },
 ];
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -114,7 +114,10 @@
   ): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
       const { method, path, body, signal } = request;
-      const headers = protocol.createHeaders(request, call);
+      const headers = {
+        ...protocol.createHeaders(request, call),
+        ...createFraming(request),
+      };
       const req = httpRequest({
         agent: connections.getPool(call.isAtMostOnce),
         host,
@@ -226,6 +229,21 @@
   return createSmallResponse({ status, headers }, Buffer.alloc(0));
 }
 
+/**
+ * Headers that delimit the request's body. Node.js frames a body by itself only
+ * for methods that usually have one; for GET, HEAD, DELETE, OPTIONS and TRACE it
+ * would send the bytes as they are, which an upstream takes for a request.
+ */
+function createFraming(
+  { body, headers }: ForwardRequest,
+): Record<string, string> {
+  if (body === null) return {};
+  if (Buffer.isBuffer(body)) return { "content-length": String(body.length) };
+  return headers["content-length"] === undefined
+    ? { "transfer-encoding": "chunked" }
+    : {};
+}
+
 /** Classes of responses with all headers of the upstream; others may lack some. */
 const COMPLETE_CLASSES = new Set([
   ResponseClass.Valid,
--- a/test/upstream_client_test.ts
+++ b/test/upstream_client_test.ts
@@ -3,8 +3,10 @@
  * response has, and against a request without an answer.
  */
 
+import { Buffer } from "node:buffer";
 import { EventEmitter } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
+import { Readable } from "node:stream";
 import { afterEach, expect, test } from "vitest";
 import { createMemoryBudget } from "../src/core/memory_budget.ts";
 import { Diagnostics } from "../src/core/diagnostics.ts";
@@ -21,6 +23,8 @@
 let server: Server | undefined;
 let client: UpstreamClient | undefined;
 const sockets = new Set<Socket>();
+/** Bytes that the upstream received. */
+let received = "";
 
 afterEach(async () => {
   await client?.close();
@@ -30,10 +34,16 @@
 });
 
 /** Sends one request to an upstream that answers with these bytes. */
-async function send(method: string, bytes: string): Promise<UpstreamResult> {
+async function send(
+  method: string,
+  bytes: string,
+  body: Readable | Buffer | null = null,
+): Promise<UpstreamResult> {
+  received = "";
   const it = createServer((socket) => {
     sockets.add(socket);
     socket.on("error", () => {});
+    socket.on("data", (data) => received += data.toString());
     socket.once("data", () => socket.write(bytes));
   });
   server = it;
@@ -50,7 +60,7 @@
     method,
     path: "/",
     headers: {},
-    body: null,
+    body,
     signal: new EventEmitter(),
   };
   const call = { timeoutMs: TIMEOUT_MS, isAtMostOnce: true };
@@ -82,6 +92,21 @@
   },
 );
 
+const OK = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+const METHODS = ["GET", "HEAD", "OPTIONS", "TRACE", "DELETE", "POST", "PUT"];
+
+test.each(METHODS)("the kept body of a %s has a length", async (method) => {
+  await send(method, OK, Buffer.from("body"));
+  expect(received.toLowerCase()).toContain("\r\ncontent-length: 4\r\n");
+});
+
+test.each(METHODS)("the streamed body of a %s is in chunks", async (method) => {
+  await send(method, OK, Readable.from([Buffer.from("body")]));
+  expect(received.toLowerCase())
+    .toContain("\r\ntransfer-encoding: chunked\r\n");
+});
+
 test("an upgrade that was not asked for ends its request", async () => {
   const result = await send(
     "GET",
