A silent connection to the store is found before a change is due

Cause: one watch took up to stableS and 0.8 s more, longer than configS and drainS, by a timer that fires up to a second late; then the silence counted as an outage of the store.

Fix: the times of a watch follow from the time within which a change has to be in force; the client has its own timer; the first silence is the connection's. stableS is read no more, so one default fewer is reported where all settings are missing (platform_decode_test).

--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -138,6 +138,8 @@
 ): Promise<StoreDaemon> {
   const { settings, deployment, logger } = options;
   const { bounds, extraWorkShare = 0 } = settings;
+  /** Time within which each change of the store has to be in force. */
+  const promiseMs = Math.min(bounds.inForceMs, bounds.drainMs);
   const clock = createClock();
   const host = createCoreHost(clock);
   const incarnation = v7();
@@ -353,8 +355,8 @@
     getPeerAddress,
     counters,
     logger,
-    waitMs: bounds.stableMs,
-    readGapMs: Math.min(bounds.inForceMs, bounds.drainMs) * READ_GAP_SHARE,
+    promiseMs,
+    readGapMs: promiseMs * READ_GAP_SHARE,
     onSnapshot: applySnapshot,
     onChange: applyChange,
     onLost: () => {
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -23,6 +23,7 @@
   Millis,
 } from "../core/types.ts";
 import type { UpstreamRemoval } from "../core/upstream_list.ts";
+import { planWatch, type WatchTimes } from "../core/watch_times.ts";
 import { followSource, type Subscription } from "./change_follower.ts";
 import type { ChangeRelay, RelayedBatch } from "./change_relay.ts";
 import type { Logger } from "./logger.ts";
@@ -62,14 +63,19 @@
   readonly message: string;
   /** True if the store has discarded the changes since the requested revision. */
   readonly isHistoryGone: boolean;
+  /** True if no byte came in time: the connection may be silent while the store responds on others. */
+  readonly isSilent?: boolean;
 }
 
 /** Client of a key-value store. */
 export interface StoreReader {
   /** Reads all entries that a daemon follows, the oldest first. */
   readAll(): Promise<Result<StoreBatch, StoreError>>;
-  /** Waits up to `waitMs` for changes after a revision of the current era; empty if there are none. */
-  watch(after: number, waitMs: Millis): Promise<Result<StoreBatch, StoreError>>;
+  /** Waits for changes after a revision of the current era; empty if there are none in time. */
+  watch(
+    after: number,
+    times: WatchTimes,
+  ): Promise<Result<StoreBatch, StoreError>>;
   /** Decodes an entry, which may contain several changes. */
   decode(entry: StoreEntry): readonly StoreChange[];
   close(): Promise<void>;
@@ -84,8 +90,8 @@
   readonly relay: ChangeRelay;
   readonly counters: Counters;
   readonly logger: Logger;
-  /** Longest wait of one watch, in ms. */
-  readonly waitMs: Millis;
+  /** Time within which a change has to be in force, in ms; bounds the silence of a connection. */
+  readonly promiseMs: Millis;
   /**
    * Delay between two watches of a daemon that has just started and follows no
    * other, and time between two reads of large changes, in ms. Each read costs
@@ -112,8 +118,6 @@
   close(): Promise<void>;
 }
 
-/** Longest watch of a reader with followers, in ms: each end of a watch shows them that it reaches the store. */
-const SHARED_WATCH_MS = 500;
 /** Time before a source is tried again after its connection was lost, in ms. */
 const LOST_SOURCE_BACKOFF_MS = 2_000;
 /** As above after the source refused, in ms; shorter because a refusal costs little. */
@@ -124,8 +128,6 @@
 const BATCH_DELAY_MS = 250;
 /** Time after the start in which the upstreams of a whole fleet register, in ms. */
 const START_MS = 5_000;
-/** Longest watch while the store is unavailable, in ms: a call that gets no response must not block for long. */
-const OUTAGE_WATCH_MS = 50;
 /** Base of the exponential backoff after failed calls, in ms. */
 const MIN_BACKOFF_MS = 100;
 /** Longest backoff, in ms; short compared with the time limit for changes, which starts when the store is available again. */
@@ -146,6 +148,9 @@
   /** Era of the last snapshot. */
   let era: number | undefined;
   let failures = 0;
+  /** True after a silent connection, until the store responds or fails on another one. */
+  let isAskedAgain = false;
+  let respondedAt: Millis = host.now();
   let lostAt: Millis | undefined;
   let timer: NodeJS.Timeout | undefined;
   let peerTimer: NodeJS.Timeout | undefined;
@@ -215,7 +220,7 @@
       return void watch(position, plan);
     }
     const mustFollow = plan.rank !== ReadingRank.Root || failures > 0;
-    const source = mustFollow
+    const source = mustFollow && !isAskedAgain
       ? plan.sources.find((it) => !isAvoided(it))
       : undefined;
     if (source === undefined) void watch(position, plan);
@@ -248,11 +253,14 @@
     plan: ReadingPlan,
   ): Promise<void> {
     counters.add("store_watch");
-    const waitMs = plan.isShared ? SHARED_WATCH_MS : options.waitMs;
-    const result = await reader.watch(
-      after.revision,
-      failures === 0 ? waitMs : OUTAGE_WATCH_MS,
-    );
+    const times = planWatch({
+      promiseMs: options.promiseMs,
+      // Another connection is used after a silent one.
+      idleMs: isAskedAgain ? 0 : host.now() - respondedAt,
+      isShared: plan.isShared,
+      isLost: failures > 0,
+    });
+    const result = await reader.watch(after.revision, times);
     if (isClosed) return;
     if (result.isErr()) return handleFailure(result.error);
     const { entries } = result.value;
@@ -344,6 +352,8 @@
 
   function markReachable(): void {
     failures = 0;
+    isAskedAgain = false;
+    respondedAt = host.now();
     if (lostAt === undefined) return;
     const outageMs = Math.round(host.now() - lostAt);
     lostAt = undefined;
@@ -354,6 +364,13 @@
 
   function handleFailure(error: StoreError): void {
     const { call, message, isHistoryGone } = error;
+    if (error.isSilent && !isAskedAgain && failures === 0) {
+      counters.add("store_connection_silent");
+      logger.warn("store_connection_silent", { call, message });
+      isAskedAgain = true;
+      return schedule(0);
+    }
+    isAskedAgain = false;
     relay.release();
     counters.add(isHistoryGone ? "store_history_gone" : "store_failed");
     const revision = position?.revision;
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -47,6 +47,7 @@
 const WORST_LOAD_TEST = "test/worst_load_test.ts";
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
+const WATCH_TIMES_TEST = "test/watch_times_test.ts";
 const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
 
 /** All mutations. */
@@ -1897,4 +1898,34 @@
     }],
     testFile: UPSTREAM_CLIENT_TEST,
   },
+  {
+    name: "silence_is_bounded",
+    guarantee: "accepted changes are in force in time",
+    file: "src/core/watch_times.ts",
+    edits: [{
+      find: "const WATCH_SHARE = 0.68;",
+      replace: "const WATCH_SHARE = 1;",
+    }],
+    testFile: WATCH_TIMES_TEST,
+  },
+  {
+    name: "silence_is_the_connection_s_first",
+    guarantee: "accepted changes are in force in time",
+    file: "src/daemon/store_task.ts",
+    edits: [{
+      find: "if (error.isSilent && !isAskedAgain && failures === 0) {",
+      replace: "if (error.isSilent === undefined) {",
+    }],
+    testFile: WATCH_TIMES_TEST,
+  },
+  {
+    name: "idle_connections_are_replaced",
+    guarantee: "accepted changes are in force in time",
+    file: "platform/store_client.ts",
+    edits: [{
+      find: "const MAX_IDLE_MS = 1_000;",
+      replace: "const MAX_IDLE_MS = 60_000;",
+    }],
+    testFile: WATCH_TIMES_TEST,
+  },
 ];
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -106,13 +106,12 @@
   ): Promise<GuardReply> {
     const client = new Client(origin, {
       connect: createQuickConnector({ timeoutMs: SETTLE_TIMEOUT_MS }),
-      headersTimeout: SETTLE_TIMEOUT_MS,
     });
     const reply = await requestReply(client, Step.Settle, {
       [Header.Ticket]: ticket,
       [Header.Account]: query.account,
       [Header.Key]: query.key,
-    });
+    }, { signal: AbortSignal.timeout(SETTLE_TIMEOUT_MS) });
     void client.close();
     return reply;
   }
@@ -167,11 +166,9 @@
     body: string,
   ): Promise<string | undefined> {
     try {
-      const res = await call(pool, step, {}, {
-        body,
-        headersTimeout: EXCHANGE_TIMEOUT_MS,
-        bodyTimeout: EXCHANGE_TIMEOUT_MS,
-      });
+      // The timeouts of undici may fire a second late.
+      const signal = AbortSignal.timeout(EXCHANGE_TIMEOUT_MS);
+      const res = await call(pool, step, {}, { body, signal });
       const text = await res.body.text();
       return res.statusCode === 200 ? text : undefined;
     } catch {
@@ -202,9 +199,10 @@
     dispatcher: Dispatcher,
     step: Step,
     headers: Record<string, string>,
+    content: Pick<Dispatcher.RequestOptions, "signal"> = {},
   ): Promise<GuardReply> {
     try {
-      const res = await call(dispatcher, step, headers);
+      const res = await call(dispatcher, step, headers, content);
       return await parseReply(res);
     } catch (error) {
       return toFailure(error);
@@ -215,10 +213,7 @@
     dispatcher: Dispatcher,
     step: Step,
     headers: Record<string, string>,
-    content: Pick<
-      Dispatcher.RequestOptions,
-      "body" | "headersTimeout" | "bodyTimeout"
-    > = {},
+    content: Pick<Dispatcher.RequestOptions, "body" | "signal"> = {},
   ): Promise<Response> {
     return dispatcher.request({
       method: "POST",
--- a/src/settings/store_daemon_settings.ts
+++ b/src/settings/store_daemon_settings.ts
@@ -37,8 +37,6 @@
 
 /** Time bounds, in ms, and retry limits that the operators guarantee or require. */
 export interface OperationalBounds {
-  /** Time without disturbance after which the bounds hold again. */
-  readonly stableMs: Millis;
   /** Time from the listing of a departure to the last request sent there. */
   readonly drainMs: Millis;
   /** Time from a configuration change until it is in force on all hosts. */
