What waits at a guard is asked again, as it starts, whether it may

Cause: the guard asked only as a request arrived, and only of what the upstream states; it did not know the list. What waited was started whatever happened meanwhile.

Fix: one set of rules, asked on arrival, at the start, at the use of a grant, and of all that waits once the answer changes; the guard knows the list.

--- a/src/core/departures.ts
+++ b/src/core/departures.ts
@@ -24,6 +24,8 @@
   forget(instance: string): void;
   /** True if an upstream has left. */
   has(instance: string): boolean;
+  /** Time since which an upstream has been leaving, in ms; undefined if it is not. */
+  tryGetSince(instance: string): Millis | undefined;
   /** Records that the list came back from an older copy. */
   markRolledBack(): void;
   /** True if an entry is from before the departure of its upstream. */
@@ -34,7 +36,10 @@
 
 interface Departure {
   readonly bornAt: number | undefined;
+  /** Time at which it was last recorded, in ms. */
   readonly at: Millis;
+  /** Time at which it was first recorded, in ms. */
+  readonly since: Millis;
   /** True once the list has come back from an older copy since. */
   mayBeLost: boolean;
 }
@@ -47,6 +52,7 @@
     record,
     forget: (instance) => void departures.delete(instance),
     has: (instance) => departures.has(instance),
+    tryGetSince: (instance) => departures.get(instance)?.since,
     markRolledBack,
     isOutdated,
     getWithheldUntil,
@@ -58,9 +64,11 @@
       if (now - at <= RETENTION_MS) break;
       departures.delete(id);
     }
+    const known = departures.get(instance);
+    const since = known?.bornAt === bornAt ? known?.since ?? now : now;
     // Keeps the order of time.
     departures.delete(instance);
-    departures.set(instance, { bornAt, at: now, mayBeLost: false });
+    departures.set(instance, { bornAt, at: now, since, mayBeLost: false });
   }
 
   function markRolledBack(): void {
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -47,6 +47,7 @@
   createStatedBound,
   RateLimit,
 } from "./request_rate.ts";
+import { createStartRules } from "./start_rules.ts";
 import { createUpstreamNotices } from "./upstream_notices.ts";
 import { createUrgencyQueue } from "./urgency_queue.ts";
 import { createWakeQueue } from "./wake_queue.ts";
@@ -104,6 +105,16 @@
   const { getUsableSlots, getSlowdown, getStartDelayMs, getRetryAfter } =
     estimates;
   const { getSlotsFor, getMaxSlots } = estimates;
+  const rules = createStartRules({
+    ...(options.tryGetClosedReason &&
+      { tryGetClosedReason: options.tryGetClosedReason }),
+    ...(options.tryGetListedLeavingSince &&
+      { tryGetListedLeavingSince: options.tryGetListedLeavingSince }),
+    tryGetStatedLeavingSince: notices.tryGetLeavingSince,
+    leavingMs: options.leavingMs ?? 0,
+    tryGetReplacement: tryGetCurrent,
+    tryGetInstance: () => options.upstream?.getInstance(),
+  });
   const keys = createKeyTable(host, {
     home: options.self,
     incarnation: options.incarnation,
@@ -127,8 +138,6 @@
   let grantCount = 0;
   let reportCount = 0;
   let openCount = 0;
-  /** True once what waited was refused because the upstream must get no request. */
-  let isClosed = false;
 
   const handlers: Handlers = {
     [GuardMessageKind.Reserve]: (msg) => admit(msg.ticket, msg.head, true),
@@ -167,7 +176,7 @@
     const handler = handlers[msg.kind] as (m: GuardMessage) => GuardAction[];
     applyColdLimit();
     const actions = handler(msg);
-    actions.push(...refuseIfClosed(), ...fillSlots());
+    actions.push(...refuseBarred(), ...fillSlots());
     wakeForRate();
     wakeForHeld();
     Debug.assert(busySlots <= options.slots, "slots are never overcommitted");
@@ -205,20 +214,18 @@
     return options.tryGetClosedReason?.();
   }
 
-  /** Refuses what waits once the upstream must get no request; what runs ends normally. */
-  function refuseIfClosed(): GuardAction[] {
-    const reason = tryGetClosedReason();
-    const wasClosed = isClosed;
-    isClosed = reason !== undefined;
-    if (reason === undefined || wasClosed) return [];
+  /** Refuses what waits and may not start any more; what runs ends normally. */
+  function refuseBarred(): GuardAction[] {
+    if (!rules.takeChange()) return [];
     const actions: GuardAction[] = [];
     for (const entry of entries.values()) {
+      if (!isWaiting(entry)) continue;
+      const reason = rules.tryGetRefusal(entry);
+      if (reason === undefined) continue;
       if (entry.state === EntryState.Queued) {
         queue.remove(entry);
         actions.push(refuse(entry, reason));
-      } else if (entry.state === EntryState.Granted) {
-        actions.push(revokeGrant(entry, reason));
-      }
+      } else actions.push(revokeGrant(entry, reason));
     }
     return actions;
   }
@@ -409,12 +416,11 @@
   }
 
   function enqueue(entry: Entry): GuardAction[] {
-    const closedReason = tryGetClosedReason();
-    if (closedReason !== undefined) return [refuse(entry, closedReason)];
+    const barred = rules.tryGetRefusal(entry);
+    if (barred !== undefined) return [refuse(entry, barred)];
     if (draining && !mayEndBefore(entry, stopsAt)) {
       return [refuse(entry, "draining")];
     }
-    if (isLeft(entry)) return [refuse(entry, "upstream_leaving")];
     const decision = estimates.decide(entry, busySlots);
     if (decision.admission === Admission.Refuse) {
       if (decision.reason === "over_upstream_limit") rate.defer();
@@ -460,6 +466,11 @@
         mayCall(item.head)
       );
       if (entry === undefined) break;
+      const barred = rules.tryGetRefusal(entry);
+      if (barred !== undefined) {
+        actions.push(refuse(entry, barred));
+        continue;
+      }
       actions.push(
         // After a pause of the process, messages come before the tick that ends what is overdue.
         host.now() < entry.latestStart
@@ -543,8 +554,8 @@
     if (host.now() >= entry.grantExpires!) {
       return [revokeGrant(entry, "grant_expired")];
     }
-    const closedReason = tryGetClosedReason();
-    if (closedReason !== undefined) return [revokeGrant(entry, closedReason)];
+    const barred = rules.tryGetRefusal(entry);
+    if (barred !== undefined) return [revokeGrant(entry, barred)];
     if (!mayUseGrant(entry)) return [revokeGrant(entry, "over_upstream_limit")];
     return [start(entry)];
   }
@@ -650,13 +661,6 @@
     return actions;
   }
 
-  /** True if the upstream is leaving and the request is not to be started there. */
-  function isLeft(entry: Entry): boolean {
-    const since = notices.tryGetLeavingSince(entry.head.instance);
-    return since !== undefined &&
-      !mayEndBefore(entry, since + (options.leavingMs ?? 0));
-  }
-
   /** True if no other host serves the request and it ends by a time in ms. */
   function mayEndBefore({ head, deadline }: Entry, endsAt: Millis): boolean {
     return head.isLastChoice === true && deadline <= endsAt;
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -60,6 +60,8 @@
   readonly isFirstComeFirstServed?: boolean;
   /** Why the upstream must get no request now, whatever the request; undefined if it may get some. */
   tryGetClosedReason?(): ClosedReason | undefined;
+  /** Time since which an incarnation is listed as draining or has left the list, in ms; undefined if it is not. */
+  tryGetListedLeavingSince?(instance: string): Millis | undefined;
   /** Time from which no other guard starts requests at the upstream, in ms; the guard's creation by default. */
   readonly aloneSince?: Millis;
   /** Whether the upstream is cold; absent if its requests are not limited then. */
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -69,6 +69,8 @@
   tryGetAt(address: string): ListedUpstream | undefined;
   /** True if an incarnation is listed or has left within some minutes. */
   wasListed(instance: string): boolean;
+  /** Time since which an incarnation is listed as draining or has left the list, in ms; undefined if it is not. */
+  tryGetLeavingSince(instance: string): Millis | undefined;
   /** Number of hosts with an upstream. */
   countHosts(): number;
   /** Hosts with a ready upstream, each once. */
@@ -111,6 +113,7 @@
     previewCandidates,
     tryGetAt,
     wasListed: (instance) => entries.has(instance) || departures.has(instance),
+    tryGetLeavingSince: departures.tryGetSince,
     countHosts,
     getReadyHosts,
     size: () => entries.size,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -247,6 +247,7 @@
       leavingMs: bounds.drainMs,
       getWeight: () => 1,
       tryGetClosedReason,
+      tryGetListedLeavingSince: upstreams.tryGetLeavingSince,
       // The clock starts with the process, and its predecessor has ended before.
       aloneSince: 0,
       coldStarts,
@@ -505,9 +506,15 @@
     switch (change.kind) {
       case StoreChangeKind.UpstreamListed:
         recordOwnUpstream(change.upstream);
-        return upstreams.put(change.upstream);
+        upstreams.put(change.upstream);
+        if (change.upstream.address === settings.upstreamAddress) {
+          guardTask.wake();
+        }
+        return;
       case StoreChangeKind.UpstreamRemoved:
-        return upstreams.remove(change.instance, change.removal);
+        upstreams.remove(change.instance, change.removal);
+        // Its entry tells no more whether it was this host's.
+        return guardTask.wake();
       case StoreChangeKind.RoutingPublished:
         return applyRouting(change.config);
       case StoreChangeKind.DomainEvacuated:
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -47,6 +47,7 @@
 const WORST_LOAD_TEST = "test/worst_load_test.ts";
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
+const WAITING_TEST = "test/waiting_test.ts";
 const WATCH_TIMES_TEST = "test/watch_times_test.ts";
 const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
 
@@ -597,8 +598,8 @@
     guarantee: "a leaving upstream gets no new work",
     file: "src/core/guard.ts",
     edits: [{
-      find: 'if (isLeft(entry)) return [refuse(entry, "upstream_leaving")];',
-      replace: "",
+      find: "tryGetStatedLeavingSince: notices.tryGetLeavingSince,",
+      replace: "tryGetStatedLeavingSince: () => undefined,",
     }],
     testFile: NOTICES_TEST,
   },
@@ -1384,8 +1385,7 @@
     guarantee: "an evacuated failure domain gets no request",
     file: "src/core/guard.ts",
     edits: [{
-      find:
-        "if (closedReason !== undefined) return [refuse(entry, closedReason)];",
+      find: "if (barred !== undefined) return [refuse(entry, barred)];",
       replace: "",
     }],
     testFile: EVACUATION_TEST,
@@ -1395,7 +1395,7 @@
     guarantee: "an evacuated failure domain gets no request",
     file: "src/core/guard.ts",
     edits: [{
-      find: "actions.push(...refuseIfClosed(), ...fillSlots());",
+      find: "actions.push(...refuseBarred(), ...fillSlots());",
       replace: "actions.push(...fillSlots());",
     }],
     testFile: EVACUATION_TEST,
@@ -1403,10 +1403,9 @@
   {
     name: "evacuation_revokes_grants",
     guarantee: "an evacuated failure domain gets no request",
-    file: "src/core/guard.ts",
+    file: "src/core/start_rules.ts",
     edits: [{
-      find:
-        "if (closedReason !== undefined) return [revokeGrant(entry, closedReason)];",
+      find: "if (closedReason !== undefined) return closedReason;",
       replace: "",
     }],
     testFile: EVACUATION_TEST,
@@ -1641,8 +1640,8 @@
     guarantee: "bounded memory",
     file: "src/daemon/ingress_server.ts",
     edits: [{
-      find: "    req.response?.destroy();\n",
-      replace: "",
+      find: "req.kept?.release();\n    req.response?.destroy();\n  }",
+      replace: "req.kept?.release();\n  }",
     }],
     testFile: INGRESS_TEST,
   },
@@ -1928,4 +1927,24 @@
     }],
     testFile: WATCH_TIMES_TEST,
   },
+  {
+    name: "waiting_requests_are_asked_again",
+    guarantee: "a leaving upstream gets no new work after seconds",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "if (!rules.takeChange()) return [];",
+      replace: "return [];",
+    }],
+    testFile: WAITING_TEST,
+  },
+  {
+    name: "the_list_is_known_at_the_guard",
+    guarantee: "a leaving upstream gets no new work after seconds",
+    file: "src/core/start_rules.ts",
+    edits: [{
+      find: ": options.tryGetListedLeavingSince?.(instance);",
+      replace: ": undefined;",
+    }],
+    testFile: WAITING_TEST,
+  },
 ];
