--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -13,8 +13,10 @@
   type CoreHost,
   Execution,
   type Millis,
+  Repeatability,
   type Verdict,
 } from "../core/types.ts";
+import type { LateRequest } from "../core/stop_plan.ts";
 
 /** Account of all callers; the deployment does not distinguish client accounts. */
 const SINGLE_ACCOUNT = "all";
@@ -26,7 +28,9 @@
   /** Routes in force, or undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
   /** Reason to refuse every new request, or undefined. */
-  getRefusalReason(): DiagnosticName | undefined;
+  getRefusalReason?(): DiagnosticName | undefined;
+  /** False for a request that a stopping daemon would probably not answer; all may be taken by default. */
+  mayTake?(req: LateRequest): boolean;
 }
 
 /** What is known of a request before its body is read. */
@@ -35,6 +39,8 @@
   /** Path and query. */
   readonly url: string;
   readonly bodyBytes: number;
+  /** The caller's timeout, in ms, if it sent one. */
+  readonly timeoutMs?: Millis | undefined;
   /** True if the body is coded in another way than in chunks. */
   readonly hasUnknownCoding?: boolean;
 }
@@ -46,19 +52,36 @@
 
 /** Decides whether the gateway gets a request. */
 export function admitIngress(
-  { hostname, url, bodyBytes, hasUnknownCoding }: IngressFacts,
+  { hostname, url, bodyBytes, timeoutMs, hasUnknownCoding }: IngressFacts,
   options: IngressAdmissionOptions,
 ): IngressAdmission {
   if (hasUnknownCoding) return { refusal: "unknown_transfer_coding" };
-  const refusal = options.getRefusalReason();
+  const refusal = options.getRefusalReason?.();
   if (refusal !== undefined) return { refusal };
   const routes = options.getRoutes();
   if (routes === undefined) return { refusal: "not_ready" };
   const route = routes.tryMatch(hostname, url.split("?")[0]!);
   if (route === undefined) return { refusal: "unknown_route" };
   if (route === RouteMatch.Unreadable) return { refusal: "route_unreadable" };
-  const isTooLarge = bodyBytes > routes.config.limits.maxBodyBytes;
-  return isTooLarge ? { refusal: "body_too_large" } : { route, routes };
+  if (bodyBytes > routes.config.limits.maxBodyBytes) {
+    return { refusal: "body_too_large" };
+  }
+  return mayTakeNow(route, timeoutMs, options)
+    ? { route, routes }
+    : { refusal: "stopping" };
+}
+
+/** False if the daemon stops and would probably not answer a request of the route. */
+export function mayTakeNow(
+  route: PrefixRoute,
+  timeoutMs: Millis | undefined,
+  { mayTake }: Pick<IngressAdmissionOptions, "mayTake">,
+): boolean {
+  return mayTake === undefined || mayTake({
+    route: route.name,
+    timeoutMs: Math.min(timeoutMs ?? Infinity, route.timeoutMs),
+    isAtMostOnce: route.repeatability === Repeatability.AtMostOnce,
+  });
 }
 
 /** Terms of a request beside its route. */
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -34,6 +34,7 @@
   computeRetryAfter,
   createIngressArrival,
   type IngressAdmissionOptions,
+  mayTakeNow,
 } from "./ingress_admission.ts";
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
@@ -138,6 +139,7 @@
       hostname: (incoming.headers.host ?? "").replace(/:\d+$/, ""),
       url: incoming.url ?? "/",
       bodyBytes,
+      timeoutMs: req.metadata.timeoutMs,
       hasUnknownCoding: hasUnknownCoding(incoming),
     }, options);
     if ("refusal" in admission) return refuse(req, admission.refusal);
@@ -150,6 +152,10 @@
     const buffered = await kept?.bytes;
     if (buffered === "cut-off") return refuse(req, "body_cut_off");
     const { metadata } = req;
+    // The daemon may have begun to stop while the body arrived.
+    if (!mayTakeNow(route, metadata.timeoutMs, options)) {
+      return refuse(req, "stopping");
+    }
     const arrival = createIngressArrival(host, route, {
       id: req.id,
       timeoutMs: metadata.timeoutMs,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -11,7 +11,7 @@
 import { ColdState, createColdStarts } from "../core/cold_starts.ts";
 import { createCounters } from "../core/counters.ts";
 import { ConfigOutcome, createActiveConfig } from "../core/degraded_config.ts";
-import type { Diagnostic, DiagnosticName } from "../core/diagnostics.ts";
+import type { Diagnostic } from "../core/diagnostics.ts";
 import { createEvacuations } from "../core/evacuations.ts";
 import { orderByHash } from "../core/host_order.ts";
 import type { ClosedReason } from "../core/guard_types.ts";
@@ -27,6 +27,7 @@
   PublishedConfig,
   RoutingConfig,
 } from "../core/routing_types.ts";
+import { createStopPlan } from "../core/stop_plan.ts";
 import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
 import { planReading, type ReadingPlan } from "../core/reading_plan.ts";
 import type { FailureDomainName, HostId, Millis } from "../core/types.ts";
@@ -100,10 +101,6 @@
 const ASSUMED_SLOTS = 8;
 /** Shortest time to stop, in ms: callers need two readiness checks to notice it. */
 const MIN_STOP_MS = 2_500;
-/** Share of the stop grace time in which new requests are still accepted. */
-const ACCEPT_SHARE = 1 / 2;
-/** Share of the stop grace time in which open requests may finish; the rest is for closing. */
-const STOP_SHARE = 5 / 6;
 /** Time between two checks for open requests while stopping, in ms. */
 const STOP_POLL_MS = 50;
 /** Longest time for closing all resources, in ms. */
@@ -147,6 +144,7 @@
   const latencies = createLatencyMetrics();
   const lifecycle = createLifecycle();
   const onLate = createDelayListener(clock, { counters, logger });
+  const stopPlan = createStopPlan(host, bounds.graceMs);
   const memory = createMemoryBudget({
     limitBytes: computeBufferLimit(settings.memoryMb),
     onStateChange: logBufferState,
@@ -387,9 +385,11 @@
       origin: settings.service,
       getRoutes: () => routes,
       isStopping: () => stoppingAt !== undefined,
-      getRefusalReason,
-      onResponse: ({ service, route = "" }, latencyMs) =>
-        latencies.record(Phase.Response, { service, route }, latencyMs),
+      mayTake: stopPlan.mayTake,
+      onResponse: ({ service, route = "" }, latencyMs) => {
+        latencies.record(Phase.Response, { service, route }, latencyMs);
+        stopPlan.recordAnswer(route, latencyMs);
+      },
     })),
   );
   const peers = await startPeerListener({
@@ -425,7 +425,7 @@
       dialect: deployment.callers,
       memory,
       getRoutes: () => routes,
-      getRefusalReason,
+      mayTake: stopPlan.mayTake,
       formatMetrics: () =>
         formatMetrics(
           [
@@ -635,18 +635,11 @@
     res.end();
   }
 
-  /** A request accepted too late could not finish before the process is killed. */
-  function getRefusalReason(): DiagnosticName | undefined {
-    if (stoppingAt === undefined) return undefined;
-    const acceptUntil = stoppingAt + bounds.graceMs * ACCEPT_SHARE;
-    return clock.now() < acceptUntil ? undefined : "stopping";
-  }
-
   async function stop(): Promise<void> {
     const startedAt = clock.now();
     stoppingAt = startedAt;
     logger.info("stopping", { open: countOpen() });
-    const stopDeadline = startedAt + bounds.graceMs * STOP_SHARE;
+    const stopDeadline = stopPlan.begin();
     void guardTask.drain(stopDeadline);
     relay.close();
     const earliestStop = startedAt + MIN_STOP_MS;
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -48,6 +48,7 @@
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
 const WAITING_TEST = "test/waiting_test.ts";
+const STOP_PLAN_TEST = "test/stop_plan_test.ts";
 const WATCH_TIMES_TEST = "test/watch_times_test.ts";
 const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
 
@@ -1947,4 +1948,24 @@
     }],
     testFile: WAITING_TEST,
   },
+  {
+    name: "a_stop_knows_the_work",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/core/stop_plan.ts",
+    edits: [{
+      find: ": known.getTail(leftMs / MARGIN).share <= MAX_LATE_SHARE;",
+      replace: ": true;",
+    }],
+    testFile: STOP_PLAN_TEST,
+  },
+  {
+    name: "a_stop_spares_what_runs_once",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/core/stop_plan.ts",
+    edits: [{
+      find: "return isAtMostOnce\n      ?",
+      replace: "return !isAtMostOnce\n      ?",
+    }],
+    testFile: STOP_PLAN_TEST,
+  },
 ];
