An earlier start of an upstream in an older copy of the list is outdated

Cause: another born counted as another start, whichever is the later one, and a start makes the daemons forget what the upstream stated.

Fix: such an entry is withheld as long as that of an upstream that has left.

--- a/src/core/departures.ts
+++ b/src/core/departures.ts
@@ -30,6 +30,8 @@
   markRolledBack(): void;
   /** True if an entry is from before the departure of its upstream. */
   isOutdated(upstream: ListedUpstream): boolean;
+  /** True if the list, back from an older copy, shows an earlier start of a known upstream. */
+  isEarlierStart(upstream: ListedUpstream, known: ListedUpstream): boolean;
   /** Time until which outdated entries are withheld, in ms. */
   getWithheldUntil(): Millis;
 }
@@ -44,6 +46,13 @@
   mayBeLost: boolean;
 }
 
+function isEarlier(
+  bornAt: number | undefined,
+  than: number | undefined,
+): boolean {
+  return bornAt !== undefined && than !== undefined && bornAt < than;
+}
+
 /** Creates an empty set. */
 export function createDepartures(host: Pick<CoreHost, "now">): Departures {
   const departures = new Map<string, Departure>();
@@ -55,6 +64,7 @@
     tryGetSince: (instance) => departures.get(instance)?.since,
     markRolledBack,
     isOutdated,
+    isEarlierStart,
     getWithheldUntil,
   };
 
@@ -79,7 +89,15 @@
   function isOutdated({ instance, bornAt, state }: ListedUpstream): boolean {
     const departure = departures.get(instance);
     return departure?.mayBeLost === true && host.now() < getWithheldUntil() &&
-      state === ListedUpstreamState.Ready && departure.bornAt === bornAt;
+      state === ListedUpstreamState.Ready &&
+      (departure.bornAt === bornAt || isEarlier(bornAt, departure.bornAt));
+  }
+
+  function isEarlierStart(
+    { bornAt }: ListedUpstream,
+    known: ListedUpstream,
+  ): boolean {
+    return host.now() < getWithheldUntil() && isEarlier(bornAt, known.bornAt);
   }
 
   function getWithheldUntil(): Millis {
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -120,7 +120,12 @@
   };
 
   function put(upstream: ListedUpstream): void {
-    if (departures.isOutdated(upstream)) return withhold(upstream);
+    const listed = entries.get(upstream.instance)?.upstream;
+    const isEarlierStart = listed !== undefined &&
+      departures.isEarlierStart(upstream, listed);
+    if (isEarlierStart || departures.isOutdated(upstream)) {
+      return withhold(upstream);
+    }
     const isReady = upstream.state === ListedUpstreamState.Ready;
     if (isReady) departures.forget(upstream.instance);
     else departures.record(upstream);
@@ -160,7 +165,7 @@
     if (outdated !== undefined) {
       // An entry that is listed from now on is current, unless the list is rolled back again.
       withheld.delete(instance);
-      departures.record(outdated);
+      if (!entries.has(instance)) departures.record(outdated);
     }
     const entry = entries.get(instance);
     if (entry === undefined) return;
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1968,4 +1968,14 @@
     }],
     testFile: STOP_PLAN_TEST,
   },
+  {
+    name: "earlier_starts_are_outdated",
+    guarantee: "a leaving upstream gets no new work after seconds",
+    file: "src/core/upstream_list.ts",
+    edits: [{
+      find: "if (isEarlierStart || departures.isOutdated(upstream)) {",
+      replace: "if (departures.isOutdated(upstream)) {",
+    }],
+    testFile: ROUTING_TEST,
+  },
 ];
--- a/test/routing_test.ts
+++ b/test/routing_test.ts
@@ -205,3 +205,48 @@
   list.replaceAll([READY]);
   expect(getInstances()).toEqual([]);
 });
+
+const CHANGES_OF_STARTS = [
+  { name: "an older copy", isRolledBack: true, expected: [] },
+  { name: "a current list", isRolledBack: false, expected: ["restarted"] },
+];
+
+test.each(CHANGES_OF_STARTS)(
+  "an earlier start of a known upstream in $name is another one only if the list is current",
+  ({ isRolledBack, expected }) => {
+    const host = createTestHost();
+    const changes: string[] = [];
+    const list = createUpstreamList(host, {
+      lapseGraceMs: LAPSE_GRACE_MS,
+      getHost: (address) => address.split(":")[0]!,
+      onChange: (change) => changes.push(change),
+    });
+    list.put({ ...READY, bornAt: 1 });
+    list.put({ ...READY, bornAt: 2 });
+    changes.length = 0;
+    if (isRolledBack) list.markRolledBack();
+    list.put({ ...READY, bornAt: 1 });
+    // Its writer writes again what the list lost.
+    if (isRolledBack) list.put({ ...READY, bornAt: 2 });
+    expect(changes.filter((it) => it !== "outdated")).toEqual(expected);
+    expect(list.getCandidates("shop").map((it) => it.instance)).toEqual(["i"]);
+  },
+);
+
+test("an older copy brings no earlier start of an upstream back that has left", () => {
+  const { list, getInstances } = createTestList();
+  list.put({ ...READY, bornAt: 2 });
+  list.remove("i");
+  list.markRolledBack();
+  list.replaceAll([{ ...READY, bornAt: 1 }]);
+  expect(getInstances()).toEqual([]);
+});
+
+test("an upstream whose earlier start was withheld lapses like any other", () => {
+  const { list } = createTestList();
+  list.put({ ...READY, bornAt: 2 });
+  list.markRolledBack();
+  list.put({ ...READY, bornAt: 1 });
+  list.remove("i");
+  expect(list.tryGetLeavingSince("i")).toBe(undefined);
+});
