A reset that a held-up daemon reads as an end cuts the response

Cause: libuv reports the data and the reset together, as an end; the error stays with the socket and nobody asked for it.

Fix: a write after the end of such a body, which fails if the connection was reset.

--- a/src/upstream/response_reader.ts
+++ b/src/upstream/response_reader.ts
@@ -229,7 +229,8 @@
     : { ...headers };
 }
 
-function isUnframed(headers: IncomingHttpHeaders): boolean {
+/** True if only the end of the connection ends the body. */
+export function isUnframed(headers: IncomingHttpHeaders): boolean {
   return headers["content-length"] === undefined &&
     headers["transfer-encoding"] === undefined;
 }
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -21,8 +21,10 @@
   EndlessResponseError,
   isEndlessHead,
 } from "./response_errors.ts";
+import { failOnHiddenReset } from "./hidden_reset.ts";
 import {
   createResponseReader,
+  isUnframed,
   limitFraming,
   MAX_INFORMATIONAL_RESPONSES,
   MAX_RESPONSE_HEAD_BYTES,
@@ -91,12 +93,7 @@
   ): Promise<UpstreamResult> {
     const sentAt = options.clock.now();
     try {
-      const res = await sendRequest(request, call);
-      const response = {
-        status: res.statusCode!,
-        headers: res.headers,
-        body: res,
-      };
+      const response = await sendRequest(request, call);
       return await handleResponse(request, response, { call, sentAt });
     } catch (error) {
       if (isEndlessHead(error)) options.onEndless?.();
@@ -111,7 +108,7 @@
   function sendRequest(
     request: ForwardRequest,
     call: UpstreamCall,
-  ): Promise<IncomingMessage> {
+  ): Promise<StreamedResponse> {
     return new Promise((resolve, reject) => {
       const { method, path, body, signal } = request;
       const headers = {
@@ -159,7 +156,13 @@
         response = res;
         res.on("error", ignoreError);
         limitFraming(res);
-        resolve(res);
+        const isEndedByClose = method !== "HEAD" && !req.shouldKeepAlive &&
+          isUnframed(res.headers);
+        resolve({
+          status: res.statusCode!,
+          headers: res.headers,
+          body: isEndedByClose ? failOnHiddenReset(res) : res,
+        });
       });
       req.on("error", (error) => {
         clearTimeout(connecting);
