--- a/.ci/known_red.mjs
+++ b/.ci/known_red.mjs
@@ -1,20 +1,23 @@
 /**
- * Evaluates a test run: it passes if every test passed, or if each failure is
- * listed in KNOWN-RED.txt. Arguments: the runner's exit code, its JSON report,
- * the list. Each entry of the list is one line of six fields separated by " | ":
+ * Evaluates a test run: it passes if every test ran, each failure is listed in
+ * KNOWN-RED.txt, and nothing failed outside of tests. Arguments: the runner's
+ * exit code, the folder with the reports, the tests and the list. Each entry of the list is one line of six fields separated by " | ":
  * full test name, command, seed, what was seen, issue, message. The message is a
  * text that each failure message of the test has to contain; a test that fails
  * in several ways has one entry for each.
  */
 
-import { existsSync, readFileSync } from "node:fs";
+import { existsSync, readdirSync, readFileSync } from "node:fs";
 import process from "node:process";
 
 const FIELDS = 6;
 const STACK_LINE = /^\s+at /;
 
-/** Returns the exit code for a run and the messages to print. */
-export function evaluateRun({ exitCode, report, list }) {
+/**
+ * Returns the exit code for a run and the messages to print. `errors` is what
+ * the errors reporter wrote; `expectedFiles` are the names of all test files.
+ */
+export function evaluateRun({ exitCode, report, errors, expectedFiles, list }) {
   const messages = [];
   const entries = list.split("\n")
     .filter((line) => line.trim() !== "" && !line.startsWith("#"))
@@ -28,7 +31,7 @@
       messages: malformed.map((f) => `malformed entry: ${f[0]}`),
     };
   }
-  if (report === undefined) {
+  if (report === undefined || errors === undefined) {
     return { code: 1, messages: ["the test run produced no report"] };
   }
   const tests = report.testResults.flatMap((file) => file.assertionResults);
@@ -38,18 +41,47 @@
       ...classifyFailure(test, entries),
     }));
   const unlisted = failed.filter(({ isListed }) => !isListed);
-  const unloaded = report.testResults.filter((file) =>
-    file.status === "failed" && file.assertionResults.length === 0
-  );
   for (const { name, verdict } of failed) messages.push(`${verdict}: ${name}`);
-  for (const { name } of unloaded) messages.push(`FAILED to load: ${name}`);
-  const hasOnlyListedFailures = failed.length > 0 && unlisted.length === 0 &&
-    unloaded.length === 0;
+  const faults = findFaults({ report, tests, errors, expectedFiles });
+  messages.push(...faults);
   const passed = tests.filter((test) => test.status === "passed").length;
-  messages.push(
-    `${passed} passed, ${unlisted.length + unloaded.length} failed`,
-  );
-  return { code: exitCode === 0 || hasOnlyListedFailures ? 0 : 1, messages };
+  const failures = unlisted.length + faults.length;
+  messages.push(`${passed} passed, ${failures} failed`);
+  // An exit code that no test explains is a failure of the runner.
+  const isExplained = exitCode === 0 || failed.length > 0;
+  return { code: failures === 0 && isExplained ? 0 : 1, messages };
+}
+
+/** What failed or did not run, apart from tests that failed. */
+function findFaults({ report, tests, errors, expectedFiles }) {
+  const faults = [];
+  for (const { name, status, assertionResults } of report.testResults) {
+    if (assertionResults.length === 0) {
+      faults.push(`FAILED, without a test: ${name}`);
+    } else if (
+      status === "failed" &&
+      assertionResults.every((test) => test.status !== "failed")
+    ) faults.push(`FAILED outside of its tests: ${name}`);
+  }
+  for (const { fullName, status } of tests) {
+    if (status !== "passed" && status !== "failed") {
+      faults.push(`NOT RUN (${status}): ${fullName.trim()}`);
+    }
+  }
+  for (const message of errors.unhandled) {
+    faults.push(`UNHANDLED: ${message}`);
+  }
+  const ran = new Set(errors.files.map(({ name }) => name));
+  for (const { name, errors: own } of errors.files) {
+    for (const message of own) {
+      faults.push(`FAILED set-up: ${name}: ${message}`);
+    }
+  }
+  for (const name of expectedFiles) {
+    if (!ran.has(name)) faults.push(`NOT RUN: ${name}`);
+  }
+  if (tests.length === 0) faults.push("NOT RUN: no test at all");
+  return faults;
 }
 
 /** Whether an entry names the test and all of its failure messages. */
@@ -74,17 +106,22 @@
 }
 
 if (process.argv[1]?.endsWith("known_red.mjs")) {
-  const [exitCode, reportFile, listFile] = process.argv.slice(2);
-  const list = readFileSync(listFile, "utf8");
-  const report = existsSync(reportFile)
-    ? JSON.parse(readFileSync(reportFile, "utf8"))
-    : undefined;
+  const [exitCode, root] = process.argv.slice(2);
+  const list = readFileSync(`${root}/KNOWN-RED.txt`, "utf8");
   const { code, messages } = evaluateRun({
     exitCode: Number(exitCode),
-    report,
+    report: tryReadJson(`${root}/reports/run/vitest.json`),
+    errors: tryReadJson(`${root}/reports/run/errors.json`),
+    expectedFiles: readdirSync(`${root}/test`, { recursive: true })
+      .filter((name) => name.endsWith("_test.ts"))
+      .map((name) => `test/${name}`),
     list,
   });
   console.log(list.trim());
   for (const message of messages) console.log(message);
   process.exit(code);
 }
+
+function tryReadJson(file) {
+  return existsSync(file) ? JSON.parse(readFileSync(file, "utf8")) : undefined;
+}
