A connection between daemons goes on once its exchange has ended

Seen by the review and not pursued: where the last part and the end of a response arrived in one read, its connection went back to the pool paused, and the next exchange on it heard nothing until the first caller read on. frames_test waits for that exchange; it got no reply before.

--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1978,4 +1978,11 @@
     }],
     testFile: ROUTING_TEST,
   },
+  {
+    name: "a_paused_connection_goes_on",
+    guarantee: "a silent connection keeps no exchange waiting",
+    file: "src/link/frame_pool.ts",
+    edits: [{ find: "    socket!.resume();\n", replace: "" }],
+    testFile: FRAMES_TEST,
+  },
 ];
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -94,11 +94,18 @@
     else waiting.add(exchange);
     return {
       cancel: () => cancel(exchange),
-      pause: () => exchange.connection?.socket?.pause(),
-      resume: () => exchange.connection?.socket?.resume(),
+      pause: () => tryGetSocket(exchange)?.pause(),
+      resume: () => tryGetSocket(exchange)?.resume(),
     };
   }
 
+  /** The socket of an exchange until its last frame; then it may serve another one. */
+  function tryGetSocket(
+    { connection, handlers }: Exchange,
+  ): Socket | undefined {
+    return connection?.handlers === handlers ? connection.socket : undefined;
+  }
+
   function start(exchange: Exchange): void {
     const { frame, handlers } = exchange;
     const connection = takeIdle() ?? open(frame);
@@ -204,6 +211,8 @@
     if (!isExpected) return void socket!.destroy();
     if (!handlers.onFrame(frame)) return;
     connection.handlers = undefined;
+    // The last part may have paused it in the same read as the end.
+    socket!.resume();
     if (current.has(connection)) idle.push(connection);
     else socket!.destroy();
     startWaiting();
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -259,6 +259,38 @@
   await expect(read()).rejects.toThrow();
 });
 
+test("a response that nobody reads holds up no later exchange on its connection", async () => {
+  const head = JSON.stringify({
+    meta: {},
+    ticket: "t",
+    status: 200,
+    headers: {},
+    hasParts: true,
+  });
+  // Together more than what is buffered, each less than one read.
+  const part = encodeFrame(FrameKind.Part, "", Buffer.alloc(9_000));
+  const end = encodeFrame(FrameKind.End);
+  await startPeer((socket, _frame, count) => {
+    if (count > 0) return void socket.write(createReply("t", "next"));
+    socket.write(encodeFrame(FrameKind.Reply, head));
+    setTimeout(() => socket.write(part), 5);
+    // The last part and the end arrive in one read.
+    setTimeout(() => socket.write(Buffer.concat([part, end])), 20);
+  });
+  const first = await submit("t");
+  if (first.kind !== ReplyKind.Response) throw new Error(first.kind);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const next = await Promise.race([
+    submit("t2"),
+    new Promise((resolve) => setTimeout(() => resolve("no reply"), 500)),
+  ]);
+  expect(next).toMatchObject({ kind: ReplyKind.Response });
+  expect(sockets.size).toBe(1);
+  let size = 0;
+  for await (const chunk of first.response.body) size += chunk.length;
+  expect(size).toBe(18_000);
+});
+
 test("a cancelled attempt closes its connection, and the others go on", async () => {
   await startPeer((socket, { head }) => {
     const { ticket } = decodeRequestFrame(head)!;
