The soak's upstream refuses as not run only what it has not run

Seed 44003 of the soak saw a request run twice, on too: in the mode of an endless refusal the stand-in recorded a run and then stated that nothing ran. It refuses before the run now; the seed stays as a regression case. A deployment of the tests whose daemons don't get ready closes what it started.

--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -164,7 +164,13 @@
   }
   publish(1);
   for (const host of hosts) startDaemon(host);
-  await Promise.all(hosts.map(waitUntilReady));
+  try {
+    await Promise.all(hosts.map(waitUntilReady));
+  } catch (error) {
+    // What was started would keep its addresses from the tests after it.
+    await close();
+    throw error;
+  }
   return deployment;
 
   async function startRelays(ip: string): Promise<HostRelays> {
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -307,6 +307,9 @@
       res.writeHead(503).end();
       return;
     }
+    if (standIn.mode === UpstreamMode.EndlessRefusal) {
+      return sendEndless(socket, standIn.mode, { standIn, id });
+    }
     standIn.ran.push(id);
     standIn.runs.push({
       id,
@@ -326,14 +329,20 @@
       return;
     }
     setNotices(res);
-    const mode = ENDLESS_MODES.find((m) => m === standIn.mode);
-    if (mode !== undefined) sendEndless(res.socket!, mode, { standIn, id });
-    else if (standIn.mode === UpstreamMode.CutsUnread) cutUnread(res, standIn);
-    else {responders[standIn.mode as FiniteMode](
-        res,
-        id,
-        standIn.createBody(id),
-      );}
+    const mode = getModeAfterRun();
+    const endless = ENDLESS_MODES.find((m) => m === mode);
+    if (endless !== undefined) {
+      sendEndless(res.socket!, endless, { standIn, id });
+    } else if (mode === UpstreamMode.CutsUnread) cutUnread(res, standIn);
+    else {
+      responders[mode as FiniteMode](res, id, standIn.createBody(id));
+    }
+  }
+
+  /** Whatever the mode is by then, a request that ran is not refused as not run. */
+  function getModeAfterRun(): UpstreamMode {
+    const { mode } = standIn;
+    return mode === UpstreamMode.EndlessRefusal ? UpstreamMode.Serving : mode;
   }
 }
 
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -18,4 +18,9 @@
       "the soak listed an upstream as ready again after it had been listed " +
       "as draining, and sent SIGHUP while Node.js was booting",
   },
+  {
+    seed: 44_003,
+    cause:
+      "the soak's upstream refused requests as not run that it had recorded as run",
+  },
 ];
