--- a/src/core/stop_plan.ts
+++ b/src/core/stop_plan.ts
@@ -15,7 +15,7 @@
 /** Share of answers that may take too long for a repeatable request to be taken. */
 const MAX_LATE_SHARE = 0.05;
 /** The same for requests that run at most once. */
-const MAX_LATE_SHARE_AT_MOST_ONCE = 0;
+const MAX_LATE_SHARE_AT_MOST_ONCE = 0.005;
 /** Time left as a multiple of the expected one, for repeatable requests; above the width of a bucket of times. */
 const MARGIN = 1.1;
 /** The same for requests that run at most once. */
