--- a/src/core/watch_times.ts
+++ b/src/core/watch_times.ts
@@ -12,8 +12,8 @@
 const RESPONSE_SHARE = 0.15;
 /** Longest watch of a reader with followers, in ms: each end of a watch shows them that it reaches the store. */
 const SHARED_WATCH_MS = 500;
-/** Longest watch while the store is unavailable, in ms: a call that gets no response must not block for long. */
-const OUTAGE_WATCH_MS = 50;
+/** Longest watch of a store that may be unavailable, in ms: a call that gets no response must not block for long. */
+const SHORT_WATCH_MS = 50;
 /** Time for the response of a store that has failed before, in ms; it may be slow. */
 const OUTAGE_RESPONSE_MS = 800;
 
@@ -33,23 +33,27 @@
   readonly idleMs: Millis;
   /** True if other daemons follow this one. */
   readonly isShared: boolean;
+  /** True if the connection of the last call was silent: whether the store is, has to be known soon. */
+  readonly isAskedAgain: boolean;
   /** True if the last call to the store failed. */
   readonly isLost: boolean;
 }
 
 /** Plans a watch; its times, the idle time included, end before a change is due. */
 export function planWatch(
-  { promiseMs, idleMs, isShared, isLost }: WatchSituation,
+  { promiseMs, idleMs, isShared, isAskedAgain, isLost }: WatchSituation,
 ): WatchTimes {
   if (isLost) {
-    return { waitMs: OUTAGE_WATCH_MS, responseMs: OUTAGE_RESPONSE_MS };
+    return { waitMs: SHORT_WATCH_MS, responseMs: OUTAGE_RESPONSE_MS };
   }
+  const responseMs = promiseMs * RESPONSE_SHARE;
+  if (isAskedAgain) return { waitMs: SHORT_WATCH_MS, responseMs };
   const longestMs = Math.max(
-    OUTAGE_WATCH_MS,
+    SHORT_WATCH_MS,
     promiseMs * WATCH_SHARE - idleMs,
   );
   return {
     waitMs: isShared ? Math.min(SHARED_WATCH_MS, longestMs) : longestMs,
-    responseMs: promiseMs * RESPONSE_SHARE,
+    responseMs,
   };
 }
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -255,9 +255,9 @@
     counters.add("store_watch");
     const times = planWatch({
       promiseMs: options.promiseMs,
-      // Another connection is used after a silent one.
-      idleMs: isAskedAgain ? 0 : host.now() - respondedAt,
+      idleMs: host.now() - respondedAt,
       isShared: plan.isShared,
+      isAskedAgain,
       isLost: failures > 0,
     });
     const result = await reader.watch(after.revision, times);
--- a/test/watch_times_test.ts
+++ b/test/watch_times_test.ts
@@ -28,7 +28,13 @@
   "a change in $promiseMs ms is found in time on a silent connection, shared $isShared, idle for $idleShare of it",
   ({ promiseMs, isShared, idleShare }) => {
     const idleMs = idleShare * promiseMs;
-    const times = planWatch({ promiseMs, idleMs, isShared, isLost: false });
+    const times = planWatch({
+      promiseMs,
+      idleMs,
+      isShared,
+      isAskedAgain: false,
+      isLost: false,
+    });
     const foundMs = idleMs + times.waitMs + times.responseMs;
     expect(foundMs).toBeLessThanOrEqual(promiseMs * (1 - RETRY_SHARE));
   },
@@ -95,6 +101,9 @@
   await advance(2_000);
   expect([events, counters.get("store_connection_silent")]).toEqual([[], 1]);
   expect(counters.get("source_asked")).toBe(0);
+  // A second silence has to be known before a change is due.
+  const again = calls.findIndex((it) => it.waitMs <= 50);
+  expect(calls[again]!.waitMs + calls[again]!.responseMs).toBeLessThan(400);
   silences = 2;
   await advance(1_200);
   expect(events).toEqual(["lost", "regained"]);
