--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -214,7 +214,7 @@
     return options.tryGetClosedReason?.();
   }
 
-  /** Refuses what waits and may not start any more; what runs ends normally. */
+  /** Refuses what waits and must not be started now; what runs ends normally. */
   function refuseBarred(): GuardAction[] {
     if (!rules.takeChange()) return [];
     const actions: GuardAction[] = [];
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -121,15 +121,10 @@
     req.response?.destroy();
     task.abandon(id);
     if (outgoing.headersSent) return void outgoing.destroy();
-    const { status, headers } = dialect.createVerdictHead(
-      {
-        execution: Execution.MayHaveRun,
-        diagnostic: Diagnostics.handler_failed,
-      },
-      metadata.id,
-    );
-    outgoing.writeHead(status, { ...headers, "content-length": "0" });
-    outgoing.end();
+    writeVerdict(req, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.handler_failed,
+    });
   }
 
   async function handle(req: CallerRequest): Promise<void> {
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -48,6 +48,7 @@
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
 const WAITING_TEST = "test/waiting_test.ts";
+const HANDLER_FAILURE_TEST = "test/handler_failure_test.ts";
 const STOP_PLAN_TEST = "test/stop_plan_test.ts";
 const WATCH_TIMES_TEST = "test/watch_times_test.ts";
 const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
@@ -1985,4 +1986,15 @@
     edits: [{ find: "    socket!.resume();\n", replace: "" }],
     testFile: FRAMES_TEST,
   },
+  {
+    name: "handlers_answer_for_exceptions",
+    guarantee: "a fault in one request ends no daemon",
+    file: "src/daemon/handler_failure.ts",
+    edits: [{
+      find:
+        "onFailure(error instanceof Error ? error : new Error(String(error)));",
+      replace: "if (onFailure !== undefined) throw error;",
+    }],
+    testFile: HANDLER_FAILURE_TEST,
+  },
 ];
