--- a/test/handler_failure_test.ts
+++ b/test/handler_failure_test.ts
@@ -10,7 +10,7 @@
   createServer as createTcpServer,
   type Socket,
 } from "node:net";
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import { request } from "undici";
 import { platformCallers } from "../platform/callers.ts";
 import { createCounters } from "../src/core/counters.ts";
@@ -27,6 +27,9 @@
 import { type GuardReply, ReplyKind } from "../src/link/types.ts";
 import { createTestHost } from "./support/core_host.ts";
 
+/** Without an answer, each test ends by its timeout. */
+vi.setConfig({ testTimeout: 3_000 });
+
 const LOGGER = { debug() {}, info() {}, warn() {}, error() {} };
 const HEAD = {
   account: "all",
