--- a/test/handler_failure_test.ts
+++ b/test/handler_failure_test.ts
@@ -61,8 +61,13 @@
 };
 
 async function listen(server: Server | ReturnType<typeof createTcpServer>) {
+  const open = new Set<Socket>();
+  server.on("connection", (socket: Socket) => open.add(socket));
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  cleanups.push(() => new Promise((resolve) => server.close(resolve)));
+  cleanups.push(() => {
+    for (const socket of open) socket.destroy();
+    return new Promise((resolve) => server.close(resolve));
+  });
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
