--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -9,7 +9,6 @@
   IncomingMessage,
   ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import type { Counters } from "../core/counters.ts";
 import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
@@ -26,6 +25,7 @@
 import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
 import { Header } from "../link/wire.ts";
+import type { CallerHandler, Place } from "./caller_connections.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
@@ -82,7 +82,10 @@
   readonly metadata: CallerMetadata;
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  readonly place: Place;
   readonly arrivedAt: Millis;
+  /** True once the gateway knows how the request ended. */
+  isOver?: boolean;
   /** Body that is kept for a retry, if any. */
   kept?: KeptBody;
   /** Body of the response, once there is one. */
@@ -90,19 +93,23 @@
 }
 
 /** Creates the handler of the callers' listener. */
-export function createIngressHandler(
-  options: IngressOptions,
-): (incoming: IncomingMessage, outgoing: ServerResponse) => void {
+export function createIngressHandler(options: IngressOptions): CallerHandler {
   const { host, task, dialect, counters, logger } = options;
-  /** Requests in progress, by connection. */
-  const open = new WeakMap<Socket, Set<CallerRequest>>();
   let count = 0;
-  return (incoming, outgoing) => {
+  return (incoming, outgoing, place) => {
     count += 1;
     const metadata = dialect.read(incoming.headers);
     const id = `${count.toString(36)}:${metadata.id ?? ""}`;
     const arrivedAt = host.now();
-    const req: CallerRequest = { id, metadata, incoming, outgoing, arrivedAt };
+    place.id = metadata.id;
+    const req: CallerRequest = {
+      id,
+      metadata,
+      incoming,
+      outgoing,
+      place,
+      arrivedAt,
+    };
     incoming.on("error", (error) => logRequestCutOff(req, error));
     if (options.isStopping()) outgoing.setHeader("connection", "close");
     void runHandler(() => handle(req), (error) => fail(req, error));
@@ -110,17 +117,17 @@
 
   /** Whether the request ran is not known. */
   function fail(req: CallerRequest, error: Error): void {
-    const { outgoing, incoming, metadata, id } = req;
+    const { outgoing, metadata, id } = req;
     counters.add("handler_failed");
     logHandlerFailure(logger, error, {
       handler: "ingress",
       req: metadata.id,
     });
-    open.get(incoming.socket)?.delete(req);
+    req.isOver = true;
     req.kept?.release();
     req.response?.destroy();
     task.abandon(id);
-    if (outgoing.headersSent) return void outgoing.destroy();
+    if (outgoing.headersSent) return req.place.cut("handler_failed");
     writeVerdict(req, {
       execution: Execution.MayHaveRun,
       diagnostic: Diagnostics.handler_failed,
@@ -175,13 +182,14 @@
     arrival: Arrival,
     body: Buffer | IncomingMessage | null,
   ): Promise<void> {
-    const { incoming } = req;
+    const { incoming, outgoing } = req;
     if (incoming.socket.destroyed) {
       req.kept?.release();
       return logCallerGone(req);
     }
-    const requests = trackConnection(incoming.socket);
-    requests.add(req);
+    outgoing.once("close", () => {
+      if (!req.isOver) abandon(req);
+    });
     const outcome = await task.serve({
       arrival,
       fingerprint: "",
@@ -192,7 +200,7 @@
       isCallerGone: () => hasEnded(incoming.socket),
     });
     if ("verdict" in outcome) {
-      requests.delete(req);
+      req.isOver = true;
       writeVerdict(req, outcome.verdict, arrival);
     } else if ("response" in outcome) {
       writeResponse(req, arrival, outcome.response);
@@ -206,23 +214,9 @@
     }
   }
 
-  /** Returns the requests in progress on a connection; all are abandoned when it closes. */
-  function trackConnection(socket: Socket): Set<CallerRequest> {
-    let requests = open.get(socket);
-    if (requests === undefined) {
-      const tracked = new Set<CallerRequest>();
-      requests = tracked;
-      open.set(socket, tracked);
-      socket.once("close", () => {
-        for (const req of tracked) abandon(req);
-        tracked.clear();
-      });
-    }
-    return requests;
-  }
-
-  /** A response that waits for an earlier one of its connection isn't closed by Node.js. */
+  /** The connection closed before the answer was written whole. */
   function abandon(req: CallerRequest): void {
+    req.isOver = true;
     logger.info("caller_gone", { req: getCallerId(req.id) });
     task.abandon(req.id);
     req.kept?.release();
@@ -254,7 +248,10 @@
     const { body } = response;
     const getSize = measureBody(response);
     if (Number(headers["content-length"] ?? Infinity) > MAX_SENT_AT_ONCE) {
-      outgoing.setTimeout(STALLED_CALLER_MS, () => outgoing.destroy());
+      outgoing.setTimeout(
+        STALLED_CALLER_MS,
+        () => req.place.cut("caller_stalled"),
+      );
     }
     streamBody(
       body,
@@ -270,7 +267,9 @@
           message: error.message,
         });
       }
-      open.get(incoming.socket)?.delete(req);
+      if (req.isOver) return;
+      req.isOver = true;
+      if (error) req.place.cut("answer_cut");
       req.kept?.release();
       const isWhole = error === undefined && incoming.method !== "HEAD" &&
         status < FIRST_UNSUCCESSFUL_STATUS;
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -35,6 +35,7 @@
 import { createUpstreamClient } from "../upstream/upstream_client.ts";
 import type { UpstreamProtocol } from "../upstream/upstream_protocol.ts";
 import { createChangeRelay } from "./change_relay.ts";
+import { startCallerListener } from "./caller_listener.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { createClock } from "./clock.ts";
 import { createCoreHost } from "./core_host.ts";
@@ -158,7 +159,7 @@
   let hasSnapshot = false;
   let stoppingAt: Millis | undefined;
   let stopping: Promise<void> | undefined;
-  /** Requests of callers and peers whose response is not fully sent. */
+  /** Requests of peers whose response is not fully sent. */
   let pendingRequests = 0;
   /** Derived from the list of upstreams; undefined after a change until it is next needed. */
   let plan: ReadingPlan | undefined;
@@ -373,9 +374,13 @@
   });
   logger.info("starting", { incarnation, service: settings.service });
   reportProblems(undefined, settings.degraded);
-  const ingress = await listen(
-    settings.listen.callers,
-    trackPending(createIngressHandler({
+  const ingress = await startCallerListener({
+    address: settings.listen.callers,
+    maxHeaderBytes: MAX_HEADER_BYTES,
+    counters,
+    logger,
+    isStopping: () => stoppingAt !== undefined,
+    handler: createIngressHandler({
       host,
       task: gatewayTask,
       dialect: deployment.callers,
@@ -390,8 +395,8 @@
         latencies.record(Phase.Response, { service, route }, latencyMs);
         stopPlan.recordAnswer(route, latencyMs);
       },
-    })),
-  );
+    }),
+  });
   const peers = await startPeerListener({
     address: settings.listen.peers,
     maxHeaderBytes: MAX_HEADER_BYTES,
@@ -568,8 +573,7 @@
   }
 
   function applyLimits({ limits }: RoutingConfig): void {
-    ingress.keepAliveTimeout = limits.idleTimeoutMs;
-    ingress.headersTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
+    ingress.setLimits(limits);
   }
 
   function handleUpstreamChange(
@@ -654,12 +658,13 @@
       await waitForSockets();
     }
     // Same event loop turn as the last check above, so that no request arrives in between.
-    ingress.close();
+    const isAnswered = ingress.close(CLOSE_MS);
     peers.stop();
     lifecycle.add("peers", peers.close);
-    for (const server of [ingress, readiness, metrics]) {
+    for (const server of [readiness, metrics]) {
       lifecycle.add("server", () => closeServer(server));
     }
+    lifecycle.add("callers", () => isAnswered);
     lifecycle.add("store", store.close);
     lifecycle.add("watch", watch.close);
     const tookS = (clock.now() - startedAt) / MS_PER_SECOND;
@@ -684,7 +689,8 @@
   }
 
   function countOpen(): number {
-    return pendingRequests + guardTask.guard.getOpenCount();
+    return ingress.countUnanswered() + pendingRequests +
+      guardTask.guard.getOpenCount();
   }
 }
 
--- /dev/null
+++ b/test/caller_connections_test.ts
@@ -0,0 +1,168 @@
+/** Connections of callers, on real sockets with a handler that answers when told. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { createCounters } from "../src/core/counters.ts";
+import {
+  type CallerConnections,
+  createCallerConnections,
+  type Place,
+} from "../src/daemon/caller_connections.ts";
+import type { LogFields, Logger } from "../src/daemon/logger.ts";
+import { openPipe, type Pipe } from "./support/pipelining_caller.ts";
+
+interface Taken {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly place: Place;
+}
+
+interface Listener {
+  readonly port: number;
+  readonly connections: CallerConnections;
+  /** Requests that were passed on, by path. */
+  readonly taken: Map<string, Taken>;
+  readonly lines: { event: string; fields: LogFields }[];
+  getCounter(name: string): number;
+  answer(path: string): void;
+  setStopping(): void;
+}
+
+const closers: (() => Promise<void>)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close();
+});
+
+async function listen(): Promise<Listener> {
+  const server = createServer();
+  const taken = new Map<string, Taken>();
+  const lines: Listener["lines"] = [];
+  const counters = createCounters();
+  let isStopping = false;
+  const log = (event: string, fields: LogFields = {}) =>
+    void lines.push({ event, fields });
+  const logger: Logger = { debug: log, info: log, warn: log, error: log };
+  const connections = createCallerConnections(server, {
+    counters,
+    logger,
+    isStopping: () => isStopping,
+    handler: (incoming, outgoing, place) => {
+      place.id = incoming.url;
+      taken.set(incoming.url!, { incoming, outgoing, place });
+    },
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  closers.push(() => {
+    server.closeAllConnections();
+    return new Promise((resolve) => server.close(() => resolve()));
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    connections,
+    taken,
+    lines,
+    getCounter: counters.get,
+    setStopping: () => isStopping = true,
+    answer: (path) => {
+      const { outgoing } = taken.get(path)!;
+      outgoing.writeHead(200, { "content-length": "2" });
+      outgoing.end("ok");
+    },
+  };
+}
+
+async function open({ port }: Listener): Promise<Pipe> {
+  const pipe = await openPipe("127.0.0.1", port);
+  closers.push(() => Promise.resolve(pipe.close()));
+  return pipe;
+}
+
+/** Sends requests behind each other; resolves once all have been passed on. */
+async function sendAll(listener: Listener, pipe: Pipe, paths: string[]) {
+  const answers = paths.map((path) => pipe.send({ id: path, path }));
+  await until(() => paths.every((path) => listener.taken.has(path)));
+  return answers;
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+  for (let i = 0; i < 400 && !isTrue(); i++) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  expect(isTrue()).toBe(true);
+}
+
+test("a caller that leaves its requests unanswered is logged, and none is counted any more", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  await sendAll(listener, pipe, ["/1", "/2", "/3"]);
+  expect(listener.connections.countUnanswered()).toBe(3);
+  let closed = 0;
+  for (const { outgoing } of listener.taken.values()) {
+    outgoing.once("close", () => closed += 1);
+  }
+  pipe.close();
+  await until(() => listener.connections.countUnanswered() === 0);
+  await until(() => closed === 3);
+  expect(listener.lines).toEqual([{
+    event: "connection_closed",
+    fields: {
+      by: "caller",
+      reason: "ended",
+      unanswered: 3,
+      stopping: false,
+      reqs: "/1,/2,/3",
+    },
+  }]);
+  expect(listener.getCounter("unanswered_closed_by_caller")).toBe(3);
+});
+
+test("a connection that the daemon cuts names its reason and what it leaves", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const answers = await sendAll(listener, pipe, ["/1", "/2"]);
+  listener.setStopping();
+  listener.taken.get("/1")!.place.cut("answer_cut");
+  expect((await Promise.all(answers)).map((it) => it.isWhole))
+    .toEqual([false, false]);
+  await until(() => listener.lines.length === 1);
+  expect(listener.lines[0]!.fields).toMatchObject({
+    by: "daemon",
+    reason: "answer_cut",
+    unanswered: 2,
+    stopping: true,
+  });
+});
+
+test("closing waits for the answers of what was passed on", async () => {
+  const listener = await listen();
+  const idle = await open(listener);
+  const pipe = await open(listener);
+  const answers = await sendAll(listener, pipe, ["/1", "/2"]);
+  const closed = listener.connections.close(2_000);
+  await until(() => !idle.isOpen());
+  listener.answer("/2");
+  listener.answer("/1");
+  expect((await Promise.all(answers)).map((it) => it.status))
+    .toEqual([200, 200]);
+  await closed;
+  expect(listener.connections.countUnanswered()).toBe(0);
+  expect(listener.lines).toEqual([]);
+});
+
+test("closing cuts what is unanswered in the end", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const answers = await sendAll(listener, pipe, ["/1"]);
+  await listener.connections.close(100);
+  expect((await answers[0]!).isWhole).toBe(false);
+  expect(listener.lines[0]!.fields).toMatchObject({
+    by: "daemon",
+    reason: "close_timeout",
+    unanswered: 1,
+  });
+});
--- a/test/handler_failure_test.ts
+++ b/test/handler_failure_test.ts
@@ -20,6 +20,7 @@
 import { createFrameServer } from "../src/daemon/frame_server.ts";
 import type { GatewayTask } from "../src/daemon/gateway_task.ts";
 import type { GuardTask } from "../src/daemon/guard_task.ts";
+import { createCallerConnections } from "../src/daemon/caller_connections.ts";
 import { createIngressHandler } from "../src/daemon/ingress_server.ts";
 import { createPeerHandler } from "../src/daemon/peer_server.ts";
 import { createFrameLink } from "../src/link/frame_link.ts";
@@ -128,7 +129,8 @@
         idleTimeoutMs: 1_000,
       },
     });
-    const address = await listen(createServer(createIngressHandler({
+    const server = createServer();
+    const handler = createIngressHandler({
       host: createTestHost(),
       task,
       dialect: platformCallers,
@@ -139,7 +141,14 @@
       getRoutes: () => routes,
       isStopping: () => false,
       onResponse: () => {},
-    })));
+    });
+    createCallerConnections(server, {
+      handler,
+      counters,
+      logger: LOGGER,
+      isStopping: () => false,
+    });
+    const address = await listen(server);
     const send = async () => {
       const res = await request(`http://${address}/order/1`, {
         method: "POST",
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -20,6 +20,7 @@
   GatewayRequest,
   GatewayTask,
 } from "../src/daemon/gateway_task.ts";
+import { createCallerConnections } from "../src/daemon/caller_connections.ts";
 import { createIngressHandler } from "../src/daemon/ingress_server.ts";
 import type { LogFields, Logger } from "../src/daemon/logger.ts";
 import { createTestHost } from "./support/core_host.ts";
@@ -276,19 +277,26 @@
   logger: Logger = DISCARDING_LOGGER,
   memory = createMemoryBudget({ limitBytes: 1_000_000 }),
 ): Promise<{ port: number; close(): Promise<void> }> {
-  const server = createServer(createIngressHandler({
-    host: createTestHost(),
-    task,
-    dialect: platformCallers,
-    counters: createCounters(),
-    memory,
+  const server = createServer();
+  const counters = createCounters();
+  createCallerConnections(server, {
+    counters,
     logger,
-    origin: "orders",
-    getRoutes: () => ROUTES,
     isStopping: () => false,
-    getRefusalReason: () => undefined,
-    onResponse: () => {},
-  }));
+    handler: createIngressHandler({
+      host: createTestHost(),
+      task,
+      dialect: platformCallers,
+      counters,
+      memory,
+      logger,
+      origin: "orders",
+      getRoutes: () => ROUTES,
+      isStopping: () => false,
+      getRefusalReason: () => undefined,
+      onResponse: () => {},
+    }),
+  });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
   return { port, close };
--- a/test/log_events_test.ts
+++ b/test/log_events_test.ts
@@ -9,6 +9,7 @@
 /** Modules of the platform's daemon that write log lines. */
 const MODULES = [
   "platform/main.ts",
+  "src/daemon/caller_connections.ts",
   "src/daemon/gateway_task.ts",
   "src/daemon/guard_task.ts",
   "src/daemon/ingress_server.ts",
