Bound the store's answers: bytes without end took a daemon's memory

What callers saw: nothing until the daemon was killed, then nothing at all.

Cause: the client of the store kept all bytes of an answer, with a time limit for silence only, and followed pages as long as there was a next one.

Changes that are too many for one watch are read in pages, so that a legitimate answer of that size doesn't stop a daemon.

--- a/src/core/change_log.ts
+++ b/src/core/change_log.ts
@@ -3,6 +3,12 @@
  * date. Only the newest entry of each key is kept.
  */
 
+/**
+ * Largest content of the store that a daemon reads, in bytes as it is sent: five
+ * times that of 2,400 upstreams. Reading it takes several times as much memory.
+ */
+export const MAX_STORE_BYTES = 8_388_608;
+
 /** One entry of the store. */
 export interface StoreEntry {
   readonly key: string;
--- a/src/daemon/store_task.ts
+++ b/src/daemon/store_task.ts
@@ -65,6 +65,8 @@
   readonly isHistoryGone: boolean;
   /** True if no byte came in time: the connection may be silent while the store responds on others. */
   readonly isSilent?: boolean;
+  /** True if the store's response was cut as larger than what a daemon reads. */
+  readonly isEndless?: boolean;
 }
 
 /** Client of a key-value store. */
@@ -158,6 +160,8 @@
   /** True if a source left out changes as too large; the next read is from the store. */
   let mustReadStore = false;
   let largeReadAt: Millis = -Infinity;
+  /** True if the changes are too many for one watch; they are read in pages. */
+  let mustReadPages = false;
   const startedAt = host.now();
   return { start, isReachable: () => failures === 0, close };
 
@@ -223,8 +227,9 @@
     const source = mustFollow && !isAskedAgain
       ? plan.sources.find((it) => !isAvoided(it))
       : undefined;
-    if (source === undefined) void watch(position, plan);
-    else follow(source, position);
+    if (source !== undefined) follow(source, position);
+    else if (mustReadPages) void readAll();
+    else void watch(position, plan);
   }
 
   async function readAll(): Promise<void> {
@@ -353,6 +358,7 @@
   function markReachable(): void {
     failures = 0;
     isAskedAgain = false;
+    mustReadPages = false;
     respondedAt = host.now();
     if (lostAt === undefined) return;
     const outageMs = Math.round(host.now() - lostAt);
@@ -371,6 +377,8 @@
       return schedule(0);
     }
     isAskedAgain = false;
+    mustReadPages = error.isEndless === true;
+    if (mustReadPages) counters.add("store_response_cut_endless");
     relay.release();
     counters.add(isHistoryGone ? "store_history_gone" : "store_failed");
     const revision = position?.revision;
--- /dev/null
+++ b/test/endless_store_mesh_test.ts
@@ -0,0 +1,108 @@
+/** Daemons as processes whose store or whose peer sends bytes without end. */
+
+import { afterAll, beforeAll, expect, test } from "vitest";
+import {
+  type Deployment,
+  type DeploymentHost,
+  startDeployment,
+} from "./platform/mesh.ts";
+import { createEndlessAnswers } from "./support/endless_answers.ts";
+import {
+  type EndlessAnswer,
+  readProcessorMs,
+  startEndlessServer,
+  watchMemory,
+} from "./support/endless_server.ts";
+
+const STORE_PORT = 18_306;
+/** Memory beyond which the platform kills a daemon, in bytes. */
+const MEMORY_LIMIT_BYTES = 250_000_000;
+/** Time for which the bytes are sent, in ms. */
+const ENDLESS_MS = 3_000;
+/** Bound for the test's own sake, in bytes. */
+const GIVE_UP_BYTES = 600_000_000;
+const PAUSE_MS = 20;
+
+let fleet: Deployment;
+
+beforeAll(async () => {
+  fleet = await startDeployment(210, ["shop", "shop"], { hasRelays: true });
+  await fleet.hosts[0]!.links!.store.close();
+});
+afterAll(() => fleet.close());
+
+/** Calls one after another while bytes are sent; returns what callers and the daemon had. */
+async function callMeanwhile(
+  host: DeploymentHost,
+  name: string,
+): Promise<{ statuses: number[]; p99: number; most: number; cpu: number }> {
+  const { pid } = host.process;
+  const cpuBefore = readProcessorMs(pid!);
+  const memory = watchMemory([pid!]);
+  const statuses: number[] = [];
+  const times: number[] = [];
+  const end = performance.now() + ENDLESS_MS;
+  const isBounded = () => memory.getMost() < GIVE_UP_BYTES;
+  for (let i = 0; performance.now() < end && isBounded(); i++) {
+    const sentAt = performance.now();
+    const { status } = await fleet.call(host, { id: `${name}-${i}` });
+    times.push(performance.now() - sentAt);
+    statuses.push(status);
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+  }
+  memory.stop();
+  times.sort((a, b) => a - b);
+  const p99 = Math.round(times[Math.floor(times.length * 0.99)]!);
+  const cpu = readProcessorMs(pid!) - cpuBefore;
+  return { statuses, p99, most: memory.getMost(), cpu };
+}
+
+const PAGE = JSON.stringify({
+  items: Array.from({ length: 500 }, (_, i) => ({
+    key: `servers/i-${i}`,
+    value: Buffer.from("x".repeat(1_000)).toString("base64"),
+    created: 1,
+  })),
+  hasMore: true,
+  at: 1,
+});
+const STORE_ANSWERS: Record<string, EndlessAnswer> = {
+  ...createEndlessAnswers("kv-", "200 OK\r\nstore-era: 1\r\n"),
+  "a refusal's body": {
+    pattern: "kv-",
+    start: "HTTP/1.1 503 Busy\r\ntransfer-encoding: chunked\r\n\r\n",
+    part: `1000\r\n${"a".repeat(0x1000)}\r\n`,
+  },
+  "pages": {
+    pattern: "kv-",
+    start: "HTTP/1.1 200 OK\r\nstore-era: 2\r\n" +
+      `content-length: ${PAGE.length}\r\n\r\n${PAGE}`,
+    part: "",
+    everyMs: 1_000_000,
+  },
+};
+
+test.each(Object.keys(STORE_ANSWERS))(
+  "a store that sends %s without end: bounded memory, and callers are served",
+  async (name) => {
+    const [host] = fleet.hosts as [DeploymentHost];
+    const server = await startEndlessServer({
+      ip: host.ip,
+      port: STORE_PORT,
+      answers: [STORE_ANSWERS[name]!],
+    });
+    try {
+      const { statuses, p99, most, cpu } = await callMeanwhile(host, name);
+      console.log(
+        `store, ${name}: most ${Math.round(most / 1e6)} MB, ` +
+          `${statuses.length} calls, p99 ${p99} ms, processor ${cpu} ms`,
+      );
+      expect(statuses.filter((status) => status !== 200)).toEqual([]);
+      expect(host.process.exitCode).toBeNull();
+      expect(most).toBeLessThan(MEMORY_LIMIT_BYTES);
+    } finally {
+      await server.close();
+    }
+  },
+  20_000,
+);
--- a/test/store_task_test.ts
+++ b/test/store_task_test.ts
@@ -1,6 +1,6 @@
 /** Calls that a daemon makes to the store. */
 
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { createCounters } from "../src/core/counters.ts";
 import { ReadingRank } from "../src/core/reading_plan.ts";
@@ -81,3 +81,51 @@
   expect(calls).toBeLessThanOrEqual(2 + 4);
   await task.close();
 });
+
+test("changes that are too many for one watch are read in pages", async () => {
+  const host = createTestHost();
+  const counters = createCounters();
+  let revision = 1;
+  const snapshots: number[] = [];
+  const reader: StoreReader = {
+    readAll: () => Promise.resolve(ok({ era: 1, revision, entries: [] })),
+    watch: async (after) => {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      return after < revision
+        ? err({
+          call: "watch",
+          message: "too large",
+          isHistoryGone: false,
+          isEndless: true,
+        })
+        : ok({ era: 1, revision, entries: [] });
+    },
+    decode: () => [],
+    close: () => Promise.resolve(),
+  };
+  const task = createStoreTask(host, {
+    reader,
+    relay: createChangeRelay(host, { counters }),
+    counters,
+    logger: { debug() {}, info() {}, warn() {}, error() {} },
+    promiseMs: 2_000,
+    readGapMs: 1_000,
+    getPlan: () => ({ rank: ReadingRank.Root, isShared: false, sources: [] }),
+    getPeerAddress: (id) => id,
+    onSnapshot: () => snapshots.push(revision),
+    onChange: () => {},
+    onLost: () => {},
+    onRegained: () => {},
+    onRolledBack: () => {},
+  });
+  task.start();
+  for (let now = 0; now < 2_000; now += STEP_MS) {
+    if (now === 1_000) revision = 9;
+    host.advance(STEP_MS);
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+  }
+  expect(snapshots).toEqual([1, 9]);
+  expect(counters.get("store_response_cut_endless")).toBe(1);
+  expect(task.isReachable()).toBe(true);
+  await task.close();
+});
