Soak: an upstream's stand-in named its successor as leaving

Cause: the stand-in sets its notices when a request arrives and again when it is answered. A request that was in progress while a leaving instance was replaced kept "server-leaving" of the old instance under the name of the new one, which then stayed. The limit was removed in that case, this notice wasn't.

The check itself is unchanged.

--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -244,6 +244,7 @@
     if (limitPerS === undefined) res.removeHeader("server-limit");
     else res.setHeader("server-limit", String(limitPerS));
     if (isLeaving) res.setHeader("server-leaving", "1");
+    else res.removeHeader("server-leaving");
   }
 
   async function serve(
