A daemon announces the end of a connection between daemons

Callers saw 502 for reads that never ran, right at the end of a stop of the only daemon that serves them: 32 of 3,906 in three stops (2.6 to 3.4 s after SIGTERM), 18 of 4,237 in three others, and once two orders of 30 KB.

Cause: at the end of the stop the daemon closed idle connections while requests were on their way on them. Their senders can't tell this from a crash after the request was read: in doubt. The HTTP server behind the listener never listens itself, so that its closeIdleConnections and closeAllConnections did nothing: those were closed by the process's end.

A frame of its own now says that no further request is read. It is sent on a connection that carries no exchange, so that a request that crosses it is known not to have run; then only the peer's close is awaited, at most 200 ms at the end of a stop, with exchanges in progress, HTTP requests and connections that have sent nothing yet. The idle time-out takes the same path. A daemon that doesn't know the frame closes the connection, as before.

--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -34,6 +34,9 @@
 /** Time after which a connection without an exchange is closed, in ms; longer than peers keep idle ones. */
 const IDLE_MS = 75_000;
 
+/** Time for a peer to close a connection whose end was announced to it, in ms. */
+const CLOSING_MS = 1_000;
+
 /** Settings of the server. */
 export interface FrameServerOptions {
   readonly guard: GuardTask;
@@ -48,7 +51,14 @@
 export interface FrameServer {
   /** Takes over a connection from its first bytes on. */
   accept(socket: Socket, first: Buffer): void;
-  /** Closes all connections. */
+  /**
+   * Reads no further requests. Tells so on each connection as soon as it carries
+   * no exchange, so that a request on its way there is known not to run.
+   */
+  drain(): void;
+  /** Number of connections. */
+  countOpen(): number;
+  /** Closes all connections, also those with exchanges in progress. */
   close(): void;
 }
 
@@ -67,11 +77,14 @@
 
 const ACCEPTED = encodeFrame(FrameKind.Accepted);
 const END = encodeFrame(FrameKind.End);
+const CLOSING = encodeFrame(FrameKind.Closing);
 
 /** Creates a server without connections. */
 export function createFrameServer(options: FrameServerOptions): FrameServer {
   const { guard } = options;
-  const sockets = new Set<Socket>();
+  /** Connections, with what announces their end unless they carry an exchange. */
+  const connections = new Map<Socket, () => void>();
+  let isDraining = false;
   const steps: Partial<Record<Step, StepHandler>> = {
     [Step.Reserve]: ({ head: { ticket, head } }) =>
       head === undefined
@@ -100,30 +113,46 @@
   };
   return {
     accept,
+    drain: () => {
+      isDraining = true;
+      for (const announceEnd of connections.values()) announceEnd();
+    },
+    countOpen: () => connections.size,
     close: () => {
-      for (const socket of sockets) socket.destroy();
+      for (const socket of connections.keys()) socket.destroy();
     },
   };
 
   function accept(socket: Socket, first: Buffer): void {
-    sockets.add(socket);
+    connections.set(socket, announceEnd);
     /** Signal of the exchange in progress. */
     let openSignal: EventEmitter | undefined;
+    let isEndAnnounced = false;
     const reader = createFrameReader(receive);
     socket.setTimeout(IDLE_MS, () => {
-      if (openSignal === undefined) socket.destroy();
+      if (isEndAnnounced) socket.destroy();
+      else announceEnd();
     });
     socket.on("error", () => {});
     socket.on("end", () => socket.destroy());
     socket.once("close", () => {
-      sockets.delete(socket);
+      connections.delete(socket);
       openSignal?.emit("abort");
     });
     socket.on("data", read);
+    if (isDraining) announceEnd();
     read(first);
 
+    /** Closing at once would leave a request on its way here in doubt. */
+    function announceEnd(): void {
+      if (openSignal !== undefined || isEndAnnounced) return;
+      isEndAnnounced = true;
+      socket.end(CLOSING);
+      socket.setTimeout(CLOSING_MS);
+    }
+
     function read(chunk: Buffer): void {
-      if (reader.read(chunk)) return;
+      if (isEndAnnounced || reader.read(chunk)) return;
       reportMalformed("bytes that are no frames");
       socket.destroy();
     }
@@ -153,6 +182,7 @@
         // The next request may arrive before the callback of the write.
         openSignal = undefined;
         socket.write(last, end);
+        if (isDraining) announceEnd();
       }
     }
   }
--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -2,6 +2,7 @@
 
 import { createServer, type RequestListener } from "node:http";
 import { createServer as createTcpServer, type Socket } from "node:net";
+import { performance } from "node:perf_hooks";
 import { splitAddress } from "../link/address.ts";
 import { FrameKind } from "../link/frames.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
@@ -10,6 +11,10 @@
 /** Keep-alive time of HTTP connections, in ms; longer than peers keep idle ones. */
 const KEEP_ALIVE_MS = 75_000;
 
+/** Time for peers to close their connections after an announced end, in ms. */
+const LINGER_MS = 200;
+const LINGER_POLL_MS = 5;
+
 /** Settings of the listener. */
 export interface PeerListenerOptions {
   /** IP address and port. */
@@ -22,10 +27,13 @@
 
 /** A listener for other daemons. */
 export interface PeerListener {
-  /** Accepts no further connections, and closes idle HTTP ones. */
+  /** Accepts no further connections. */
   stop(): void;
-  /** Closes all connections, also those with requests in progress. */
-  close(): void;
+  /**
+   * Closes all connections once they carry no request; those that still do a
+   * short time later are cut.
+   */
+  close(): Promise<void>;
 }
 
 /** Starts to listen; rejects if it can't. */
@@ -35,11 +43,18 @@
   const { frames } = options;
   /** Connections that have sent nothing yet. */
   const unread = new Set<Socket>();
+  /** HTTP connections; the HTTP server knows only those that it accepted itself. */
+  const httpSockets = new Set<Socket>();
+  let openRequests = 0;
   const http = createServer({
     maxHeaderSize: options.maxHeaderBytes,
     requestTimeout: 0,
     keepAliveTimeout: KEEP_ALIVE_MS,
-  }, options.handler);
+  }, (req, res) => {
+    openRequests += 1;
+    res.once("close", () => openRequests -= 1);
+    options.handler(req, res);
+  });
   const tcp = createTcpServer({
     noDelay: true,
     highWaterMark: MAX_READ_BYTES,
@@ -51,17 +66,25 @@
     tcp.listen(port, host, resolve);
   });
   return {
-    stop: () => {
-      tcp.close();
-      http.closeIdleConnections();
-    },
-    close: () => {
-      frames.close();
-      http.closeAllConnections();
-      for (const socket of unread) socket.destroy();
-    },
+    stop: () => void tcp.close(),
+    close,
   };
 
+  async function close(): Promise<void> {
+    frames.drain();
+    const closesAt = performance.now() + LINGER_MS;
+    while (countBusy() > 0 && performance.now() < closesAt) {
+      await new Promise((resolve) => setTimeout(resolve, LINGER_POLL_MS));
+    }
+    frames.close();
+    for (const socket of [...httpSockets, ...unread]) socket.destroy();
+  }
+
+  /** Connections whose peer may still wait for an answer. */
+  function countBusy(): number {
+    return frames.countOpen() + openRequests + unread.size;
+  }
+
   function accept(socket: Socket): void {
     unread.add(socket);
     const end = () => void socket.destroy();
@@ -73,6 +96,8 @@
       if (first[0] === FrameKind.Request) return frames.accept(socket, first);
       socket.pause();
       socket.unshift(first);
+      httpSockets.add(socket);
+      socket.once("close", () => httpSockets.delete(socket));
       http.emit("connection", socket);
       socket.resume();
     });
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -21,7 +21,7 @@
 
 /** Why an exchange ended without its last frame. */
 export interface ExchangeFailure {
-  /** False if no byte of the request was sent. */
+  /** False if no byte of the request was sent, or the peer has stated that it does not read it. */
   readonly wasSent: boolean;
   /** True if the peer knows no frames and has read no request. */
   readonly isHttpPeer: boolean;
@@ -67,6 +67,8 @@
 interface Connection {
   socket?: Socket;
   handlers?: ExchangeHandlers | undefined;
+  /** True once a frame of the present exchange has arrived. */
+  isAnswered?: boolean;
   isCancelled?: boolean;
 }
 
@@ -111,6 +113,7 @@
     const connection = takeIdle() ?? open(frame);
     exchange.connection = connection;
     connection.handlers = handlers;
+    connection.isAnswered = false;
     connection.socket?.write(frame);
   }
 
@@ -206,9 +209,11 @@
   /** A frame without an exchange belongs to no request; its connection is closed. */
   function receive(connection: Connection, frame: Frame): void {
     const { handlers, socket } = connection;
+    if (frame.kind === FrameKind.Closing) return endClosing(connection);
     const isExpected = handlers !== undefined &&
       frame.kind !== FrameKind.Request;
     if (!isExpected) return void socket!.destroy();
+    connection.isAnswered = true;
     if (!handlers.onFrame(frame)) return;
     connection.handlers = undefined;
     // The last part may have paused it in the same read as the end.
@@ -218,6 +223,16 @@
     startWaiting();
   }
 
+  /** The peer does not read a request that crossed its announcement. */
+  function endClosing(connection: Connection): void {
+    remove(connection);
+    if (connection.handlers !== undefined && !connection.isAnswered) {
+      const message = "the peer closes the connection and has not read this";
+      fail(connection, { wasSent: false, message });
+    }
+    connection.socket!.destroy();
+  }
+
   function fail(
     connection: Connection,
     failure: Omit<ExchangeFailure, "isHttpPeer"> & { isHttpPeer?: boolean },
--- a/src/link/frames.ts
+++ b/src/link/frames.ts
@@ -17,6 +17,8 @@
   Part = 4,
   /** Ends such a body; a connection that ends without it has cut the body. */
   End = 5,
+  /** The guard reads no further request on the connection; one that it has not begun to answer never runs. */
+  Closing = 6,
 }
 
 /** A frame as received. */
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -231,6 +231,31 @@
   });
 });
 
+// Orders on their way to a daemon that closed idle connections were in doubt.
+test("an attempt that crosses the announced end of its connection has not arrived", async () => {
+  await startPeer((socket, { head }, count) => {
+    if (count > 0) return void socket.end(encodeFrame(FrameKind.Closing));
+    const { ticket } = decodeRequestFrame(head)!;
+    socket.write(createReply(ticket, ""));
+  });
+  expect((await submit("answered")).kind).toBe(ReplyKind.Response);
+  expect(await submit("crossing")).toMatchObject({
+    kind: ReplyKind.Failed,
+    mayHaveArrived: false,
+  });
+});
+
+test("an attempt that was accepted before the announced end of its connection is in doubt", async () => {
+  await startPeer((socket) => {
+    socket.write(encodeFrame(FrameKind.Accepted));
+    socket.end(encodeFrame(FrameKind.Closing));
+  });
+  expect(await submit("t")).toMatchObject({
+    kind: ReplyKind.Failed,
+    mayHaveArrived: true,
+  });
+});
+
 test("a body in parts ends with its last frame, and a cut is no end", async () => {
   const head = JSON.stringify({
     meta: {},
--- /dev/null
+++ b/test/stopped_peer_mesh_test.ts
@@ -0,0 +1,88 @@
+/**
+ * A store daemon as a process that is stopped while another one sends requests
+ * to its guard, the only one of their service. Guards against requests that are
+ * in doubt although they never ran.
+ */
+
+import { afterAll, beforeAll, expect, test } from "vitest";
+import {
+  type Deployment,
+  type DeploymentHost,
+  startDeployment,
+} from "./platform/mesh.ts";
+
+const CALLERS = 24;
+const STOPS = 2;
+const BEFORE_MS = 300;
+const TIMEOUT_MS = 1_900;
+/** Request bodies, in bytes; the second is more than a frame between daemons takes. */
+const SMALL = 1;
+const LARGE = 30_000;
+
+let fleet: Deployment;
+let count = 0;
+beforeAll(async () => {
+  fleet = await startDeployment(200, ["front", "shop"]);
+  fleet.publish(2, { service: "shop" });
+  for (const { upstream } of fleet.hosts) upstream.slots = 200;
+}, 30_000);
+afterAll(() => fleet.close());
+
+// Idle connections were closed while requests were on their way on them.
+test.each(
+  [
+    { kind: "read", method: "GET", bytes: 0 },
+    { kind: "order", method: "POST", bytes: SMALL },
+    { kind: "order", method: "POST", bytes: LARGE },
+  ] as const,
+)(
+  "each $kind of $bytes bytes that the guard of a stopping daemon doesn't run is answered as not run",
+  async ({ kind, method, bytes }) => {
+    const [front, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
+    const answers: { id: string; status: number; atMs: number }[] = [];
+    for (let i = 0; i < STOPS; i++) {
+      if (back.process.exitCode !== null) {
+        fleet.startDaemon(back);
+        await fleet.waitUntilReady(back);
+      }
+      // The other daemon learns of the start.
+      await pause(200);
+      let stoppedAt = Infinity;
+      const send = async () => {
+        const id = `s-${count += 1}`;
+        const { status } = await fleet.call(front, {
+          id,
+          path: `/${kind}/1`,
+          method,
+          timeoutMs: TIMEOUT_MS,
+          ...(bytes > 0 && { body: "x".repeat(bytes) }),
+        });
+        const atMs = Math.round(performance.now() - stoppedAt);
+        answers.push({ id, status, atMs });
+      };
+      const callers = Array.from({ length: CALLERS }, async () => {
+        while (back.process.exitCode === null) await send();
+      });
+      await pause(BEFORE_MS);
+      stoppedAt = performance.now();
+      back.process.kill("SIGTERM");
+      await Promise.all(callers);
+    }
+    const ran = new Set(back.upstream.ran);
+    const served = answers.filter(({ status }) => status === 200);
+    const refused = answers.filter(({ status }) => status === 503);
+    expect(served.length).toBeGreaterThan(CALLERS);
+    expect(refused.length).toBeGreaterThan(CALLERS);
+    expect(refused.filter(({ id }) => ran.has(id))).toEqual([]);
+    const inDoubt = answers.filter(({ status }) =>
+      status !== 200 && status !== 503
+    );
+    expect({ inDoubt, of: answers.length })
+      .toEqual({ inDoubt: [], of: answers.length });
+  },
+  60_000,
+);
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
