Stop: what arrives late is taken only if no known answer took as long

Callers saw: reads of a route that takes 50 ms, one in forty 2.6 s, sent 3.2 to 4.9 s after SIGTERM, got 502 at 5.29 s while their upstream was at work (6 of 6 slow ones in one stop of one daemon, 14 callers on kept connections, in calm).

Cause: the plan of a stop took a repeatable request that would be answered in time with 95%. That is right as long as its upstream may be broken off at the end, which holds only for the first half of the grace time.

Change: after the early part of a stop (45% of the grace time, 2.7 s at most: the rest of 3 s is for the delay of the signal) a request is taken only if its own time ends before, or 20 answers of its route are known and none of them, in the last two minutes of weight, took more than half of the time left. The answers are due no sooner than the last sixth of the grace time, also for short ones.

Weighed: cutting the time limit of a late request to the end of the stop, so that its upstream ends by itself. Gateway, guard and upstream count the same limit, so that the daemon's own end comes first; a margin would have to travel with the request. With the rule above nothing is known to need it.

--- a/src/core/stop_plan.ts
+++ b/src/core/stop_plan.ts
@@ -9,10 +9,15 @@
 /** Time for closing at the end of the grace time, in ms. */
 const CLOSING_MS = 750;
 /** Share of the grace time that is left for answers at least, however short it is. */
-const MIN_ANSWER_SHARE = 1 / 2;
-/** Share of the grace time in which a repeatable request of unknown length is taken. */
-const UNKNOWN_SHARE = 1 / 2;
-/** Share of answers that may take too long for a repeatable request to be taken. */
+const MIN_ANSWER_SHARE = 5 / 6;
+/**
+ * Early part of the stop. What it takes has the rest of the stop for its answer;
+ * what arrives later is taken only if no known answer of its route took as long.
+ */
+const EARLY_SHARE = 0.45;
+/** Longest early part, in ms: 3 s from the signal, less the time until it and a request are handled. */
+const MAX_EARLY_MS = 2_700;
+/** Share of answers that may take too long for a repeatable request to be taken early. */
 const MAX_LATE_SHARE = 0.05;
 /** The same for requests that run at most once. */
 const MAX_LATE_SHARE_AT_MOST_ONCE = 0.005;
@@ -20,6 +25,12 @@
 const MARGIN = 1.1;
 /** The same for requests that run at most once. */
 const AT_MOST_ONCE_MARGIN = 1.25;
+/** The same after the early part: of n known times, about one in n² is exceeded by the longest times this. */
+const LATE_MARGIN = 2;
+/** Known answers that a route needs for a request to be taken after the early part. */
+const MIN_KNOWN = 20;
+/** Weight from which on answers count that took too long; one keeps it for two minutes. */
+const MIN_LATE_WEIGHT = 0.25;
 
 /** A request that arrives while the daemon stops. */
 export interface LateRequest {
@@ -31,7 +42,7 @@
 
 /** The plan of one daemon. */
 export interface StopPlan {
-  /** Records the time from a request to its answer, in ms. */
+  /** Records the time from a request to the end of its answer, in ms. */
   recordAnswer(route: string, tookMs: Millis): void;
   /** Begins the stop; returns the time by which all answers are due, in ms. */
   begin(): Millis;
@@ -45,6 +56,7 @@
   graceMs: Millis,
 ): StopPlan {
   const times = new Map<string, ResponseTimes>();
+  const earlyMs = Math.min(graceMs * EARLY_SHARE, MAX_EARLY_MS);
   let startedAt: Millis | undefined;
   let answersBy: Millis = Infinity;
   return { recordAnswer, begin, mayTake };
@@ -71,13 +83,19 @@
     if (leftMs <= 0) return false;
     if (timeoutMs <= leftMs) return true;
     const known = times.get(route);
-    if (known === undefined) {
-      return !isAtMostOnce &&
-        host.now() < startedAt + graceMs * UNKNOWN_SHARE;
-    }
+    const isEarly = host.now() < startedAt + earlyMs;
+    if (known === undefined) return isEarly && !isAtMostOnce;
+    if (!isEarly && !endsSurely(known, leftMs)) return false;
     return isAtMostOnce
       ? known.getTail(leftMs / AT_MOST_ONCE_MARGIN).share <=
         MAX_LATE_SHARE_AT_MOST_ONCE
       : known.getTail(leftMs / MARGIN).share <= MAX_LATE_SHARE;
   }
 }
+
+/** True if many answers are known and practically none of them took as long. */
+function endsSurely(known: ResponseTimes, leftMs: Millis): boolean {
+  const count = known.getCount();
+  if (count < MIN_KNOWN) return false;
+  return count * known.getTail(leftMs / LATE_MARGIN).share < MIN_LATE_WEIGHT;
+}
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1969,6 +1969,16 @@
     }],
     testFile: STOP_PLAN_TEST,
   },
+  {
+    name: "a_stop_takes_late_only_what_surely_ends",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/core/stop_plan.ts",
+    edits: [{
+      find: "if (!isEarly && !endsSurely(known, leftMs)) return false;",
+      replace: "",
+    }],
+    testFile: STOP_PLAN_TEST,
+  },
   {
     name: "earlier_starts_are_outdated",
     guarantee: "a leaving upstream gets no new work after seconds",
--- /dev/null
+++ b/test/late_stop_mesh_test.ts
@@ -0,0 +1,73 @@
+/**
+ * A store daemon as a process that is stopped while callers go on sending until
+ * it is gone. Guards against requests that are taken late in the grace time and
+ * broken off at its end while their upstream is at work.
+ */
+
+import { afterAll, afterEach, beforeAll, expect, test } from "vitest";
+import {
+  type Deployment,
+  type DeploymentHost,
+  startDeployment,
+} from "./platform/mesh.ts";
+import { GRACE_MS, stopUnderLoad } from "./support/stop_callers.ts";
+
+const CALLERS = 14;
+const BEFORE_MS = 4_000;
+const TIMEOUT_MS = 12_000;
+/** Whole time of the slowest answers, in ms. */
+const SLOW_MS = 2_600;
+/** One answer in so many is slow. */
+const SLOW_EVERY = 40;
+
+let fleet: Deployment;
+beforeAll(async () => {
+  fleet = await startDeployment(181, ["front", "shop", "shop"]);
+  fleet.publish(2, {
+    service: "shop",
+    timeoutS: TIMEOUT_MS / 1_000,
+    sloS: TIMEOUT_MS / 1_000,
+  });
+}, 30_000);
+afterEach(() => {
+  for (const { upstream } of fleet.hosts) {
+    delete upstream.getWorkMs;
+  }
+});
+afterAll(() => fleet.close());
+
+test.each(["GET", "POST"])(
+  "one %s in forty that takes far longer than the others is not broken off while its upstream is at work",
+  async (method) => {
+    const front = prepare((id) =>
+      Number(id.slice(2)) % SLOW_EVERY === 0 ? SLOW_MS : 50
+    );
+    const outcome = await stopUnderLoad(fleet, front, {
+      callers: CALLERS,
+      beforeMs: BEFORE_MS,
+      createRequest: (count) => createRequest(`s-${count}`, method),
+    });
+    expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
+    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
+    expect(Math.min(...outcome.served.slice(0, 2))).toBeGreaterThan(CALLERS);
+  },
+  40_000,
+);
+
+function prepare(getWorkMs: (id: string) => number): DeploymentHost {
+  for (const { upstream } of fleet.hosts) {
+    upstream.slots = 200;
+    upstream.getWorkMs = getWorkMs;
+  }
+  return fleet.hosts[0]!;
+}
+
+function createRequest(id: string, method: string) {
+  return {
+    id,
+    method,
+    path: method === "POST" ? "/order/1" : "/read/1",
+    timeoutMs: TIMEOUT_MS,
+    ...(method === "POST" && { body: "x" }),
+  };
+}
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -53,6 +53,8 @@
   EndlessNonsense = "endless-nonsense",
   /** Sends the body with a chunked encoding, in several parts. */
   Chunked = "chunked",
+  /** States the length of the body, and writes it evenly over `bodyMs`. */
+  SlowBody = "slow-body",
   /**
    * States the length of the body, and resets the connection while a part is
    * still unread.
@@ -131,6 +133,10 @@
   /** Bytes of bodies passed to the connections. */
   sentBytes: number;
   workMs: number;
+  /** Work of one request, in ms, instead of `workMs`. */
+  getWorkMs?: ((id: string) => number) | undefined;
+  /** Time in which a slow body is written, in ms. */
+  bodyMs: number;
   slowdownPercent: number;
   slots: number;
   /** Requests per second that its responses state as its limit; none by default. */
@@ -199,6 +205,7 @@
     unreadMs: 1_500,
     sentBytes: 0,
     workMs: 1,
+    bodyMs: 1_500,
     slowdownPercent: 100,
     slots: 10,
     coldUntil: 0,
@@ -322,7 +329,8 @@
     res.once("close", () => {
       if (!res.writableEnded) standIn.cancelled.push(id);
     });
-    await new Promise((resolve) => setTimeout(resolve, standIn.workMs));
+    const workMs = standIn.getWorkMs?.(id) ?? standIn.workMs;
+    await new Promise((resolve) => setTimeout(resolve, workMs));
     running -= 1;
     if (standIn.isFatal(req.url ?? "", body)) {
       // Another one that ran beside it may have ended this instance.
@@ -335,7 +343,9 @@
     if (endless !== undefined) {
       sendEndless(res.socket!, endless, { standIn, id });
     } else if (mode === UpstreamMode.CutsUnread) cutUnread(res, standIn);
-    else {
+    else if (mode === UpstreamMode.SlowBody) {
+      await sendSlowly(res, standIn.createBody(id), standIn.bodyMs);
+    } else {
       responders[mode as FiniteMode](res, id, standIn.createBody(id));
     }
   }
@@ -355,7 +365,10 @@
 
 type Responder = (res: ServerResponse, id: string, body: string) => void;
 
-type FiniteMode = Exclude<UpstreamMode, EndlessMode | UpstreamMode.CutsUnread>;
+type FiniteMode = Exclude<
+  UpstreamMode,
+  EndlessMode | UpstreamMode.CutsUnread | UpstreamMode.SlowBody
+>;
 
 const responders: Record<FiniteMode, Responder> = {
   [UpstreamMode.Serving]: (res, _id, body) =>
@@ -493,6 +506,24 @@
   return lastBody.bytes;
 }
 
+/** Number of writes of a slow body. */
+const SLOW_PARTS = 30;
+
+async function sendSlowly(
+  res: ServerResponse,
+  text: string,
+  bodyMs: number,
+): Promise<void> {
+  const body = toBytes(text);
+  const partBytes = Math.ceil(body.length / SLOW_PARTS);
+  sign(res).writeHead(200, { "content-length": String(body.length) });
+  for (let at = 0; at < body.length && !res.destroyed; at += partBytes) {
+    res.write(body.subarray(at, at + partBytes));
+    await new Promise((resolve) => setTimeout(resolve, bodyMs / SLOW_PARTS));
+  }
+  res.end();
+}
+
 /** Passes the body on as it is taken; cuts it once no byte was taken for some time. */
 function cutUnread(res: ServerResponse, standIn: UpstreamStandIn): void {
   const body = toBytes(standIn.createBody(""));
