Stop: the plan knows the time to the last byte of an answer

Callers saw: of 2 MB answers with a stated length, which the upstream writes over 1.5 s, those sent 3.8 to 4.9 s after SIGTERM were cut in the body at 5.30 s (14 at a time, one stop, in calm).

Cause: the times that the plan of a stop learns ended with the head of an answer, here after 20 ms. Requests that the daemon itself ended in doubt, say at their time limit, taught it nothing.

Change: the callers' server reports the end of an answer, and the end of a request that may have run and got none; the plan learns from these. Latency metrics keep their meaning.

--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -74,6 +74,11 @@
   readonly origin: ServiceName;
   isStopping(): boolean;
   onResponse(arrival: Arrival, latencyMs: Millis): void;
+  /**
+   * Called with the time from a request to the last byte of its answer, in ms;
+   * not for requests that are refused as not run.
+   */
+  onAnswered?(arrival: Arrival, tookMs: Millis): void;
 }
 
 interface CallerRequest {
@@ -260,7 +265,9 @@
     );
 
     function end(error: Error | undefined, bodyBytes: number): void {
-      if (error) {
+      if (error === undefined) {
+        options.onAnswered?.(arrival, host.now() - req.arrivedAt);
+      } else {
         counters.add("answer_cut_short");
         logger.warn("answer_cut_short", {
           req: req.metadata.id,
@@ -290,6 +297,9 @@
     const { outgoing, incoming, metadata } = req;
     req.kept?.release();
     const tookMs = host.now() - req.arrivedAt;
+    if (arrival !== undefined && verdict.execution !== Execution.NotRun) {
+      options.onAnswered?.(arrival, tookMs);
+    }
     const retryAfterMs = computeRetryAfter(
       host,
       verdict,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -393,8 +393,9 @@
       mayTake: stopPlan.mayTake,
       onResponse: ({ service, route = "" }, latencyMs) => {
         latencies.record(Phase.Response, { service, route }, latencyMs);
-        stopPlan.recordAnswer(route, latencyMs);
       },
+      onAnswered: ({ route = "" }, tookMs) =>
+        stopPlan.recordAnswer(route, tookMs),
     }),
   });
   const peers = await startPeerListener({
--- a/test/late_stop_mesh_test.ts
+++ b/test/late_stop_mesh_test.ts
@@ -10,6 +10,7 @@
   type DeploymentHost,
   startDeployment,
 } from "./platform/mesh.ts";
+import { UpstreamMode } from "./platform/upstream_stand_in.ts";
 import { GRACE_MS, stopUnderLoad } from "./support/stop_callers.ts";
 
 const CALLERS = 14;
@@ -31,6 +32,7 @@
 }, 30_000);
 afterEach(() => {
   for (const { upstream } of fleet.hosts) {
+    upstream.mode = UpstreamMode.Serving;
     delete upstream.getWorkMs;
   }
 });
@@ -54,6 +56,22 @@
   40_000,
 );
 
+test("a long body is not cut at the end of the stop", async () => {
+  const front = prepare(() => 20);
+  for (const { upstream } of fleet.hosts) {
+    upstream.mode = UpstreamMode.SlowBody;
+    upstream.createBody = () => "b".repeat(2_000_000);
+  }
+  const outcome = await stopUnderLoad(fleet, front, {
+    callers: CALLERS,
+    beforeMs: BEFORE_MS,
+    createRequest: (count) => createRequest(`b-${count}`, "GET"),
+  });
+  expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
+  expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
+  expect(outcome.served[0]).toBeGreaterThan(CALLERS / 2);
+}, 40_000);
+
 function prepare(getWorkMs: (id: string) => number): DeploymentHost {
   for (const { upstream } of fleet.hosts) {
     upstream.slots = 200;
