Stop: a module of its own, which logs what the end of a stop breaks off

The record of the incident doesn't tell which requests a stop cut, or what was open at its start: `stopping` and `stopped` had one sum of requests, in which a caller's request at the own guard counts twice, and requests that the end broke off were to be found only by their `refused` lines.

Moves the stop out of store_daemon.ts into graceful_stop.ts. `stopping` and `stopped` count requests of callers, of other daemons and at the guard apart, and `stop_broke_off` names each request that the end breaks off, with its route, age and phase, and the host at which it is; the counter of that name is their number.

--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -33,6 +33,7 @@
 } from "../link/types.ts";
 import { Header } from "../link/wire.ts";
 import type { Clock } from "./clock.ts";
+import { OpenPhase, type OpenRequest } from "./graceful_stop.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { LogFields, Logger } from "./logger.ts";
 import { createWaker } from "./waker.ts";
@@ -97,6 +98,8 @@
   complete(id: string, responseBytes?: number): void;
   /** Reports that the caller has disconnected; open attempts are cancelled. */
   abandon(id: string): void;
+  /** Requests that `complete` or `abandon` has not ended. */
+  getOpen(): readonly OpenRequest[];
   /** Ends open requests with a verdict, as the process is about to exit; none whose response is being delivered. */
   endAll(): void;
   close(): void;
@@ -119,6 +122,8 @@
   readonly attempts: Map<number, AttemptIo>;
   readonly arrivedAt: Millis;
   readonly deadline: Millis;
+  /** True once its response is passed on. */
+  isDelivering?: boolean;
   resolve(outcome: GatewayOutcome): void;
 }
 
@@ -175,6 +180,7 @@
       }),
     abandon: (id) =>
       endExchange(id, { kind: GatewayMessageKind.CallerGone, id }),
+    getOpen,
     endAll: () => dispatch({ kind: GatewayMessageKind.Stopping }),
     close: waker.close,
   };
@@ -272,6 +278,24 @@
     exchanges.delete(id);
   }
 
+  function getOpen(): OpenRequest[] {
+    return [...exchanges].map(([id, exchange]) => {
+      const { attempts, arrivedAt, request, isDelivering } = exchange;
+      const at = attempts.get(attempts.size)?.host;
+      return {
+        req: getCallerId(id),
+        route: request.arrival.route,
+        phase: isDelivering
+          ? OpenPhase.Response
+          : at === undefined
+          ? OpenPhase.Placing
+          : OpenPhase.AtHost,
+        at,
+        ageMs: clock.now() - arrivedAt,
+      };
+    });
+  }
+
   async function reserve(
     action: OfKind<GatewayAction, GatewayActionKind.Reserve>,
   ): Promise<void> {
@@ -453,6 +477,7 @@
       attemptMs: clock.now() - io.startedAt,
     });
     delete io.response;
+    exchange.isDelivering = true;
     if (response !== undefined) exchange.resolve({ response, ...key });
     else exchange.resolve({ replay: replay!, ...key });
   }
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -41,6 +41,7 @@
   UpstreamFailure,
 } from "../upstream/upstream_client.ts";
 import type { Clock } from "./clock.ts";
+import { OpenPhase, type OpenRequest } from "./graceful_stop.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import type { Logger } from "./logger.ts";
 import type { UpstreamEnds } from "./upstream_ends.ts";
@@ -93,6 +94,8 @@
   recordNotice(notice: ResponseNotice, source: NoticeSource): void;
   /** Forgets what the upstream stated before it started again under the same instance. */
   forgetNotices(): void;
+  /** Requests that wait for the upstream or its response, or whose response isn't passed on whole. */
+  getOpen(): readonly OpenRequest[];
   /**
    * Refuses new requests, except as the last choice those that end before
    * `stopsAt` (ms by the core's clock); resolves once none is open.
@@ -169,6 +172,7 @@
     wake: () => dispatch({ kind: GuardMessageKind.Tick }),
     recordNotice,
     forgetNotices: () => dispatch({ kind: GuardMessageKind.UpstreamRestarted }),
+    getOpen,
     drain,
     close,
   };
@@ -506,6 +510,24 @@
     }
   }
 
+  function getOpen(): OpenRequest[] {
+    const open: OpenRequest[] = [];
+    for (const [ticket, { head, receivedAt, signal, resolve }] of tickets) {
+      if (receivedAt === undefined) continue;
+      open.push({
+        req: getRequestId(ticket),
+        route: head?.route,
+        phase: signal === undefined
+          ? OpenPhase.Queued
+          : resolve === undefined
+          ? OpenPhase.Response
+          : OpenPhase.Running,
+        ageMs: clock.now() - receivedAt,
+      });
+    }
+    return open;
+  }
+
   async function drain(stopsAt?: Millis): Promise<void> {
     const kind = GuardMessageKind.Drain;
     dispatch(stopsAt === undefined ? { kind } : { kind, stopsAt });
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -30,7 +30,7 @@
 import { createStopPlan } from "../core/stop_plan.ts";
 import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
 import { planReading, type ReadingPlan } from "../core/reading_plan.ts";
-import type { FailureDomainName, HostId, Millis } from "../core/types.ts";
+import type { FailureDomainName, HostId } from "../core/types.ts";
 import type { StoreDaemonSettings } from "../settings/store_daemon_settings.ts";
 import { createUpstreamClient } from "../upstream/upstream_client.ts";
 import type { UpstreamProtocol } from "../upstream/upstream_protocol.ts";
@@ -42,6 +42,7 @@
 import { createCrashProtection } from "./crash_protection.ts";
 import { createFrameServer } from "./frame_server.ts";
 import { createGatewayTask } from "./gateway_task.ts";
+import { createGracefulStop } from "./graceful_stop.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
@@ -100,13 +101,6 @@
 const MAX_UPSTREAM_CONNECTIONS = 256;
 /** Slots of an upstream that has not reported any yet. */
 const ASSUMED_SLOTS = 8;
-/** Shortest time to stop, in ms: callers need two readiness checks to notice it. */
-const MIN_STOP_MS = 2_500;
-/** Time between two checks for open requests while stopping, in ms. */
-const STOP_POLL_MS = 50;
-/** Longest time for closing all resources, in ms. */
-const CLOSE_MS = 300;
-const MS_PER_SECOND = 1_000;
 
 /** Protocols of a deployment's callers, upstreams and store. */
 export interface Deployment {
@@ -157,8 +151,6 @@
   let listedStart: string | undefined;
   /** True once the content of the store is known. */
   let hasSnapshot = false;
-  let stoppingAt: Millis | undefined;
-  let stopping: Promise<void> | undefined;
   /** Requests of peers whose response is not fully sent. */
   let pendingRequests = 0;
   /** Derived from the list of upstreams; undefined after a change until it is next needed. */
@@ -372,6 +364,38 @@
       evacuations.markRolledBack();
     },
   });
+  const gracefulStop = createGracefulStop({
+    clock,
+    plan: stopPlan,
+    lifecycle,
+    counters,
+    logger,
+    countOpen: () => ({
+      callers: ingress.countUnanswered(),
+      peers: pendingRequests,
+      guard: guardTask.guard.getOpenCount(),
+    }),
+    getOpen: () => ({
+      gateway: gatewayTask.getOpen(),
+      guard: guardTask.getOpen(),
+    }),
+    onBegin: (answersBy) => {
+      void guardTask.drain(answersBy);
+      relay.close();
+    },
+    endOpen: gatewayTask.endAll,
+    closeListeners: (withinMs) => {
+      const isAnswered = ingress.close(withinMs);
+      peers.stop();
+      lifecycle.add("peers", peers.close);
+      for (const server of [readiness, metrics]) {
+        lifecycle.add("server", () => closeServer(server));
+      }
+      lifecycle.add("callers", () => isAnswered);
+      lifecycle.add("store", store.close);
+      lifecycle.add("watch", watch.close);
+    },
+  });
   logger.info("starting", { incarnation, service: settings.service });
   reportProblems(undefined, settings.degraded);
   const ingress = await startCallerListener({
@@ -379,7 +403,7 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     counters,
     logger,
-    isStopping: () => stoppingAt !== undefined,
+    isStopping: () => gracefulStop.isStopping(),
     handler: createIngressHandler({
       host,
       task: gatewayTask,
@@ -389,7 +413,7 @@
       memory,
       origin: settings.service,
       getRoutes: () => routes,
-      isStopping: () => stoppingAt !== undefined,
+      isStopping: () => gracefulStop.isStopping(),
       mayTake: stopPlan.mayTake,
       onResponse: ({ service, route = "" }, latencyMs) => {
         latencies.record(Phase.Response, { service, route }, latencyMs);
@@ -457,7 +481,7 @@
     }),
   );
   store.start();
-  return { stop: () => stopping ??= stop() };
+  return { stop: gracefulStop.run };
 
   function recordMalformed({ reason }: Diagnostic, message: string): void {
     counters.add(reason);
@@ -633,54 +657,13 @@
   function handleReadiness(...[req, res]: Parameters<RequestListener>): void {
     const isKnown = req.url === deployment.readinessPath;
     const isReady = routes !== undefined && upstreams.size() > 0 &&
-      stoppingAt === undefined;
+      !gracefulStop.isStopping();
     res.writeHead(!isKnown ? 404 : isReady ? 200 : 503, {
       "content-length": "0",
     });
     res.end();
   }
 
-  async function stop(): Promise<void> {
-    const startedAt = clock.now();
-    stoppingAt = startedAt;
-    logger.info("stopping", { open: countOpen() });
-    const stopDeadline = stopPlan.begin();
-    void guardTask.drain(stopDeadline);
-    relay.close();
-    const earliestStop = startedAt + MIN_STOP_MS;
-    while (clock.now() < stopDeadline) {
-      await pause(STOP_POLL_MS);
-      await waitForSockets();
-      if (clock.now() >= earliestStop && countOpen() === 0) break;
-    }
-    if (countOpen() > 0) {
-      // A connection that closes without an answer tells its caller nothing.
-      gatewayTask.endAll();
-      await waitForSockets();
-    }
-    // Same event loop turn as the last check above, so that no request arrives in between.
-    const isAnswered = ingress.close(CLOSE_MS);
-    peers.stop();
-    lifecycle.add("peers", peers.close);
-    for (const server of [readiness, metrics]) {
-      lifecycle.add("server", () => closeServer(server));
-    }
-    lifecycle.add("callers", () => isAnswered);
-    lifecycle.add("store", store.close);
-    lifecycle.add("watch", watch.close);
-    const tookS = (clock.now() - startedAt) / MS_PER_SECOND;
-    logger.info("stopped", { open: countOpen(), tookS });
-    // A hanging connection must not keep the process running until it is killed.
-    const closed = await Promise.race([
-      lifecycle.close(),
-      pause(CLOSE_MS),
-    ]);
-    if (closed === undefined) logger.warn("close_timeout", { ms: CLOSE_MS });
-    else if (closed.isErr()) {
-      for (const error of closed.error) logger.error("close", { ...error });
-    }
-  }
-
   function trackPending(handler: RequestListener): RequestListener {
     return (incoming, outgoing) => {
       pendingRequests += 1;
@@ -688,11 +671,6 @@
       handler(incoming, outgoing);
     };
   }
-
-  function countOpen(): number {
-    return ingress.countUnanswered() + pendingRequests +
-      guardTask.guard.getOpenCount();
-  }
 }
 
 /** Stops listening and closes all connections, also those with hanging requests. */
@@ -718,7 +696,3 @@
   });
   return server;
 }
-
-function pause(ms: number): Promise<undefined> {
-  return new Promise((resolve) => setTimeout(() => resolve(undefined), ms));
-}
--- a/test/log_events_test.ts
+++ b/test/log_events_test.ts
@@ -11,6 +11,7 @@
   "platform/main.ts",
   "src/daemon/caller_connections.ts",
   "src/daemon/gateway_task.ts",
+  "src/daemon/graceful_stop.ts",
   "src/daemon/guard_task.ts",
   "src/daemon/ingress_server.ts",
   "src/daemon/logger.ts",
