--- a/test/support/stop_callers.ts
+++ b/test/support/stop_callers.ts
@@ -30,6 +30,12 @@
   /** Time before the stop, in ms, from which the daemon knows its answers. */
   readonly beforeMs: number;
   createRequest(count: number): PipedRequest;
+  /** Host whose daemon the callers use; the one that stops by default. */
+  readonly at?: DeploymentHost;
+  /** Awaited before SIGTERM. */
+  beforeStop?(): Promise<void>;
+  /** Called right after SIGTERM. */
+  during?(): void;
 }
 
 /** What callers saw of a stop. Times are in ms since SIGTERM. */
@@ -61,7 +67,8 @@
 export async function stopUnderLoad(
   fleet: Deployment,
   front: DeploymentHost,
-  { callers, depth = 1, beforeMs, createRequest }: StopLoad,
+  { callers, depth = 1, beforeMs, createRequest, at = front, ...load }:
+    StopLoad,
 ): Promise<StopOutcome> {
   if (isGone(front)) {
     fleet.startDaemon(front);
@@ -70,11 +77,13 @@
   const answers: PipedAnswer[] = [];
   const running = Array.from({ length: callers }, runCaller);
   await pause(beforeMs);
+  await load.beforeStop?.();
   const exited = new Promise<number>((resolve) =>
     front.process.once("exit", () => resolve(performance.now()))
   );
   const stoppedAt = performance.now();
   front.process.kill("SIGTERM");
+  load.during?.();
   const exitedMs = await exited - stoppedAt;
   await Promise.all(running);
   const ran = new Set(fleet.hosts.flatMap(({ upstream }) => upstream.ran));
@@ -104,14 +113,14 @@
 
   async function runCaller(): Promise<void> {
     while (!isGone(front)) {
-      const pipe = await openPipe(front.ip, CALLER_PORT).catch(() => undefined);
+      const pipe = await openPipe(at.ip, CALLER_PORT).catch(() => undefined);
       if (pipe === undefined) await pause(RETRY_CONNECT_MS);
       else await fill(pipe);
     }
   }
 
   async function fill(pipe: Pipe): Promise<void> {
-    while (pipe.isOpen()) {
+    while (pipe.isOpen() && !isGone(front)) {
       const sent = Array.from(
         { length: depth },
         () => pipe.send(createRequest(count += 1)),
