--- a/test/late_stop_mesh_test.ts
+++ b/test/late_stop_mesh_test.ts
@@ -18,6 +18,8 @@
 const TIMEOUT_MS = 12_000;
 /** Whole time of the slowest answers, in ms. */
 const SLOW_MS = 2_600;
+/** Size of a body that is passed on as it arrives. */
+const UPLOAD_BYTES = 600_000;
 /** One answer in so many is slow. */
 const SLOW_EVERY = 40;
 
@@ -56,6 +58,29 @@
   40_000,
 );
 
+test(
+  "an upload that takes far longer than the others is not broken off while its upstream is at work",
+  async () => {
+    const front = prepare((id) =>
+      Number(id.slice(2)) % SLOW_EVERY === 0 ? SLOW_MS : 50
+    );
+    const outcome = await stopUnderLoad(fleet, front, {
+      callers: CALLERS,
+      beforeMs: BEFORE_MS,
+      createRequest: (count) => ({
+        ...createRequest(`u-${count}`, "POST"),
+        path: "/photo/1",
+        body: "u".repeat(UPLOAD_BYTES),
+      }),
+    });
+    expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
+    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
+    const served = outcome.served.reduce((sum, it) => sum + it, 0);
+    expect(served).toBeGreaterThanOrEqual(CALLERS);
+  },
+  40_000,
+);
+
 test("a long body is not cut at the end of the stop", async () => {
   const front = prepare(() => 20);
   for (const { upstream } of fleet.hosts) {
