--- a/src/core/connection_order.ts
+++ b/src/core/connection_order.ts
@@ -8,8 +8,8 @@
 export interface ConnectionOrder<T> {
   /** Adds a request that was read; false if it came behind the end. */
   tryAdd(req: T): boolean;
-  /** Removes a request whose answer is written, or will never be. */
-  remove(req: T): void;
+  /** Removes a request whose answer is written, or will never be; false if it isn't there. */
+  remove(req: T): boolean;
   tryGetFirst(): T | undefined;
   tryGetNewest(): T | undefined;
   /** The number of unanswered requests. */
@@ -18,6 +18,8 @@
   /** Ends the connection behind the requests that were read so far. */
   takeNoMore(): void;
   takesMore(): boolean;
+  /** True if the connection may be closed: all is answered, and nothing more is taken. */
+  isDone(): boolean;
 }
 
 /** Creates the order of a new connection. */
@@ -33,6 +35,7 @@
     getAll: () => unanswered,
     takeNoMore: () => void (takesMore = false),
     takesMore: () => takesMore,
+    isDone: () => !takesMore && unanswered.length === 0,
   };
 
   function tryAdd(req: T): boolean {
@@ -40,8 +43,9 @@
     return takesMore;
   }
 
-  function remove(req: T): void {
+  function remove(req: T): boolean {
     const index = unanswered.indexOf(req);
     if (index >= 0) unanswered.splice(index, 1);
+    return index >= 0;
   }
 }
--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -12,10 +12,16 @@
 } from "../core/connection_order.ts";
 import type { Counters } from "../core/counters.ts";
 import type { Millis } from "../core/types.ts";
+import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
 
 /** Time for which a connection is read on after the last answer, in ms: closing it with unread bytes resets it. */
 const LINGER_MS = 250;
+/**
+ * Requests of one connection that are passed on at a time. What is read beyond
+ * waits, and the connection isn't read on, so that memory and work are bounded.
+ */
+const MAX_PASSED_ON = 128;
 /** Request ids in a line of the log. */
 const MAX_LOGGED_IDS = 8;
 
@@ -37,8 +43,22 @@
 export interface Place {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  /** When the request was read, in ms of the clock. */
+  readonly readAt: Millis;
   /** The caller's id of the request, for the log. */
   id?: string | undefined;
+  /** True if all requests before it have their answers. */
+  isFirst(): boolean;
+  /** True if no request has been read behind it. */
+  isNewest(): boolean;
+  /** Resolves once it is the first; undefined if it is. A head is to be written only then. */
+  whenFirst(): Promise<void> | undefined;
+  /**
+   * To be called right before the head of the answer is written: announces the
+   * end of the connection if that is due, or if `mustEnd`, and nothing has been
+   * read behind the request. From then on nothing more is passed on.
+   */
+  prepareHead(mustEnd?: boolean): void;
   /** Closes the connection, as the answer can't be completed. */
   cut(reason: string): void;
 }
@@ -55,6 +75,7 @@
   readonly handler: CallerHandler;
   readonly counters: Counters;
   readonly logger: Logger;
+  readonly clock: Clock;
   isStopping(): boolean;
 }
 
@@ -69,9 +90,16 @@
   close(withinMs: Millis): Promise<void>;
 }
 
+/** A place, and what starts it or tells its turn. */
+interface Entry extends Place {
+  onFirst?: () => void;
+}
+
 interface Connection {
   readonly socket: Socket;
-  readonly order: ConnectionOrder<Place>;
+  readonly order: ConnectionOrder<Entry>;
+  /** Requests that were read and not passed on, as too many are. */
+  readonly held: Entry[];
   /** The first cause is the one that counts. */
   cause?: CloseCause;
   isEnding: boolean;
@@ -95,9 +123,13 @@
     const connection: Connection = {
       socket,
       order: createConnectionOrder(),
+      held: [],
       isEnding: false,
     };
     connections.set(socket, connection);
+    // Node.js calls it behind an answer that announces the end. Its own method
+    // closes at once, so that bytes that are still to be read reset the connection.
+    socket.destroySoon = () => end(connection);
     socket.once("end", () => {
       recordCause(connection, { by: ClosedBy.Caller, reason: "ended" });
     });
@@ -115,34 +147,89 @@
 
   function take(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const connection = connections.get(incoming.socket)!;
+    const { order, held, socket } = connection;
+    // A head that was written without `prepareHead` may announce the end, too.
+    const newest = order.tryGetNewest();
+    if (newest?.outgoing.getHeader("connection") === "close") {
+      order.takeNoMore();
+    }
+    const entry = createEntry(connection, incoming, outgoing);
+    if (!order.tryAdd(entry)) return drop(connection, incoming);
+    unanswered += 1;
+    outgoing.once("close", () => settle(connection, entry));
+    if (order.size() <= MAX_PASSED_ON) {
+      return options.handler(incoming, outgoing, entry);
+    }
+    held.push(entry);
+    // Node.js reads on behind each request that it has parsed.
+    process.nextTick(() => {
+      if (held.length > 0) socket.pause();
+    });
+  }
+
+  function createEntry(
+    connection: Connection,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Entry {
     const { order } = connection;
-    const place: Place = {
+    const entry: Entry = {
       incoming,
       outgoing,
+      readAt: options.clock.now(),
+      isFirst: () => order.tryGetFirst() === entry,
+      isNewest: () => order.tryGetNewest() === entry,
+      whenFirst: () =>
+        entry.isFirst()
+          ? undefined
+          : new Promise((resolve) => entry.onFirst = resolve),
+      prepareHead: (mustEnd = false) => {
+        const isDue = mustEnd || options.isStopping() || !order.takesMore();
+        if (!isDue || !entry.isNewest()) return;
+        outgoing.setHeader("connection", "close");
+        order.takeNoMore();
+      },
       cut: (reason) => {
         recordCause(connection, { by: ClosedBy.Daemon, reason });
         outgoing.destroy();
       },
     };
-    if (!order.tryAdd(place)) {
-      counters.add("requests_behind_close");
-      incoming.resume();
-      return;
-    }
-    unanswered += 1;
-    outgoing.once("close", () => settle(connection, place));
-    options.handler(incoming, outgoing, place);
+    return entry;
+  }
+
+  /** Drops a request that came behind the end, and all bytes after it. */
+  function drop(connection: Connection, incoming: IncomingMessage): void {
+    counters.add("requests_behind_close");
+    incoming.resume();
+    dropInput(connection);
   }
 
-  function settle(connection: Connection, place: Place): void {
+  function settle(connection: Connection, entry: Entry): void {
+    const { order, held, socket } = connection;
+    if (!order.remove(entry)) return;
+    unanswered -= 1;
+    if (order.isDone()) return end(connection);
+    order.tryGetFirst()?.onFirst?.();
+    const next = held.shift();
+    if (next !== undefined) {
+      options.handler(next.incoming, next.outgoing, next);
+    } else if (socket.isPaused()) socket.resume();
+  }
+
+  /** Passes on nothing more; what was read and not passed on counts as not read. */
+  function takeNoMore(connection: Connection): void {
     const { order } = connection;
-    const before = order.size();
-    order.remove(place);
-    unanswered -= before - order.size();
-    if (connection.socket.writableEnded) {
-      recordCause(connection, { by: ClosedBy.Daemon, reason: "announced" });
+    order.takeNoMore();
+    dropHeld(connection);
+    if (order.isDone()) end(connection);
+  }
+
+  function dropHeld(connection: Connection): void {
+    for (const entry of connection.held.splice(0)) {
+      connection.order.remove(entry);
+      unanswered -= 1;
+      drop(connection, entry.incoming);
     }
-    if (!order.takesMore() && order.size() === 0) end(connection);
   }
 
   /** Ends the writing side; what still arrives is read and dropped until the caller closes. */
@@ -152,6 +239,7 @@
     connection.isEnding = true;
     connection.order.takeNoMore();
     socket.end();
+    socket.resume();
     const timer = setTimeout(() => socket.destroy(), LINGER_MS);
     socket.once("close", () => clearTimeout(timer));
   }
@@ -159,17 +247,18 @@
   function forget(connection: Connection): void {
     const { socket, order } = connection;
     connections.delete(socket);
+    order.takeNoMore();
+    dropHeld(connection);
     const left = order.getAll().filter(({ outgoing }) =>
       !outgoing.writableFinished
     );
     if (left.length > 0) logClosed(connection, left);
-    order.takeNoMore();
     // Node.js tells only the answer that is being written, not those behind it.
     for (const { outgoing } of left) {
       if (outgoing.socket === null) outgoing.destroy().emit("close");
     }
     unanswered -= order.size();
-    for (const place of [...order.getAll()]) order.remove(place);
+    for (const entry of [...order.getAll()]) order.remove(entry);
     if (connections.size === 0) onAllClosed?.();
   }
 
@@ -191,10 +280,7 @@
 
   function close(withinMs: Millis): Promise<void> {
     isClosing = true;
-    for (const connection of connections.values()) {
-      connection.order.takeNoMore();
-      if (connection.order.size() === 0) end(connection);
-    }
+    for (const connection of connections.values()) takeNoMore(connection);
     if (connections.size === 0) return Promise.resolve();
     return new Promise((resolve) => {
       const timer = setTimeout(cutAll, withinMs);
@@ -213,6 +299,15 @@
   }
 }
 
+/** Reads on without parsing: what is dropped costs no memory, and no byte stays unread. */
+function dropInput({ socket }: Connection): void {
+  // The parser is at work now.
+  process.nextTick(() => {
+    socket.removeAllListeners("data");
+    socket.on("data", () => {});
+  });
+}
+
 function recordCause(connection: Connection, cause: CloseCause): void {
   connection.cause ??= cause;
 }
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -25,6 +25,7 @@
 import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
 import { Header } from "../link/wire.ts";
+import { createResponseReader } from "../upstream/response_reader.ts";
 import type { CallerHandler, Place } from "./caller_connections.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
@@ -100,12 +101,17 @@
 /** Creates the handler of the callers' listener. */
 export function createIngressHandler(options: IngressOptions): CallerHandler {
   const { host, task, dialect, counters, logger } = options;
+  const reader = createResponseReader({
+    clock: host,
+    memory: options.memory,
+    protocol: { buffersResponses: true },
+  });
   let count = 0;
   return (incoming, outgoing, place) => {
     count += 1;
     const metadata = dialect.read(incoming.headers);
     const id = `${count.toString(36)}:${metadata.id ?? ""}`;
-    const arrivedAt = host.now();
+    const arrivedAt = place.readAt;
     place.id = metadata.id;
     const req: CallerRequest = {
       id,
@@ -116,7 +122,6 @@
       arrivedAt,
     };
     incoming.on("error", (error) => logRequestCutOff(req, error));
-    if (options.isStopping()) outgoing.setHeader("connection", "close");
     void runHandler(() => handle(req), (error) => fail(req, error));
   };
 
@@ -133,7 +138,7 @@
     req.response?.destroy();
     task.abandon(id);
     if (outgoing.headersSent) return req.place.cut("handler_failed");
-    writeVerdict(req, {
+    void writeVerdict(req, {
       execution: Execution.MayHaveRun,
       diagnostic: Diagnostics.handler_failed,
     });
@@ -206,12 +211,12 @@
     });
     if ("verdict" in outcome) {
       req.isOver = true;
-      writeVerdict(req, outcome.verdict, arrival);
+      await writeVerdict(req, outcome.verdict, arrival);
     } else if ("response" in outcome) {
-      writeResponse(req, arrival, outcome.response);
+      await respond(req, arrival, outcome.response);
     } else {
       const { status, headers = {}, body } = outcome.replay;
-      writeResponse(req, arrival, {
+      await respond(req, arrival, {
         status,
         headers: { ...headers } as IncomingHttpHeaders,
         body: Readable.from([Buffer.from(body, "base64")]),
@@ -228,13 +233,14 @@
     req.response?.destroy();
   }
 
-  function writeResponse(
+  /** Writes a response once it is its turn on the connection. */
+  async function respond(
     req: CallerRequest,
     arrival: Arrival,
     response: StreamedResponse,
-  ): void {
-    const { outgoing, incoming, id } = req;
-    const { status, bytes } = response;
+  ): Promise<void> {
+    const { place, id } = req;
+    if (response.bytes === undefined) req.response = response.body;
     const tookMs = host.now() - req.arrivedAt;
     options.onResponse(arrival, tookMs);
     logger.info("answered", {
@@ -243,8 +249,70 @@
       status: response.status,
       tookMs: Math.round(tookMs),
     });
-    const { [Header.Unframed]: unframed, ...headers } = response.headers;
-    if (unframed !== undefined) delimitByClose(outgoing, response.body);
+    const isAlone = place.isFirst() && place.isNewest();
+    const ready = isAlone ? response : await prepareShared(req, response);
+    if (req.isOver) return;
+    if (!(ready instanceof Error)) return writeResponse(req, arrival, ready);
+    logCut(req, ready);
+    req.isOver = true;
+    task.complete(id);
+    await writeVerdict(req, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.answer_cut_short,
+    }, arrival);
+  }
+
+  /**
+   * Waits for the turn of a response. A cut in its body takes with it what is
+   * behind it on the connection, so that the body is read to its end before,
+   * within bounds; so is one that only the end of its connection ends. Resolves
+   * to an error if the body was cut.
+   */
+  async function prepareShared(
+    { place }: CallerRequest,
+    response: StreamedResponse,
+  ): Promise<StreamedResponse | Error> {
+    if (response.bytes !== undefined) {
+      await place.whenFirst();
+      return setLength(response, response.bytes.length);
+    }
+    const { body } = response;
+    body.on("error", ignoreError);
+    await place.whenFirst();
+    if (body.errored) return body.errored;
+    const isWhole = response.isComplete && !isUnframed(response);
+    if (isWhole || place.isNewest()) return response;
+    try {
+      return await readWhole(response);
+    } catch (error) {
+      return error instanceof Error ? error : new Error(String(error));
+    }
+  }
+
+  async function readWhole(
+    response: StreamedResponse,
+  ): Promise<StreamedResponse> {
+    const { [Header.Unframed]: _, ...headers } = response.headers;
+    // The reader states the length of what is in chunks; the end of the rest is told by its error.
+    const framed = headers["content-length"] === undefined
+      ? { ...headers, "transfer-encoding": "chunked" }
+      : headers;
+    const result = await reader.read({ ...response, headers: framed });
+    if ("response" in result) return result.response;
+    throw new Error(result.failure.message);
+  }
+
+  function writeResponse(
+    req: CallerRequest,
+    arrival: Arrival,
+    response: StreamedResponse,
+  ): void {
+    const { outgoing, incoming, id } = req;
+    const { status, bytes } = response;
+    const { [Header.Unframed]: _, ...headers } = response.headers;
+    const isUndelimited = isUnframed(response);
+    if (isUndelimited) delimitByClose(outgoing, response.body);
+    req.place.prepareHead(isUndelimited);
     if (bytes === undefined) req.response = response.body;
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
     if (bytes !== undefined) {
@@ -265,15 +333,8 @@
     );
 
     function end(error: Error | undefined, bodyBytes: number): void {
-      if (error === undefined) {
-        options.onAnswered?.(arrival, host.now() - req.arrivedAt);
-      } else {
-        counters.add("answer_cut_short");
-        logger.warn("answer_cut_short", {
-          req: req.metadata.id,
-          message: error.message,
-        });
-      }
+      if (error) logCut(req, error);
+      else options.onAnswered?.(arrival, host.now() - req.arrivedAt);
       if (req.isOver) return;
       req.isOver = true;
       if (error) req.place.cut("answer_cut");
@@ -284,16 +345,19 @@
     }
   }
 
-  function refuse(req: CallerRequest, name: DiagnosticName): void {
+  function refuse(
+    req: CallerRequest,
+    name: DiagnosticName,
+  ): Promise<void> {
     counters.add(`refused_${name}`);
-    writeVerdict(req, createRefusal(name));
+    return writeVerdict(req, createRefusal(name));
   }
 
-  function writeVerdict(
+  async function writeVerdict(
     req: CallerRequest,
     verdict: Verdict,
     arrival?: Arrival,
-  ): void {
+  ): Promise<void> {
     const { outgoing, incoming, metadata } = req;
     req.kept?.release();
     const tookMs = host.now() - req.arrivedAt;
@@ -317,21 +381,27 @@
         ? arrival?.signature?.()
         : undefined,
     });
+    if (!req.place.isFirst()) await req.place.whenFirst();
     if (outgoing.destroyed) return;
     const { status, headers } = dialect.createVerdictHead(
       { ...verdict, ...(retryAfterMs !== undefined && { retryAfterMs }) },
       metadata.id,
     );
     const isUnread = hasBody(incoming) && !incoming.complete;
-    outgoing.writeHead(status, {
-      ...headers,
-      "content-length": "0",
-      ...(isUnread && { connection: "close" }),
-    });
+    req.place.prepareHead(isUnread);
+    outgoing.writeHead(status, { ...headers, "content-length": "0" });
     outgoing.end();
     if (isUnread) incoming.resume();
   }
 
+  function logCut(req: CallerRequest, error: Error): void {
+    counters.add("answer_cut_short");
+    logger.warn("answer_cut_short", {
+      req: req.metadata.id,
+      message: error.message,
+    });
+  }
+
   function logCallerGone(req: CallerRequest): void {
     counters.add("caller_gone_early");
     logger.info("caller_gone", { req: req.metadata.id });
@@ -357,6 +427,22 @@
   body.once("error", () => outgoing.socket?.resetAndDestroy());
 }
 
+/** True if only the end of the connection ends the body. */
+function isUnframed({ status, headers }: StreamedResponse): boolean {
+  return headers[Header.Unframed] !== undefined && status !== 204 &&
+    status !== 304;
+}
+
+function setLength(
+  response: StreamedResponse,
+  bytes: number,
+): StreamedResponse {
+  if (!isUnframed(response)) return response;
+  const { [Header.Unframed]: _, ...headers } = response.headers;
+  headers["content-length"] = String(bytes);
+  return { ...response, headers };
+}
+
 /** Returns a function that tells the size of the body once it has ended, in bytes. */
 function measureBody({ headers, body }: StreamedResponse): () => number {
   const stated = headers["content-length"];
@@ -366,6 +452,9 @@
   return () => size;
 }
 
+/** What becomes of the error is decided where the body is used. */
+function ignoreError(): void {}
+
 function getCallerId(id: string): string {
   return id.slice(id.indexOf(":") + 1);
 }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -411,6 +411,7 @@
     maxHeaderBytes: MAX_HEADER_BYTES,
     counters,
     logger,
+    clock,
     isStopping: () => gracefulStop.isStopping(),
     handler: createIngressHandler({
       host,
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -13,6 +13,7 @@
   createCallerConnections,
   type Place,
 } from "../src/daemon/caller_connections.ts";
+import { createClock } from "../src/daemon/clock.ts";
 import type { LogFields, Logger } from "../src/daemon/logger.ts";
 import { openPipe, type Pipe } from "./support/pipelining_caller.ts";
 
@@ -50,6 +51,7 @@
   const connections = createCallerConnections(server, {
     counters,
     logger,
+    clock: createClock(),
     isStopping: () => isStopping,
     handler: (incoming, outgoing, place) => {
       place.id = incoming.url;
@@ -69,13 +71,18 @@
     getCounter: counters.get,
     setStopping: () => isStopping = true,
     answer: (path) => {
-      const { outgoing } = taken.get(path)!;
-      outgoing.writeHead(200, { "content-length": "2" });
-      outgoing.end("ok");
+      void answer(taken.get(path)!);
     },
   };
 }
 
+async function answer({ outgoing, place }: Taken): Promise<void> {
+  await place.whenFirst();
+  place.prepareHead();
+  outgoing.writeHead(200, { "content-length": "2" });
+  outgoing.end("ok");
+}
+
 async function open({ port }: Listener): Promise<Pipe> {
   const pipe = await openPipe("127.0.0.1", port);
   closers.push(() => Promise.resolve(pipe.close()));
@@ -166,3 +173,89 @@
     unanswered: 1,
   });
 });
+
+test("while stopping, only an answer with nothing behind it announces the end", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const answers = await sendAll(listener, pipe, ["/1", "/2", "/3"]);
+  listener.setStopping();
+  for (const path of ["/3", "/1", "/2"]) listener.answer(path);
+  const all = await Promise.all(answers);
+  expect(all.map(({ status, headers }) => [status, headers["connection"]]))
+    .toEqual([[200, "keep-alive"], [200, "keep-alive"], [200, "close"]]);
+  expect(listener.lines).toEqual([]);
+});
+
+test("a request behind an announced end is not passed on, and resets nothing", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const [first] = await sendAll(listener, pipe, ["/1"]);
+  listener.setStopping();
+  const { outgoing, place } = listener.taken.get("/1")!;
+  place.prepareHead();
+  outgoing.writeHead(200, { "content-length": "200000" });
+  outgoing.write("x".repeat(100_000));
+  const late = pipe.send({ id: "/2", path: "/2" });
+  const flood = "GET /flood HTTP/1.1\r\nhost: a\r\n\r\n".repeat(2_000);
+  pipe.write(flood);
+  await until(() => listener.getCounter("requests_behind_close") > 0);
+  outgoing.end("x".repeat(100_000));
+  pipe.write(flood);
+  expect((await first!).isWhole).toBe(true);
+  pipe.write(flood);
+  expect(await late).toMatchObject({ isBehindClose: true });
+  expect([...listener.taken.keys()]).toEqual(["/1"]);
+  expect(listener.lines).toEqual([]);
+});
+
+test("a caller gets its last answer though it goes on sending", async () => {
+  for (let i = 0; i < 20; i++) {
+    const listener = await listen();
+    const pipe = await open(listener);
+    const [first] = await sendAll(listener, pipe, ["/1"]);
+    listener.setStopping();
+    pipe.write("POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n");
+    await until(() => listener.taken.has("/2"));
+    listener.answer("/1");
+    listener.answer("/2");
+    for (let j = 0; j < 5; j++) {
+      pipe.write("x");
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    expect(await first).toMatchObject({ status: 200, isWhole: true });
+    await until(() => !pipe.isOpen());
+    expect(pipe.getStray()).toContain("HTTP/1.1 200 OK");
+  }
+});
+
+test("a caller that sends without end has a bounded number of requests passed on", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const paths = Array.from({ length: 5_000 }, (_, i) => `/${i}`);
+  const answers = paths.map((path) => pipe.send({ id: path, path }));
+  await until(() => listener.taken.size >= 128);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  expect(listener.taken.size).toBe(128);
+  expect(listener.connections.countUnanswered()).toBeLessThan(2_000);
+  for (const path of paths) {
+    await until(() => listener.taken.has(path));
+    listener.answer(path);
+  }
+  expect((await Promise.all(answers)).every((it) => it.isWhole)).toBe(true);
+});
+
+test("closing passes on nothing more of a caller that sends without end", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const paths = Array.from({ length: 300 }, (_, i) => `/${i}`);
+  const answers = paths.map((path) => pipe.send({ id: path, path }));
+  await until(() => listener.taken.size === 128);
+  const closed = listener.connections.close(3_000);
+  for (const path of [...listener.taken.keys()]) listener.answer(path);
+  const all = await Promise.all(answers);
+  await closed;
+  expect(listener.taken.size).toBe(128);
+  expect(all.filter((it) => it.isWhole).length).toBe(128);
+  expect(all.filter((it) => it.isBehindClose).length).toBe(300 - 128);
+  expect(listener.lines).toEqual([]);
+});
--- a/test/handler_failure_test.ts
+++ b/test/handler_failure_test.ts
@@ -130,8 +130,9 @@
       },
     });
     const server = createServer();
+    const host = createTestHost();
     const handler = createIngressHandler({
-      host: createTestHost(),
+      host,
       task,
       dialect: platformCallers,
       counters,
@@ -146,6 +147,7 @@
       handler,
       counters,
       logger: LOGGER,
+      clock: host,
       isStopping: () => false,
     });
     const address = await listen(server);
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -278,13 +278,15 @@
   memory = createMemoryBudget({ limitBytes: 1_000_000 }),
 ): Promise<{ port: number; close(): Promise<void> }> {
   const server = createServer();
+  const host = createTestHost();
   const counters = createCounters();
   createCallerConnections(server, {
     counters,
     logger,
+    clock: host,
     isStopping: () => false,
     handler: createIngressHandler({
-      host: createTestHost(),
+      host,
       task,
       dialect: platformCallers,
       counters,
