Soak: callers send requests behind each other, daemons stop in overlapping series

The callers of the soak sent one request at a time on a connection, and its faults hardly ever leave a daemon that stops without another fault within 3 s, so the check of a stop in calm had next to nothing to look at.

Now one caller a host sends 2 to 4 requests behind each other (reads, orders, photos) on connections that it uses until they end; while faults are injected it pauses longer, so that the other callers keep their load. Once the faults are over and the final states are taken, two daemons are stopped in a series that overlaps: one of them gets SIGTERM twice and SIGHUP beside it, a configuration is published meanwhile, the other gets SIGHUP.

Checks: a stopping daemon cuts off no request that runs, now also if it answers 502 in the place of an answer; answers on a connection come in the order of their requests, by the id that they name, and no bytes come with none waiting. Each is shown to find its violation in test/soak_test.ts.

--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -110,14 +110,19 @@
   FaultKind.StoreCompacted,
   FaultKind.StoreRolledBack,
 ]);
-const HARMLESS_TO_CALLS = new Set([
-  FaultKind.Evacuated,
+/** Planned work in which no attempt has a reason to fail. */
+const HARMLESS_TO_ATTEMPTS = new Set([
   FaultKind.UpstreamCold,
   FaultKind.Stopped,
   FaultKind.Reloaded,
   FaultKind.Published,
   FaultKind.PublishedUnreadable,
 ]);
+/** The same for a caller's connection: an evacuation may restart upstreams. */
+const HARMLESS_TO_CALLS = new Set([
+  ...HARMLESS_TO_ATTEMPTS,
+  FaultKind.Evacuated,
+]);
 
 type Check = (history: History) => string[];
 
@@ -153,10 +158,22 @@
   [Guarantee.ServesWhileStopping]: (history) => {
     const runs = groupRuns(history);
     return history.calls
-      .filter((c) => c.error !== undefined && runs.has(c.id))
-      .filter((c) => hasOnlyHarmlessFaults(history, c))
-      .map((c) => `${describe(c)}: ${c.error}`);
+      .filter((c) => runs.has(c.id))
+      .filter((c) =>
+        c.error !== undefined && hasOnly(history, c, HARMLESS_TO_CALLS) ||
+        c.status === 502 && !c.isSigned &&
+          hasOnly(history, c, HARMLESS_TO_ATTEMPTS)
+      )
+      .map((c) => `${describe(c)}: ${c.error ?? "attempt broken off"}`);
   },
+  [Guarantee.AnswersInOrder]: ({ calls, strays }) => [
+    ...calls
+      .filter(({ id, answeredId = id }) => answeredId !== id)
+      .map((c) => `${describe(c)} got the answer to ${c.answeredId}`),
+    ...strays.map(({ host, bytes }) =>
+      `host ${host}: "${bytes.slice(0, 60)}" with no request waiting`
+    ),
+  ],
   [Guarantee.NothingAfterDeparture]: (history) => {
     const calls = new Map(history.calls.map((c) => [c.id, c]));
     return history.runs.filter((run) => {
@@ -469,16 +486,14 @@
   );
 }
 
-/**
- * True if stops, reloads and published configurations were the only faults
- * around a request.
- */
-function hasOnlyHarmlessFaults(
+/** True if no fault of another kind was around a request, at any host. */
+function hasOnly(
   { injected }: History,
   call: CallRecord,
+  kinds: ReadonlySet<FaultKind>,
 ): boolean {
   return !injected.some((f) =>
-    !HARMLESS_TO_CALLS.has(f.kind) && f.from <= call.endedAt! &&
+    !kinds.has(f.kind) && f.from <= call.endedAt! &&
     f.until >= call.sentAt - RECOVERY_MS
   );
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -48,11 +48,12 @@
 }
 
 function print(
-  { seed, violations, statuses, heldUpMs, peakBytes, logs }: SoakReport,
+  { seed, violations, statuses, otherStatuses, heldUpMs, peakBytes, logs }:
+    SoakReport,
 ): void {
-  const counts = Object.entries(statuses).map(([s, n]) => `${s}: ${n}`);
   console.log(
-    `seed ${seed}: ${counts.join(", ")}, held up ${heldUpMs} ms, ` +
+    `seed ${seed}: ${format(statuses)}; piped or while stopping ` +
+      `${format(otherStatuses)}; held up ${heldUpMs} ms, ` +
       `daemons up to ${Math.round(peakBytes / 1e6)} MB`,
   );
   for (const { guarantee, detail } of violations) {
@@ -66,3 +67,7 @@
   }
   console.log(`  logs in ${folder}`);
 }
+
+function format(statuses: Readonly<Record<string, number>>): string {
+  return Object.entries(statuses).map(([s, n]) => `${s}: ${n}`).join(", ");
+}
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -34,6 +34,11 @@
 /** Every third seed has a fatal request: few callers are served during it. */
 const FATAL_EVERY = 3;
 
+/** Time within which the planned stops of the end begin, in ms. */
+const STOP_WINDOW_MS = 1_500;
+/** Most time from the first SIGTERM to the second one of the same daemon, in ms. */
+const SECOND_STOP_MS = 2_500;
+
 /** Creates a seeded generator of random numbers from 0 to 1. */
 export function createRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
@@ -77,6 +82,28 @@
   return faults.sort((a, b) => a.at - b.at);
 }
 
+/**
+ * Draws planned stops that overlap: two daemons, one of which gets SIGTERM
+ * twice and SIGHUP beside it, and a configuration meanwhile.
+ */
+export function drawStops(seed: number, hosts: number): Fault[] {
+  const random = createRandom(hashName(FaultKind.Stopped) ^ seed);
+  const host = Math.floor(random() * hosts);
+  const other = (host + 1 + Math.floor(random() * (hosts - 1))) % hosts;
+  const draw = (kind: FaultKind, host: number, windowMs: number) => ({
+    ...drawFault(random, { kind, hosts, windowMs }),
+    host,
+  });
+  return [
+    draw(FaultKind.Stopped, host, STOP_WINDOW_MS),
+    draw(FaultKind.Stopped, other, STOP_WINDOW_MS),
+    draw(FaultKind.Stopped, host, STOP_WINDOW_MS + SECOND_STOP_MS),
+    draw(FaultKind.Reloaded, host, STOP_WINDOW_MS + SECOND_STOP_MS),
+    draw(FaultKind.Reloaded, other, STOP_WINDOW_MS),
+    draw(FaultKind.Published, host, STOP_WINDOW_MS + SECOND_STOP_MS),
+  ].sort((a, b) => a.at - b.at);
+}
+
 function drawFault(
   random: () => number,
   { kind, hosts, windowMs = FAULT_WINDOW_MS }: {
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -23,4 +23,10 @@
     cause:
       "the soak's upstream refused requests as not run that it had recorded as run",
   },
+  {
+    seed: 47_002,
+    cause:
+      "a stopping daemon closed a connection behind an answer while requests " +
+      "sent behind it were running",
+  },
 ];
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -5,8 +5,14 @@
 
 import { readFileSync } from "node:fs";
 import { monitorEventLoopDelay } from "node:perf_hooks";
-import { type Deployment, startDeployment } from "../platform/mesh.ts";
+import {
+  CALLER_PORT,
+  type CallerResponse,
+  type Deployment,
+  startDeployment,
+} from "../platform/mesh.ts";
 import { INSTANCE_HEADER } from "../platform/upstream_stand_in.ts";
+import { openPipe, type Pipe } from "../support/pipelining_caller.ts";
 import {
   COLD_OVER,
   COLD_PER_S,
@@ -23,7 +29,7 @@
   pause,
   WORK_MS,
 } from "./inject.ts";
-import { createRandom, drawPlan, FAULT_WINDOW_MS } from "./plan.ts";
+import { createRandom, drawPlan, drawStops, FAULT_WINDOW_MS } from "./plan.ts";
 import {
   CallKind,
   type CallRecord,
@@ -31,6 +37,7 @@
   type FinalState,
   type History,
   type PeakMemory,
+  type StrayRecord,
   VersionRoute,
   type Violation,
 } from "./types.ts";
@@ -38,6 +45,17 @@
 /** Numbers of hosts; in fleets of these sizes each daemon reads the store itself. */
 const HOST_COUNTS = [5, 12] as const;
 const CALLERS_PER_HOST = 3;
+/** Callers that send requests behind each other. */
+const PIPES_PER_HOST = 1;
+/** Pauses of these callers, in think times a request; with the faults, the load stays about what it is without them. */
+const PAUSES_WITH_FAULTS = 4;
+const PAUSES_WHILE_STOPPING = 1;
+const MIN_DEPTH = 2;
+const MAX_DEPTH = 4;
+/** Longest answer that such a caller reads, in bytes; an upstream may send bytes without end. */
+const MAX_PIPED_BYTES = 65_536;
+/** Time from the start of the load to the planned stops, in ms. */
+const BEFORE_STOPS_MS = 500;
 const MIN_THINK_MS = 30;
 const MAX_THINK_MS = 150;
 const MIN_TIMEOUT_MS = 500;
@@ -73,8 +91,13 @@
   readonly seed: number;
   readonly plan: readonly Fault[];
   readonly violations: readonly Violation[];
-  /** Number of requests by status, `none` for those without a response. */
+  /**
+   * Number of requests by status, `none` for those without a response; only
+   * those that were sent alone, before the planned stops.
+   */
   readonly statuses: Readonly<Record<string, number>>;
+  /** The same of the other requests. */
+  readonly otherStatuses: Readonly<Record<string, number>>;
   /** Longest time for which the process of callers, upstreams and store was held up, in ms. */
   readonly heldUpMs: number;
   /** Most resident memory that a daemon had, in bytes. */
@@ -114,6 +137,7 @@
   delays.enable();
   const random = createRandom(seed + 1);
   const calls: CallRecord[] = [];
+  const strays: StrayRecord[] = [];
   /** By process. */
   const peakMemory = new Map<number, PeakMemory>();
   let isOver = false;
@@ -124,9 +148,6 @@
   const injector = createInjector(deployment);
   const plan = drawPlan(seed, deployment.hosts.length);
   const sampling = setInterval(samplePeakMemory, MEMORY_SAMPLE_MS);
-  const callers = deployment.hosts.flatMap((_, host) =>
-    Array.from({ length: CALLERS_PER_HOST }, () => runCaller(host))
-  );
   try {
     return await runPlan();
   } finally {
@@ -138,10 +159,8 @@
 
   async function runPlan(): Promise<SoakReport> {
     const startedAt = performance.now();
-    await Promise.all(plan.map(async (fault) => {
-      await pause(fault.at);
-      await injector.inject(fault);
-    }));
+    const callers = startCallers(PAUSES_WITH_FAULTS);
+    await injectAll(plan);
     await pause(startedAt + FAULT_WINDOW_MS - performance.now());
     injector.publish(random());
     await pause(QUIET_MS);
@@ -150,8 +169,11 @@
     const finals = await Promise.all(
       deployment.hosts.map((_, host) => probe(host)),
     );
+    const alone = new Set(calls.filter((c) => c.isPiped !== true));
+    await runStops();
     const history: History = {
       calls,
+      strays,
       runs: deployment.hosts.flatMap((h) =>
         h.upstream.runs.map(({ body, ...run }) => ({
           ...run,
@@ -180,13 +202,41 @@
       seed,
       plan,
       violations: findViolations(history),
-      statuses: countStatuses(calls),
+      statuses: countStatuses([...alone]),
+      otherStatuses: countStatuses(calls.filter((c) => !alone.has(c))),
       heldUpMs: Math.round(delays.max / NS_PER_MS),
       peakBytes: Math.max(0, ...[...peakMemory.values()].map((p) => p.bytes)),
       logs: new Map(deployment.hosts.map((h) => [h.ip, h.lines])),
     };
   }
 
+  /** Stops daemons in calm: the faults have been over for `stableS`. */
+  async function runStops(): Promise<void> {
+    isOver = false;
+    const callers = startCallers(PAUSES_WHILE_STOPPING);
+    await pause(BEFORE_STOPS_MS);
+    await injectAll(drawStops(seed, deployment.hosts.length));
+    isOver = true;
+    await Promise.all(callers);
+  }
+
+  async function injectAll(faults: readonly Fault[]): Promise<void> {
+    await Promise.all(faults.map(async (fault) => {
+      await pause(fault.at);
+      await injector.inject(fault);
+    }));
+  }
+
+  function startCallers(pauses: number): Promise<void>[] {
+    return deployment.hosts.flatMap((_, host) => [
+      ...Array.from({ length: CALLERS_PER_HOST }, () => runCaller(host)),
+      ...Array.from(
+        { length: PIPES_PER_HOST },
+        () => runPipingCaller(host, pauses),
+      ),
+    ]);
+  }
+
   /** The kernel keeps the peak of each process, so that samples are needed for those only that end. */
   function samplePeakMemory(): void {
     for (const [host, { process }] of deployment.hosts.entries()) {
@@ -197,25 +247,90 @@
 
   async function runCaller(host: number): Promise<void> {
     while (!isOver) {
-      await pause(MIN_THINK_MS + random() * (MAX_THINK_MS - MIN_THINK_MS));
-      const call = createCall(host);
-      calls.push(call);
-      await send(call);
+      await pause(drawThinkTime());
+      await send(createCall(host, { timeoutMs: drawTimeout() }));
     }
   }
 
-  function createCall(host: number): CallRecord {
+  /** Uses each connection until it ends, also while the daemon stops. */
+  async function runPipingCaller(
+    host: number,
+    pauses: number,
+  ): Promise<void> {
+    const { ip } = deployment.hosts[host]!;
+    while (!isOver) {
+      await pause(drawThinkTime());
+      const pipe = await openPipe(ip, CALLER_PORT, {
+        maxAnswerBytes: MAX_PIPED_BYTES,
+      }).catch(() => undefined);
+      if (pipe === undefined) continue;
+      while (!isOver && pipe.isOpen()) {
+        const depth = await sendBatch(host, pipe);
+        await pause(pauses * depth * drawThinkTime());
+      }
+      pipe.close();
+      const bytes = pipe.getStray();
+      if (bytes !== "") strays.push({ host, bytes });
+    }
+  }
+
+  /** Resolves to the number of requests; all have one timeout, as an answer waits for those before it. */
+  async function sendBatch(host: number, pipe: Pipe): Promise<number> {
+    const depth = MIN_DEPTH +
+      Math.floor(random() * (MAX_DEPTH + 1 - MIN_DEPTH));
+    const timeoutMs = drawTimeout();
+    const givingUp = setTimeout(() => pipe.close(), timeoutMs + GIVE_UP_MS);
+    await Promise.all(
+      Array.from(
+        { length: depth },
+        () => sendPiped(pipe, createCall(host, { timeoutMs, isPiped: true })),
+      ),
+    );
+    clearTimeout(givingUp);
+    return depth;
+  }
+
+  async function sendPiped(pipe: Pipe, call: CallRecord): Promise<void> {
+    const { id, timeoutMs, body } = call;
+    const answer = await pipe.send({
+      id,
+      path: getPath(call),
+      timeoutMs,
+      ...(call.kind !== CallKind.Read && { method: "POST", body }),
+    });
+    if (answer.isWhole) {
+      recordResponse(call, {
+        status: answer.status!,
+        headers: answer.headers,
+        text: answer.body.toString(),
+      });
+    } else call.error = "closed without a whole answer";
+    call.endedAt = answer.endedAt;
+  }
+
+  function drawThinkTime(): number {
+    return MIN_THINK_MS + random() * (MAX_THINK_MS - MIN_THINK_MS);
+  }
+
+  function drawTimeout(): number {
+    return MIN_TIMEOUT_MS +
+      Math.floor(random() * (MAX_TIMEOUT_MS - MIN_TIMEOUT_MS));
+  }
+
+  function createCall(
+    host: number,
+    options: { timeoutMs: number; isPiped?: boolean },
+  ): CallRecord {
     const kind = drawKind(random());
     const isVersioned = kind === CallKind.Read && random() < VERSIONED_SHARE;
     const id = `s${seed}-${host}-${calls.length}`;
     const size = Math.floor(random() * MAX_BODY_CHARS);
-    return {
+    const call: CallRecord = {
+      ...options,
       id,
       kind,
       host,
       sentAt: performance.now(),
-      timeoutMs: MIN_TIMEOUT_MS +
-        Math.floor(random() * (MAX_TIMEOUT_MS - MIN_TIMEOUT_MS)),
       body: kind === CallKind.Read ? "" : id.padEnd(size, "."),
       ...(isVersioned && {
         // The newest or the one before, which a daemon may still have.
@@ -223,28 +338,20 @@
         route: random() < 0.5 ? VersionRoute.Added : VersionRoute.Unreadable,
       }),
     };
+    calls.push(call);
+    return call;
   }
 
   async function send(call: CallRecord): Promise<void> {
     const { id, kind, timeoutMs, body } = call;
     const signal = AbortSignal.timeout(timeoutMs + GIVE_UP_MS);
-    const path = call.route === undefined
-      ? PATHS[kind]
-      : `${VERSION_PREFIXES[call.route](call.version!)}1`;
-    const req = { id, path, timeoutMs, signal };
+    const req = { id, path: getPath(call), timeoutMs, signal };
     try {
       const res = await deployment.call(
         deployment.hosts[call.host]!,
         kind === CallKind.Read ? req : { ...req, method: "POST", body },
       );
-      call.status = res.status;
-      call.text = res.text;
-      const instance = res.headers[INSTANCE_HEADER];
-      if (typeof instance === "string") call.instance = instance;
-      call.statesLimit = res.headers["server-limit"] !== undefined;
-      call.statesLeaving = res.headers["server-leaving"] !== undefined;
-      call.isSigned =
-        res.headers["x-vanillarock-response-signature"] !== undefined;
+      recordResponse(call, res);
     } catch (error) {
       call.error = String(error);
     }
@@ -278,6 +385,27 @@
   }
 }
 
+function getPath({ kind, route, version }: CallRecord): string {
+  return route === undefined
+    ? PATHS[kind]
+    : `${VERSION_PREFIXES[route](version!)}1`;
+}
+
+function recordResponse(
+  call: CallRecord,
+  { status, headers, text }: CallerResponse,
+): void {
+  call.status = status;
+  call.text = text;
+  const instance = headers[INSTANCE_HEADER];
+  if (typeof instance === "string") call.instance = instance;
+  call.statesLimit = headers["server-limit"] !== undefined;
+  call.statesLeaving = headers["server-leaving"] !== undefined;
+  call.isSigned = headers["x-vanillarock-response-signature"] !== undefined;
+  const answeredId = headers["x-vanillarock-attempt-id"];
+  if (typeof answeredId === "string") call.answeredId = answeredId;
+}
+
 /** Draws reads, orders and photos in the ratio 6:3:1. */
 function drawKind(chance: number): CallKind {
   if (chance < 0.6) return CallKind.Read;
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -110,6 +110,16 @@
   statesLimit?: boolean;
   /** True if the response states that the upstream is leaving. */
   statesLeaving?: boolean;
+  /** True if it shared its connection with others, sent without waiting for answers. */
+  readonly isPiped?: boolean;
+  /** Id of the request that the response names, if it names one. */
+  answeredId?: string;
+}
+
+/** Bytes that a caller received while no request of its connection waited. */
+export interface StrayRecord {
+  readonly host: number;
+  readonly bytes: string;
 }
 
 /** A run as observed by its upstream. */
@@ -196,6 +206,7 @@
 /** All observations of a run. */
 export interface History {
   readonly calls: readonly CallRecord[];
+  readonly strays: readonly StrayRecord[];
   readonly runs: readonly RunRecord[];
   readonly arrivals: readonly ArrivalRecord[];
   readonly limits: readonly LimitSpan[];
@@ -223,6 +234,8 @@
   RunsUnchanged = "an upstream runs only what was asked, unchanged",
   InTime = "a request gets its final answer in time",
   ServesWhileStopping = "a stopping daemon cuts off no request that runs",
+  AnswersInOrder =
+    "a connection carries the answers to its requests in their order, and nothing else",
   NothingAfterDeparture = "an upstream that left gets no more requests",
   ConfigInForce = "the newest configuration is in force everywhere",
   Recovers = "after the faults requests are served again",
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -4,7 +4,7 @@
 
 import { expect, test } from "vitest";
 import { createResponseBody, findViolations } from "./soak/find_violations.ts";
-import { drawPlan } from "./soak/plan.ts";
+import { drawPlan, drawStops } from "./soak/plan.ts";
 import { REGRESSIONS } from "./soak/regressions.ts";
 import { runSoak } from "./soak/run.ts";
 import {
@@ -36,6 +36,7 @@
 
 test("a seed always draws the same plan, and all kinds of fault occur", () => {
   expect(drawPlan(5, 12)).toEqual(drawPlan(5, 12));
+  expect(drawStops(5, 12)).toEqual(drawStops(5, 12));
   const kinds = new Set<FaultKind>();
   for (let seed = 1; seed <= 50; seed++) {
     for (const { kind } of drawPlan(seed, 12)) kinds.add(kind);
@@ -79,6 +80,7 @@
 ];
 const validHistory: History = {
   calls: [read, order],
+  strays: [],
   runs,
   arrivals: runs,
   limits: [],
@@ -114,6 +116,9 @@
     calls: [read, createAbortedCall()],
     injected: [{ host: 0, from: -100, until: 100, kind: FaultKind.Stopped }],
   },
+  [Guarantee.AnswersInOrder]: {
+    calls: [read, { ...order, answeredId: "r" }],
+  },
   [Guarantee.NothingAfterDeparture]: {
     runs: [runs[0]!, { ...runs[1]!, instance: "left" }],
     departures: [{ instance: "left", at: -2_100 }],
@@ -218,6 +223,37 @@
   },
 );
 
+const stopped = [
+  { host: 0, from: -100, until: 100, kind: FaultKind.Stopped },
+];
+
+test.each([
+  {
+    what: "a read behind another whose connection closes after it ran",
+    change: {
+      calls: [{ ...createAbortedCall(), isPiped: true }, read],
+      injected: stopped,
+    },
+    guarantee: Guarantee.ServesWhileStopping,
+  },
+  {
+    what: "an answer of the daemon in the place of one that was to come",
+    change: {
+      calls: [{ ...read, status: 502, isSigned: false }, order],
+      injected: stopped,
+    },
+    guarantee: Guarantee.ServesWhileStopping,
+  },
+  {
+    what: "bytes with no request waiting",
+    change: { strays: [{ host: 0, bytes: "HTTP/1.1 200 OK" }] },
+    guarantee: Guarantee.AnswersInOrder,
+  },
+])("a violation is found: $what", ({ change, guarantee }) => {
+  const found = findViolations({ ...validHistory, ...change });
+  expect(found.map((v) => v.guarantee)).toEqual([guarantee]);
+});
+
 function createAbortedCall(): CallRecord {
   const { status: _status, text: _text, ...rest } = order;
   return { ...rest, error: "closed" };
--- a/test/support/pipelining_caller.ts
+++ b/test/support/pipelining_caller.ts
@@ -62,18 +62,25 @@
 const HEAD_END = "\r\n\r\n";
 const DEFAULT_TIMEOUT_MS = 2_000;
 
-/** Opens a connection; rejects if that fails. */
-export function openPipe(ip: string, port: number): Promise<Pipe> {
+/**
+ * Opens a connection; rejects if that fails. It is closed once an answer takes
+ * more than `maxAnswerBytes`.
+ */
+export function openPipe(
+  ip: string,
+  port: number,
+  { maxAnswerBytes = Infinity }: { maxAnswerBytes?: number } = {},
+): Promise<Pipe> {
   return new Promise((resolve, reject) => {
     const socket = connect({ host: ip, port, noDelay: true }, () => {
       socket.off("error", reject);
-      resolve(createPipe(socket));
+      resolve(createPipe(socket, maxAnswerBytes));
     });
     socket.once("error", reject);
   });
 }
 
-function createPipe(socket: Socket): Pipe {
+function createPipe(socket: Socket, maxAnswerBytes: number): Pipe {
   const waiting: Waiting[] = [];
   let received: Buffer = Buffer.alloc(0);
   let stray = "";
@@ -83,6 +90,7 @@
   socket.on("data", (chunk: Buffer) => {
     received = Buffer.concat([received, chunk]);
     while (readAnswer(false));
+    if (received.length > maxAnswerBytes) socket.destroy();
   });
   socket.once("close", (hadError: boolean) => {
     while (readAnswer(!hadError));
