Bound what is read of a peer's reply: its state took a daemon's memory

What callers saw: nothing while the daemon lived. While the store is out, a daemon asks others for their state; one that answers without end took it to 201 MB (a body without a length) and 277 MB (chunks) in 3 s of asking it once in a while, on a loopback and within the 500 ms that an exchange may take; with the limit of 250 MB it is killed.

Cause: replies whose content is used here (state, suspects, kept responses, keys, probes) were read with text() and json(), bounded by time or not at all.

Now state and suspects have the bound of the store's content (8 MiB), others 256 KiB.

--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -10,6 +10,8 @@
   RequestHead,
   Ticket,
 } from "../core/types.ts";
+import { MAX_STORE_BYTES } from "../core/change_log.ts";
+import { readBounded } from "./bounded_body.ts";
 import { isFinalStatus } from "./final_status.ts";
 import { getHeader } from "./http_headers.ts";
 import {
@@ -40,6 +42,9 @@
 /** Largest head of a peer's reply, in bytes: an upstream's largest head and as much for that of the peer. */
 const MAX_REPLY_HEAD_BYTES = 32_768;
 
+/** Largest body of a peer's reply that is read here, in bytes: a kept response in base64 with its head, or 1,000 keys. */
+const MAX_REPLY_BYTES = 262_144;
+
 /** Settings of a link. */
 export interface HttpLinkOptions {
   /** IP address and port of the peer's data listener. */
@@ -155,7 +160,7 @@
         [Header.Account]: account,
         "vanillarock-count": String(count),
       });
-      return z.array(z.string()).parse(await res.body.json());
+      return z.array(z.string()).parse(JSON.parse(await readText(res)));
     } catch {
       return [];
     }
@@ -169,7 +174,7 @@
       // The timeouts of undici may fire a second late.
       const signal = AbortSignal.timeout(EXCHANGE_TIMEOUT_MS);
       const res = await call(pool, step, {}, { body, signal });
-      const text = await res.body.text();
+      const text = await readText(res, MAX_STORE_BYTES);
       return res.statusCode === 200 ? text : undefined;
     } catch {
       return undefined;
@@ -179,7 +184,7 @@
   async function probe(): Promise<number> {
     try {
       const res = await call(pool, Step.Ping, {});
-      const text = await res.body.text();
+      const text = await readText(res);
       return text.length + JSON.stringify(res.headers).length;
     } catch {
       return 0;
@@ -274,7 +279,7 @@
     }
     const ticket = getHeader(res.headers, Header.Ticket) ?? "";
     if (getHeader(res.headers, Header.Replayed) !== undefined) {
-      const response = decodeReplay(await res.body.json());
+      const response = decodeReplay(JSON.parse(await readText(res)));
       return { kind: ReplyKind.Replay, ticket, response };
     }
     const grant = getHeader(res.headers, Header.Grant);
@@ -292,6 +297,14 @@
   }
 }
 
+/** Reads a reply whose content is used here; rejects if it is too large. */
+async function readText(
+  { body }: Response,
+  maxBytes = MAX_REPLY_BYTES,
+): Promise<string> {
+  return (await readBounded(body, { maxBytes })).toString();
+}
+
 function toFailure(error: unknown): GuardReply {
   return {
     kind: ReplyKind.Failed,
--- a/test/endless_store_mesh_test.ts
+++ b/test/endless_store_mesh_test.ts
@@ -4,6 +4,7 @@
 import {
   type Deployment,
   type DeploymentHost,
+  PEER_PORT,
   startDeployment,
 } from "./platform/mesh.ts";
 import { createEndlessAnswers } from "./support/endless_answers.ts";
@@ -12,6 +13,7 @@
   type EndlessAnswer,
   startEndlessServer,
 } from "./support/endless_server.ts";
+import { startRelay } from "./support/relay.ts";
 
 const STORE_PORT = 18_306;
 /** Memory beyond which the platform kills a daemon, in bytes. */
@@ -76,3 +78,48 @@
   },
   20_000,
 );
+
+const PEER_IP = "127.0.210.9";
+const STATE_ANSWERS = createEndlessAnswers(": state\\r", "200 OK\r\n");
+
+test.each(["a body without a length", "chunks", "headers"])(
+  "a peer that sends %s without end as its state: bounded memory, and callers are served",
+  async (name) => {
+    const [host] = fleet.hosts as [DeploymentHost];
+    fleet.store.put("servers/i-peer", {
+      address: `${PEER_IP}:18301`,
+      info: { service: "other", version: "v1", zone: "west", slots: 1 },
+      status: { state: "ready", seq: 1, coldLeftS: 0 },
+    });
+    const store = await startRelay(
+      { ip: host.ip, port: STORE_PORT },
+      {
+        ip: fleet.store.address.split(":")[0]!,
+        port: Number(fleet.store.address.split(":")[1]),
+      },
+    );
+    await expect.poll(
+      () => host.lines.some((line) => line.includes("instance=i-peer")),
+      { timeout: 5_000 },
+    ).toBe(true);
+    const server = await startEndlessServer({
+      ip: PEER_IP,
+      port: PEER_PORT,
+      answers: [STATE_ANSWERS[name]!],
+    });
+    await store.close();
+    try {
+      const [{ statuses, most }] = await callBeside(
+        fleet,
+        `peer's state, ${name}`,
+        ENDLESS_MS,
+      ) as [HostOutcome];
+      expect(statuses.filter((status) => status !== 200)).toEqual([]);
+      expect(host.process.exitCode).toBeNull();
+      expect(most).toBeLessThan(MEMORY_LIMIT_BYTES);
+    } finally {
+      await server.close();
+    }
+  },
+  20_000,
+);
