Bound a line of a followed daemon's changes

A source that sends a line without end was cut after 400 to 900 ms only, with all its bytes held by then; test/change_follower_test.ts failed with "no line within 400 ms". A line has 1 MiB now, above the largest that is relayed; the memory that it took before was not measured apart.

--- a/src/daemon/change_follower.ts
+++ b/src/daemon/change_follower.ts
@@ -1,5 +1,6 @@
 /** Follows the store's changes through another daemon. */
 
+import type { Buffer } from "node:buffer";
 import { type IncomingMessage, request } from "node:http";
 import { createInterface } from "node:readline";
 import { z } from "zod";
@@ -21,6 +22,9 @@
 /** Added for each daemon between source and store, in ms, so that it finds another source first. */
 const TIMEOUT_PER_HOP_MS = 200;
 
+/** Longest line, in bytes: the largest changes that are relayed, and the keys of 2,400 upstreams. */
+const MAX_LINE_BYTES = 1_048_576;
+
 const batchSchema = z.object({
   era: z.int().default(0),
   revision: z.int(),
@@ -69,6 +73,12 @@
     lines.on("error", (error: Error) => end(error.message));
     lines.on("line", handleLine);
     lines.on("close", () => end("source closed the connection"));
+    let lineBytes = 0;
+    lines.on("line", () => lineBytes = 0);
+    res.on("data", (chunk: Buffer) => {
+      lineBytes += chunk.length;
+      if (lineBytes > MAX_LINE_BYTES) end("a line without end");
+    });
   }
 
   function handleLine(line: string): void {
