Bytes that are no request are refused behind the answers before them

A request or an order that ran, and bytes behind it that are no request: its caller got 400 (431, 408) in the place of its answer, or the connection closed without a word (CONNECT); Node.js's defaults know of no request before. A request without Host closed the connection behind its 400, and what was passed on behind it was lost.

The running requests now get their answers, then the refusal, then the close. A body that can't be parsed ends its own request only. A timer of an idle connection closes none with unanswered requests.

--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -366,6 +366,13 @@
     431,
     "the request's headers are too large",
   ),
+  request_timeout: row(
+    3014,
+    Input,
+    "request_timeout",
+    408,
+    "the request's head did not arrive in time",
+  ),
   body_too_large: row(
     3011,
     Input,
--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -4,13 +4,20 @@
  * answer (docs/design/0022).
  */
 
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import {
   type ConnectionOrder,
   createConnectionOrder,
 } from "../core/connection_order.ts";
 import type { Counters } from "../core/counters.ts";
+import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import type { Millis } from "../core/types.ts";
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
@@ -77,6 +84,8 @@
   readonly logger: Logger;
   readonly clock: Clock;
   isStopping(): boolean;
+  /** The whole response to bytes that are no request; without a body by default. */
+  formatRefusal?(diagnostic: Diagnostic): string;
 }
 
 /** The open connections of callers. */
@@ -102,6 +111,10 @@
   readonly held: Entry[];
   /** The first cause is the one that counts. */
   cause?: CloseCause;
+  /** The last request that was read, answered or not. */
+  newest?: IncomingMessage;
+  /** Written behind the last answer, to bytes that are no request. */
+  refusal?: string;
   isEnding: boolean;
 }
 
@@ -117,6 +130,10 @@
   let onAllClosed: (() => void) | undefined;
   server.on("connection", accept);
   server.on("request", take);
+  // Node.js would close at once, or write in the place of answers to come.
+  server.on("connect", handleConnect);
+  server.on("clientError", handleParserError);
+  server.on("timeout", handleTimeout);
   return { countUnanswered: () => unanswered, close };
 
   function accept(socket: Socket): void {
@@ -155,6 +172,7 @@
     }
     const entry = createEntry(connection, incoming, outgoing);
     if (!order.tryAdd(entry)) return drop(connection, incoming);
+    connection.newest = incoming;
     unanswered += 1;
     outgoing.once("close", () => settle(connection, entry));
     if (order.size() <= MAX_PASSED_ON) {
@@ -185,7 +203,8 @@
           : new Promise((resolve) => entry.onFirst = resolve),
       prepareHead: (mustEnd = false) => {
         const isDue = mustEnd || options.isStopping() || !order.takesMore();
-        if (!isDue || !entry.isNewest()) return;
+        const isLast = entry.isNewest() && connection.refusal === undefined;
+        if (!isDue || !isLast) return;
         outgoing.setHeader("connection", "close");
         order.takeNoMore();
       },
@@ -197,6 +216,69 @@
     return entry;
   }
 
+  /** The parser can't go on: what was read before is answered, then the rest is refused. */
+  function handleParserError(
+    error: NodeJS.ErrnoException,
+    socket: Duplex,
+  ): void {
+    const connection = connections.get(socket as Socket);
+    const diagnostic = getRefusal(error.code);
+    if (connection === undefined || diagnostic === undefined) {
+      return void socket.destroy(error);
+    }
+    const { newest } = connection;
+    if (newest?.complete === false) cutBody(connection, newest, error);
+    else refuseRest(connection, diagnostic);
+  }
+
+  /** The error is in the body of a request, which has its own answer. */
+  function cutBody(
+    connection: Connection,
+    incoming: IncomingMessage,
+    error: Error,
+  ): void {
+    dropInput(connection);
+    takeNoMore(connection);
+    // To destroy it would close the connection.
+    if (incoming.listenerCount("error") > 0) incoming.emit("error", error);
+  }
+
+  function handleConnect(incoming: IncomingMessage): void {
+    const connection = connections.get(incoming.socket)!;
+    const { socket, order } = connection;
+    // Node.js has left the connection to the listener, answers that wait included.
+    socket.on("drain", () => order.tryGetFirst()?.outgoing.emit("drain"));
+    socket.once("end", () => socket.end());
+    refuseRest(connection, Diagnostics.malformed_request);
+  }
+
+  function refuseRest(connection: Connection, diagnostic: Diagnostic): void {
+    const { order, socket } = connection;
+    // Behind a request that announced the end itself there is none.
+    const isEnded = order.tryGetNewest()?.outgoing.shouldKeepAlive === false;
+    if (order.takesMore() && !isEnded) {
+      counters.add(`refused_${diagnostic.reason}`);
+      logger.info("bytes_refused", {
+        reason: diagnostic.reason,
+        unanswered: order.size(),
+      });
+      // A connection that has sent nothing has asked for no answer.
+      if (socket.bytesRead > 0) {
+        connection.refusal = (options.formatRefusal ?? formatRefusal)(
+          diagnostic,
+        );
+      }
+    }
+    dropInput(connection);
+    takeNoMore(connection);
+  }
+
+  /** An idle connection. Node.js also tells of one whose answers take long. */
+  function handleTimeout(socket: Socket): void {
+    const connection = connections.get(socket);
+    if (connection?.order.size() === 0) end(connection);
+  }
+
   /** Drops a request that came behind the end, and all bytes after it. */
   function drop(connection: Connection, incoming: IncomingMessage): void {
     counters.add("requests_behind_close");
@@ -238,7 +320,7 @@
     if (connection.isEnding || socket.destroyed) return;
     connection.isEnding = true;
     connection.order.takeNoMore();
-    socket.end();
+    socket.end(connection.refusal ?? "");
     socket.resume();
     const timer = setTimeout(() => socket.destroy(), LINGER_MS);
     socket.once("close", () => clearTimeout(timer));
@@ -299,6 +381,26 @@
   }
 }
 
+const REFUSALS: Readonly<Record<string, Diagnostic>> = {
+  HPE_HEADER_OVERFLOW: Diagnostics.headers_too_large,
+  ERR_HTTP_REQUEST_TIMEOUT: Diagnostics.request_timeout,
+};
+
+/** What bytes are refused with that the parser can't read; undefined for an error of the connection. */
+function getRefusal(code = ""): Diagnostic | undefined {
+  // The caller has closed amid a message.
+  if (code === "HPE_INVALID_EOF_STATE") return undefined;
+  const other = code.startsWith("HPE_")
+    ? Diagnostics.malformed_request
+    : undefined;
+  return REFUSALS[code] ?? other;
+}
+
+function formatRefusal({ status }: Diagnostic): string {
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+    "connection: close\r\ncontent-length: 0\r\n\r\n";
+}
+
 /** Reads on without parsing: what is dropped costs no memory, and no byte stays unread. */
 function dropInput({ socket }: Connection): void {
   // The parser is at work now.
--- a/src/daemon/caller_listener.ts
+++ b/src/daemon/caller_listener.ts
@@ -39,6 +39,8 @@
     requestTimeout: 0,
     noDelay: true,
     highWaterMark: MAX_READ_BYTES,
+    // Node.js would answer by itself, and close behind the answer.
+    requireHostHeader: false,
   });
   const connections = createCallerConnections(server, options);
   const { host, port } = splitAddress(options.address);
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -146,6 +146,9 @@
 
   async function handle(req: CallerRequest): Promise<void> {
     const { incoming } = req;
+    if (incoming.headers.host === undefined && incoming.httpVersion === "1.1") {
+      return refuse(req, "malformed_request");
+    }
     const bodyBytes = Number(incoming.headers["content-length"] ?? 0);
     const admission = admitIngress({
       hostname: (incoming.headers.host ?? "").replace(/:\d+$/, ""),
@@ -269,21 +272,26 @@
    * to an error if the body was cut.
    */
   async function prepareShared(
-    { place }: CallerRequest,
+    { place, incoming }: CallerRequest,
     response: StreamedResponse,
   ): Promise<StreamedResponse | Error> {
     if (response.bytes !== undefined) {
       await place.whenFirst();
-      return setLength(response, response.bytes.length);
+      return isUndelimited(incoming, response)
+        ? setLength(response, response.bytes.length)
+        : response;
     }
     const { body } = response;
     body.on("error", ignoreError);
     await place.whenFirst();
     if (body.errored) return body.errored;
-    const isWhole = response.isComplete && !isUnframed(response);
+    const isWhole = response.isComplete && !isUndelimited(incoming, response);
     if (isWhole || place.isNewest()) return response;
     try {
-      return await readWhole(response);
+      const read = await readWhole(response);
+      if (!isUndelimited(incoming, read)) return read;
+      read.body.destroy();
+      return new Error("too large for a caller that doesn't know chunks");
     } catch (error) {
       return error instanceof Error ? error : new Error(String(error));
     }
@@ -310,9 +318,9 @@
     const { outgoing, incoming, id } = req;
     const { status, bytes } = response;
     const { [Header.Unframed]: _, ...headers } = response.headers;
-    const isUndelimited = isUnframed(response);
-    if (isUndelimited) delimitByClose(outgoing, response.body);
-    req.place.prepareHead(isUndelimited);
+    const mustEnd = isUndelimited(incoming, response);
+    if (isUnframed(response)) delimitByClose(outgoing, response.body);
+    req.place.prepareHead(mustEnd);
     if (bytes === undefined) req.response = response.body;
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
     if (bytes !== undefined) {
@@ -433,11 +441,20 @@
     status !== 304;
 }
 
+/** The same for the caller, who may not know chunks. */
+function isUndelimited(
+  { httpVersion, method }: IncomingMessage,
+  response: StreamedResponse,
+): boolean {
+  return isUnframed(response) ||
+    (httpVersion === "1.0" && method !== "HEAD" &&
+      response.headers["content-length"] === undefined);
+}
+
 function setLength(
   response: StreamedResponse,
   bytes: number,
 ): StreamedResponse {
-  if (!isUnframed(response)) return response;
   const { [Header.Unframed]: _, ...headers } = response.headers;
   headers["content-length"] = String(bytes);
   return { ...response, headers };
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -6,6 +6,8 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { Buffer } from "node:buffer";
 import { afterEach, expect, test } from "vitest";
 import { createCounters } from "../src/core/counters.ts";
 import {
@@ -40,7 +42,12 @@
 });
 
 async function listen(): Promise<Listener> {
-  const server = createServer();
+  const server = createServer({
+    headersTimeout: 200,
+    connectionsCheckingInterval: 50,
+    keepAliveTimeout: 500,
+    requestTimeout: 0,
+  });
   const taken = new Map<string, Taken>();
   const lines: Listener["lines"] = [];
   const counters = createCounters();
@@ -259,3 +266,105 @@
   expect(all.filter((it) => it.isBehindClose).length).toBe(300 - 128);
   expect(listener.lines).toEqual([]);
 });
+
+const MALFORMED = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n";
+test.each([
+  { name: "no request", bytes: "BLAH BLAH\r\n\r\n", refusal: MALFORMED },
+  { name: "CONNECT", bytes: "CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n" },
+  { name: "HTTP/2", bytes: "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" },
+  {
+    name: "a head without end",
+    bytes: `GET / HTTP/1.1\r\nhost: a\r\na: ${"x".repeat(40_000)}`,
+    refusal:
+      "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n",
+  },
+  {
+    name: "half a head",
+    bytes: "GET / HTTP/1.1\r\nhost: a\r\n",
+    refusal: "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n",
+  },
+])(
+  "$name behind running requests is refused behind their answers",
+  async ({ bytes, refusal = MALFORMED }) => {
+    const listener = await listen();
+    const pipe = await open(listener);
+    const answers = await sendAll(listener, pipe, ["/1", "/2"]);
+    pipe.write(bytes);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    pipe.write("GET /late HTTP/1.1\r\nhost: a\r\n\r\n");
+    listener.answer("/1");
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    listener.answer("/2");
+    const all = await Promise.all(answers);
+    expect(all.map(({ status, body }) => [status, body.toString()]))
+      .toEqual([[200, "ok"], [200, "ok"]]);
+    await until(() => !pipe.isOpen());
+    expect(pipe.getStray()).toContain(refusal);
+    expect(pipe.getStray().match(/HTTP\//g)).toHaveLength(1);
+    expect([...listener.taken.keys()]).toEqual(["/1", "/2"]);
+    expect(listener.lines.map((it) => it.event)).toEqual(["bytes_refused"]);
+  },
+);
+
+test("a large answer before CONNECT arrives whole", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const [first] = await sendAll(listener, pipe, ["/1"]);
+  pipe.write("CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const body = Buffer.alloc(3_000_000, "x");
+  const { outgoing, place } = listener.taken.get("/1")!;
+  place.prepareHead();
+  outgoing.writeHead(200, { "content-length": body.length });
+  Readable.from([body.subarray(0, 2_000_000), body.subarray(2_000_000)])
+    .pipe(outgoing);
+  expect((await first!).body.length).toBe(body.length);
+  await until(() => !pipe.isOpen());
+});
+
+test("a body that can't be parsed ends its request only", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const [first] = await sendAll(listener, pipe, ["/1"]);
+  const second = pipe.send({
+    id: "/2",
+    path: "/2",
+    method: "POST",
+    headers: { "transfer-encoding": "chunked" },
+  });
+  await until(() => listener.taken.has("/2"));
+  const errors: Error[] = [];
+  listener.taken.get("/2")!.incoming.on("error", (it) => errors.push(it));
+  pipe.write("zzz\r\n");
+  await until(() => errors.length === 1);
+  listener.answer("/1");
+  listener.answer("/2");
+  expect(await first).toMatchObject({ status: 200, isWhole: true });
+  expect(await second).toMatchObject({
+    status: 200,
+    headers: { connection: "close" },
+  });
+  expect(listener.lines).toEqual([]);
+});
+
+test(
+  "an idle connection is closed, one whose answer takes longer than that is not",
+  async () => {
+    const listener = await listen();
+    const pipe = await open(listener);
+    await Promise.all(
+      await sendAll(listener, pipe, ["/1"]).then((it) => {
+        listener.answer("/1");
+        return it;
+      }),
+    );
+    const [slow] = await sendAll(listener, pipe, ["/2"]);
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    listener.answer("/2");
+    expect(await slow).toMatchObject({ status: 200 });
+    await until(() => !pipe.isOpen());
+    expect(pipe.getStray()).toBe("");
+    expect(listener.lines).toEqual([]);
+  },
+  10_000,
+);
