A request that asks for another protocol ends its connection

Of three requests behind each other, the second with 'Upgrade: h2c', the third got the answer of a fourth that was sent later: Node.js drops what it has read behind such a request in the same read, and goes on with HTTP. Its answer now announces the end, so that nothing behind it is passed on. Fails on the code before: answered up-0, up-1, up-2, ran up-0, up-1, up-3.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -173,6 +173,7 @@
     const entry = createEntry(connection, incoming, outgoing);
     if (!order.tryAdd(entry)) return drop(connection, incoming);
     connection.newest = incoming;
+    if (asksForUpgrade(incoming)) order.takeNoMore();
     unanswered += 1;
     outgoing.once("close", () => settle(connection, entry));
     if (order.size() <= MAX_PASSED_ON) {
@@ -381,6 +382,12 @@
   }
 }
 
+/** Node.js goes on with HTTP behind such a request, but drops what it has read with it. */
+function asksForUpgrade({ headers }: IncomingMessage): boolean {
+  return headers.upgrade !== undefined &&
+    /upgrade/i.test(headers.connection ?? "");
+}
+
 const REFUSALS: Readonly<Record<string, Diagnostic>> = {
   HPE_HEADER_OVERFLOW: Diagnostics.headers_too_large,
   ERR_HTTP_REQUEST_TIMEOUT: Diagnostics.request_timeout,
--- a/test/shared_connection_mesh_test.ts
+++ b/test/shared_connection_mesh_test.ts
@@ -128,3 +128,26 @@
   expect(all.filter((it) => it.status === 200 && it.body.length !== 900_000))
     .toEqual([]);
 });
+
+test("no answer goes to another request though one asks for another protocol", async () => {
+  await begin();
+  const headers = { connection: "upgrade", upgrade: "h2c" };
+  const all = await Promise.all([
+    pipe.send({ id: "up-0" }),
+    pipe.send({ id: "up-1", headers }),
+    pipe.send({ id: "up-2" }),
+    new Promise<void>((resolve) => setTimeout(resolve, 50)).then(() =>
+      pipe.send({ id: "up-3" })
+    ),
+  ]);
+  const answered = all.filter((it) => it.isWhole).map((it) => it.id);
+  const ran = all.map((it) => it.id).filter((id) => countRuns(id) === 1);
+  expect(answered).toEqual(ran);
+  expect(answered).toEqual(["up-0", "up-1"]);
+  expect(all.map((it) => it.isBehindClose)).toEqual([
+    false,
+    false,
+    true,
+    true,
+  ]);
+});
