A head that the daemon itself doesn't read on does not run out of time

Where a connection isn't read on, as 128 of its requests run, half a head may wait: its time ran out (408), and what was behind it was not passed on.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -115,6 +115,8 @@
   newest?: IncomingMessage;
   /** Written behind the last answer, to bytes that are no request. */
   refusal?: string;
+  /** When the connection was last read on after a pause, in ms of the clock. */
+  readAgainAt: Millis;
   isEnding: boolean;
 }
 
@@ -141,6 +143,7 @@
       socket,
       order: createConnectionOrder(),
       held: [],
+      readAgainAt: -Infinity,
       isEnding: false,
     };
     connections.set(socket, connection);
@@ -227,11 +230,18 @@
     if (connection === undefined || diagnostic === undefined) {
       return void socket.destroy(error);
     }
+    if (error.code === REQUEST_TIMEOUT && wasPaused(connection)) return;
     const { newest } = connection;
     if (newest?.complete === false) cutBody(connection, newest, error);
     else refuseRest(connection, diagnostic);
   }
 
+  /** True if the rest of a head may be there, and the daemon hasn't read it. */
+  function wasPaused({ socket, readAgainAt }: Connection): boolean {
+    const sinceMs = options.clock.now() - readAgainAt;
+    return socket.isPaused() || sinceMs < server.headersTimeout;
+  }
+
   /** The error is in the body of a request, which has its own answer. */
   function cutBody(
     connection: Connection,
@@ -296,7 +306,10 @@
     const next = held.shift();
     if (next !== undefined) {
       options.handler(next.incoming, next.outgoing, next);
-    } else if (socket.isPaused()) socket.resume();
+    } else if (socket.isPaused()) {
+      connection.readAgainAt = options.clock.now();
+      socket.resume();
+    }
   }
 
   /** Passes on nothing more; what was read and not passed on counts as not read. */
@@ -388,9 +401,10 @@
     /upgrade/i.test(headers.connection ?? "");
 }
 
+const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const REFUSALS: Readonly<Record<string, Diagnostic>> = {
   HPE_HEADER_OVERFLOW: Diagnostics.headers_too_large,
-  ERR_HTTP_REQUEST_TIMEOUT: Diagnostics.request_timeout,
+  [REQUEST_TIMEOUT]: Diagnostics.request_timeout,
 };
 
 /** What bytes are refused with that the parser can't read; undefined for an error of the connection. */
