--- a/test/stop_events_mesh_test.ts
+++ b/test/stop_events_mesh_test.ts
@@ -42,9 +42,10 @@
 }, 30_000);
 afterAll(() => fleet.close());
 
-test.each<[string, (front: DeploymentHost) => void]>([
+test.each<[string, number, (front: DeploymentHost) => void]>([
   [
     "a second SIGTERM comes",
+    3,
     (front) => {
       for (const ms of [0, 1_000, 4_000]) {
         setTimeout(() => front.process.kill("SIGTERM"), ms);
@@ -53,6 +54,7 @@
   ],
   [
     "a SIGHUP comes and the configuration changes",
+    1,
     (front) => {
       for (const ms of [500, 2_000, 4_000]) {
         setTimeout(() => {
@@ -64,6 +66,7 @@
   ],
   [
     "the daemon gets a third of the processor",
+    3,
     (front) => {
       const timer = setInterval(() => {
         front.process.kill("SIGSTOP");
@@ -74,29 +77,36 @@
   ],
   [
     "another daemon stops",
+    1,
     () => void fleet.hosts[1]!.process.kill("SIGTERM"),
   ],
   [
     "the daemons of half of the hosts stop after it",
+    3,
     () => {
       for (const [index, host] of fleet.hosts.slice(1, 3).entries()) {
         setTimeout(() => host.process.kill("SIGTERM"), (index + 1) * 1_000);
       }
     },
   ],
-])("no request loses its answer in a stop while %s", async (_name, during) => {
-  const front = fleet.hosts[0]!;
-  const outcome = await stopUnderLoad(fleet, front, {
-    callers: CALLERS,
-    beforeMs: BEFORE_MS,
-    createRequest,
-    during: () => during(front),
-  });
-  await waitForOthers();
-  expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
-  expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
-  expect(outcome.served[0]).toBeGreaterThan(CALLERS);
-}, 40_000);
+])(
+  "no request loses its answer in a stop while %s, %i behind each other",
+  async (_name, depth, during) => {
+    const front = fleet.hosts[0]!;
+    const outcome = await stopUnderLoad(fleet, front, {
+      callers: CALLERS,
+      beforeMs: BEFORE_MS,
+      depth,
+      createRequest,
+      during: () => during(front),
+    });
+    await waitForOthers();
+    expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
+    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
+    expect(outcome.served[0]).toBeGreaterThan(CALLERS);
+  },
+  40_000,
+);
 
 test(
   "a daemon that stops answers what another daemon's callers have at its upstream",
