Logs of connections between daemons that close with an attempt unanswered

No line at the level in use told that the connection of an attempt had closed, on which side, and whether the daemon was stopping; link_failed was written at level debug, with neither host nor execution.

The upstream's host logs attempt_cut (peer, ticket, by whom, reason, isStopping) and counts attempt_cut_by_peer and attempt_cut_by_daemon; the caller's host logs link_failed with the host and whether the attempt may have run there. What a cancel brings about stays at level debug. The last lines of a stop are written before the process ends.

--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -4,7 +4,7 @@
 import { EventEmitter } from "node:events";
 import type { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
-import { Execution } from "../core/types.ts";
+import { Execution, type Ticket } from "../core/types.ts";
 import {
   decodeRequestFrame,
   type ReplyFrameHead,
@@ -37,12 +37,28 @@
 /** Time for a peer to close a connection whose end was announced to it, in ms. */
 const CLOSING_MS = 1_000;
 
+/** Who closes a connection. */
+export enum CutBy {
+  Peer = "peer",
+  Daemon = "daemon",
+}
+
+/** An attempt whose connection has closed before its reply was sent. */
+export interface CutExchange {
+  readonly ticket: Ticket;
+  /** IP address of its sender. */
+  readonly peer: string | undefined;
+  readonly by: CutBy;
+  readonly reason: string;
+}
+
 /** Settings of the server. */
 export interface FrameServerOptions {
   readonly guard: GuardTask;
   onMalformed(diagnostic: Diagnostic, message: string): void;
   /** Called for an exception of a handler, whose sender gets an answer or a cut. */
   onHandlerFailure(error: Error): void;
+  onCut?(exchange: CutExchange): void;
   /** Called when an exchange begins; the result is called once its reply is sent or its connection has closed. */
   trackExchange(): () => void;
 }
@@ -71,6 +87,8 @@
   readonly signal: EventEmitter;
   /** Sends the last frame. */
   finish(frame: Buffer): void;
+  /** Closes the connection, as there is no whole reply. */
+  cut(reason: string): void;
 }
 
 type StepHandler = (exchange: Exchange) => Promise<GuardReply>;
@@ -85,6 +103,7 @@
   /** Connections, with what announces their end unless they carry an exchange. */
   const connections = new Map<Socket, () => void>();
   let isDraining = false;
+  let isClosed = false;
   const steps: Partial<Record<Step, StepHandler>> = {
     [Step.Reserve]: ({ head: { ticket, head } }) =>
       head === undefined
@@ -119,15 +138,18 @@
     },
     countOpen: () => connections.size,
     close: () => {
+      isClosed = true;
       for (const socket of connections.keys()) socket.destroy();
     },
   };
 
   function accept(socket: Socket, first: Buffer): void {
     connections.set(socket, announceEnd);
-    /** Signal of the exchange in progress. */
-    let openSignal: EventEmitter | undefined;
+    let open: Exchange | undefined;
     let isEndAnnounced = false;
+    /** Why this daemon closes the connection. */
+    let cutReason: string | undefined;
+    const peer = socket.remoteAddress;
     const reader = createFrameReader(receive);
     socket.setTimeout(IDLE_MS, () => {
       if (isEndAnnounced) socket.destroy();
@@ -137,7 +159,9 @@
     socket.on("end", () => socket.destroy());
     socket.once("close", () => {
       connections.delete(socket);
-      openSignal?.emit("abort");
+      if (open === undefined) return;
+      reportCut(open);
+      open.signal.emit("abort");
     });
     socket.on("data", read);
     if (isDraining) announceEnd();
@@ -145,7 +169,7 @@
 
     /** Closing at once would leave a request on its way here in doubt. */
     function announceEnd(): void {
-      if (openSignal !== undefined || isEndAnnounced) return;
+      if (open !== undefined || isEndAnnounced) return;
       isEndAnnounced = true;
       socket.end(CLOSING);
       socket.setTimeout(CLOSING_MS);
@@ -154,34 +178,52 @@
     function read(chunk: Buffer): void {
       if (isEndAnnounced || reader.read(chunk)) return;
       reportMalformed("bytes that are no frames");
+      cut("malformed");
+    }
+
+    function cut(reason: string): void {
+      cutReason ??= reason;
       socket.destroy();
     }
 
+    function reportCut({ head: { ticket } }: Exchange): void {
+      const reason = cutReason ?? (isClosed ? "stopped" : undefined);
+      options.onCut?.({
+        ticket,
+        peer,
+        by: reason === undefined ? CutBy.Peer : CutBy.Daemon,
+        reason: reason ?? "closed",
+      });
+    }
+
     function receive(frame: Frame): void {
       const head = frame.kind === FrameKind.Request
         ? decodeRequestFrame(frame.head)
         : undefined;
-      if (head === undefined || openSignal !== undefined) {
+      if (head === undefined || open !== undefined) {
         reportMalformed("a frame that is no request, or within an exchange");
-        return void socket.destroy();
+        return cut("malformed");
       }
       const signal = new EventEmitter();
       const end = options.trackExchange();
       let isFinished = false;
-      openSignal = signal;
       signal.once("abort", end);
-      const exchange = { socket, head, body: frame.body, signal, finish };
+      const exchange = { socket, head, body: frame.body, signal, finish, cut };
+      open = exchange;
       void runHandler(() => serve(exchange), (error) => {
         options.onHandlerFailure(error);
-        socket.destroy();
+        cut("handler_failed");
       });
 
       function finish(last: Buffer): void {
         if (isFinished || socket.destroyed) return;
         isFinished = true;
         // The next request may arrive before the callback of the write.
-        openSignal = undefined;
-        socket.write(last, end);
+        open = undefined;
+        socket.write(last, (error) => {
+          end();
+          if (error) reportCut(exchange);
+        });
         if (isDraining) announceEnd();
       }
     }
@@ -215,7 +257,7 @@
   }
 
   function sendReply(exchange: Exchange, reply: GuardReply): void {
-    const { socket, head: { ticket } } = exchange;
+    const { ticket } = exchange.head;
     switch (reply.kind) {
       case ReplyKind.Granted: {
         const { grant, key } = reply;
@@ -229,7 +271,7 @@
         return finish(exchange, { verdict, ...(grant && { grant }) });
       }
       case ReplyKind.Failed:
-        return void socket.destroy();
+        return exchange.cut("failed");
       case ReplyKind.Response:
         return sendResponse(exchange, reply.response);
     }
@@ -285,12 +327,15 @@
 }
 
 /** Sends a body with back-pressure; a cut closes the connection before the end. */
-function sendParts({ socket, finish }: Exchange, body: Readable): void {
+function sendParts(
+  { socket, finish, cut }: Exchange,
+  body: Readable,
+): void {
   const onDrain = () => body.resume();
   const onClose = () => body.destroy();
   socket.on("drain", onDrain);
   socket.once("close", onClose);
-  body.on("error", () => socket.destroy());
+  body.on("error", () => cut("response_cut"));
   body.on("data", (chunk: Buffer) => {
     for (let at = 0; at < chunk.length; at += MAX_FRAME_BODY_BYTES) {
       const part = chunk.subarray(at, at + MAX_FRAME_BODY_BYTES);
@@ -303,7 +348,7 @@
   body.once("end", () => finish(END));
   body.once("close", () => {
     socket.off("drain", onDrain).off("close", onClose);
-    if (!body.readableEnded) socket.destroy();
+    if (!body.readableEnded) cut("response_cut");
   });
 }
 
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -12,6 +12,7 @@
 import {
   type Arrival,
   type CoreHost,
+  Execution,
   type GatewayAction,
   GatewayActionKind,
   type GatewayMessage,
@@ -401,7 +402,7 @@
   function onReply(id: string, attempt: number, reply: GuardReply): void {
     switch (reply.kind) {
       case ReplyKind.Failed:
-        logger.debug("link_failed", { req: id, message: reply.message });
+        logLinkFailure(id, attempt, reply);
         return reportLinkFailure(id, attempt, reply.mayHaveArrived);
       case ReplyKind.Refused:
         return dispatch({
@@ -426,6 +427,25 @@
     }
   }
 
+  /** The links of attempts that were cancelled fail as a rule. */
+  function logLinkFailure(
+    id: string,
+    attempt: number,
+    { message, mayHaveArrived }: OfKind<GuardReply, ReplyKind.Failed>,
+  ): void {
+    const known = exchanges.get(id)?.attempts.get(attempt);
+    const isAwaited = known !== undefined && known.isCancelled !== true;
+    const fields = {
+      req: getCallerId(id),
+      attempt,
+      to: known?.host,
+      execution: mayHaveArrived ? Execution.MayHaveRun : Execution.NotRun,
+      message,
+    };
+    if (isAwaited) logger.info("link_failed", fields);
+    else logger.debug("link_failed", fields);
+  }
+
   function onResponse(
     id: string,
     attempt: number,
--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -7,6 +7,7 @@
 import { FrameKind } from "../link/frames.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
 import type { FrameServer } from "./frame_server.ts";
+import { waitForSockets } from "./unread_sockets.ts";
 
 /** Keep-alive time of HTTP connections, in ms; longer than peers keep idle ones. */
 const KEEP_ALIVE_MS = 75_000;
@@ -78,6 +79,8 @@
     }
     frames.close();
     for (const socket of [...httpSockets, ...unread]) socket.destroy();
+    // What was cut is logged as its connection closes.
+    await waitForSockets();
   }
 
   /** Connections whose peer may still wait for an answer. */
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -40,7 +40,7 @@
 import { createClock } from "./clock.ts";
 import { createCoreHost } from "./core_host.ts";
 import { createCrashProtection } from "./crash_protection.ts";
-import { createFrameServer } from "./frame_server.ts";
+import { createFrameServer, CutBy, type CutExchange } from "./frame_server.ts";
 import { createGatewayTask } from "./gateway_task.ts";
 import { createGracefulStop } from "./graceful_stop.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
@@ -438,6 +438,7 @@
       guard: guardTask,
       onMalformed: recordMalformed,
       onHandlerFailure: recordPeerFailure,
+      onCut: recordCutExchange,
       trackExchange: () => {
         pendingRequests += 1;
         return () => pendingRequests -= 1;
@@ -497,6 +498,14 @@
     logger.warn("peer_nonsense", { reason, message });
   }
 
+  /** A peer that cancels an attempt closes its connection, so that these are no news. */
+  function recordCutExchange(cut: CutExchange): void {
+    counters.add(`attempt_cut_by_${cut.by}`);
+    const fields = { ...cut, isStopping: gracefulStop.isStopping() };
+    if (cut.by === CutBy.Peer) logger.debug("attempt_cut", fields);
+    else logger.warn("attempt_cut", fields);
+  }
+
   function recordPeerFailure(error: Error): void {
     counters.add("handler_failed");
     logHandlerFailure(logger, error, { handler: "peers" });
--- a/test/stopped_peer_mesh_test.ts
+++ b/test/stopped_peer_mesh_test.ts
@@ -15,6 +15,8 @@
 const STOPS = 2;
 const BEFORE_MS = 300;
 const TIMEOUT_MS = 1_900;
+/** Longer than a daemon may take to stop. */
+const LONG_MS = 12_000;
 /** Request bodies, in bytes; the second is more than a frame between daemons takes. */
 const SMALL = 1;
 const LARGE = 30_000;
@@ -83,6 +85,42 @@
   60_000,
 );
 
+// Nothing told who had closed the connection of an attempt, and when.
+test(
+  "an attempt that outlasts the stop of the guard's daemon is logged as cut, on both sides",
+  async () => {
+    const [front, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
+    if (back.process.exitCode !== null) {
+      fleet.startDaemon(back);
+      await fleet.waitUntilReady(back);
+    }
+    fleet.publish(3, { service: "shop", timeoutS: 30 });
+    await pause(500);
+    back.upstream.workMs = LONG_MS;
+    const long = fleet.call(front, {
+      id: "long",
+      path: "/order/1",
+      method: "POST",
+      timeoutMs: LONG_MS,
+      body: "x",
+    });
+    await expect.poll(() => back.upstream.ran).toContain("long");
+    back.process.kill("SIGTERM");
+    expect((await long).status).toBe(502);
+    const getLines = (host: DeploymentHost, event: string) =>
+      host.lines.filter((line) =>
+        line.includes(`event=${event} `) && line.includes("long")
+      );
+    await expect.poll(() => getLines(back, "attempt_cut")).toEqual([
+      expect.stringMatching(/ by=daemon reason=stopped isStopping=true/),
+    ]);
+    await expect.poll(() => getLines(front, "link_failed")).toEqual([
+      expect.stringMatching(/ req=long .* execution=may-have-run/),
+    ]);
+  },
+  30_000,
+);
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
