Other daemons are told of the end at once, not after the callers

The life cycle closes one thing after the other: the connections of other daemons only once those of callers had closed. A caller that doesn't close its side took all of the time for closing, so that the process would end before idle connections between daemons were announced as closing.

--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener } from "node:http";
 import { createServer as createTcpServer, type Socket } from "node:net";
 import { performance } from "node:perf_hooks";
+import type { Millis } from "../core/types.ts";
 import { splitAddress } from "../link/address.ts";
 import { FrameKind } from "../link/frames.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
@@ -12,8 +13,7 @@
 /** Keep-alive time of HTTP connections, in ms; longer than peers keep idle ones. */
 const KEEP_ALIVE_MS = 75_000;
 
-/** Time for peers to close their connections after an announced end, in ms. */
-const LINGER_MS = 200;
+/** Time between two checks for connections that peers have not closed, in ms. */
 const LINGER_POLL_MS = 5;
 
 /** Settings of the listener. */
@@ -31,10 +31,10 @@
   /** Accepts no further connections. */
   stop(): void;
   /**
-   * Closes all connections once they carry no request; those that still do a
-   * short time later are cut.
+   * Closes all connections once they carry no request; those that still do
+   * after a time, in ms, are cut.
    */
-  close(): Promise<void>;
+  close(withinMs: Millis): Promise<void>;
 }
 
 /** Starts to listen; rejects if it can't. */
@@ -71,9 +71,9 @@
     close,
   };
 
-  async function close(): Promise<void> {
+  async function close(withinMs: Millis): Promise<void> {
     frames.drain();
-    const closesAt = performance.now() + LINGER_MS;
+    const closesAt = performance.now() + withinMs;
     while (countBusy() > 0 && performance.now() < closesAt) {
       await new Promise((resolve) => setTimeout(resolve, LINGER_POLL_MS));
     }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -395,7 +395,8 @@
     closeListeners: (withinMs) => {
       const isAnswered = ingress.close(withinMs);
       peers.stop();
-      lifecycle.add("peers", peers.close);
+      const arePeersTold = peers.close(withinMs);
+      lifecycle.add("peers", () => arePeersTold);
       for (const server of [readiness, metrics]) {
         lifecycle.add("server", () => closeServer(server));
       }
--- a/test/stopped_peer_mesh_test.ts
+++ b/test/stopped_peer_mesh_test.ts
@@ -4,8 +4,10 @@
  * in doubt although they never ran.
  */
 
+import { connect, type Socket } from "node:net";
 import { afterAll, beforeAll, expect, test } from "vitest";
 import {
+  CALLER_PORT,
   type Deployment,
   type DeploymentHost,
   startDeployment,
@@ -49,6 +51,7 @@
       }
       // The other daemon learns of the start.
       await pause(200);
+      const slow = await openSlowCaller(back);
       let stoppedAt = Infinity;
       const send = async () => {
         const id = `s-${count += 1}`;
@@ -69,6 +72,7 @@
       stoppedAt = performance.now();
       back.process.kill("SIGTERM");
       await Promise.all(callers);
+      slow.destroy();
     }
     const ran = new Set(back.upstream.ran);
     const served = answers.filter(({ status }) => status === 200);
@@ -121,6 +125,21 @@
   30_000,
 );
 
+/** A caller that got an answer and never closes its connection. */
+function openSlowCaller({ ip }: DeploymentHost): Promise<Socket> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(
+      { host: ip, port: CALLER_PORT, allowHalfOpen: true },
+      () => socket.write("GET /none HTTP/1.1\r\nhost: shop\r\n\r\n"),
+    );
+    socket.once("error", reject);
+    socket.once("data", () => {
+      socket.off("error", reject).on("error", () => {});
+      resolve(socket);
+    });
+  });
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
