A connection whose chunked answer has ended is left alone

Callers saw: an answer in chunks that a slow caller reads is cut ("chunks are framed without end") once its upstream's connection, which is free as soon as the answer has been received, carries another answer. And after an answer with more than 4,096 small chunks in its last reads, the connection goes back to the pool paused: the next request over it runs and gets no answer until its time is over.

Cause: the count of bytes went on until the body had been read to its end, and the end of an answer during a hold dropped the timer that resumes the connection.

Change: both end with the answer on the wire.

Evidence: test/chunked_body_test.ts, before: the first test fails with the error above; with 4,500, 5,000, 8,000 and 20,000 chunks of one byte the next exchange has no head after 1 s. All five pass now (one run).

--- a/src/upstream/chunked_body.ts
+++ b/src/upstream/chunked_body.ts
@@ -52,6 +52,7 @@
   res.on("data", receive);
   res.pause();
   res.once("end", () => {
+    leaveConnection();
     flush();
     body.push(null);
   });
@@ -110,6 +111,15 @@
     if (isWanted) res.resume();
   }
 
+  /** The connection may serve another exchange before the body has been read. */
+  function leaveConnection(): void {
+    socket.off("data", count);
+    if (holdTimer === undefined) return;
+    clearTimeout(holdTimer);
+    holdTimer = undefined;
+    socket.resume();
+  }
+
   function destroy(
     error: Error | null,
     done: (error: Error | null) => void,
