--- a/src/daemon/graceful_stop.ts
+++ b/src/daemon/graceful_stop.ts
@@ -63,7 +63,7 @@
 
 /** What a stop does to the daemon. */
 export interface GracefulStopOptions {
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, "now">;
   readonly plan: Pick<StopPlan, "begin">;
   readonly lifecycle: Lifecycle;
   readonly counters: Counters;
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -50,6 +50,7 @@
 const WAITING_TEST = "test/waiting_test.ts";
 const HANDLER_FAILURE_TEST = "test/handler_failure_test.ts";
 const STOP_PLAN_TEST = "test/stop_plan_test.ts";
+const GRACEFUL_STOP_TEST = "test/graceful_stop_test.ts";
 const WATCH_TIMES_TEST = "test/watch_times_test.ts";
 const UPSTREAM_CLIENT_TEST = "test/upstream_client_test.ts";
 
@@ -1979,6 +1980,23 @@
     }],
     testFile: STOP_PLAN_TEST,
   },
+  {
+    name: "a_stop_knows_open_requests",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/core/stop_plan.ts",
+    edits: [{
+      find: "getOldestMs(route) <= withinMs &&",
+      replace: "",
+    }],
+    testFile: STOP_PLAN_TEST,
+  },
+  {
+    name: "a_stop_ends_what_is_open",
+    guarantee: "a planned stop cuts off no request",
+    file: "src/daemon/graceful_stop.ts",
+    edits: [{ find: "options.endOpen();", replace: "" }],
+    testFile: GRACEFUL_STOP_TEST,
+  },
   {
     name: "earlier_starts_are_outdated",
     guarantee: "a leaving upstream gets no new work after seconds",
