--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -282,7 +282,12 @@
     setNotices(res);
     standIn.heard.push(req.headers);
     const chunks: Buffer[] = [];
-    for await (const chunk of req) chunks.push(chunk as Buffer);
+    try {
+      for await (const chunk of req) chunks.push(chunk as Buffer);
+    } catch {
+      // The request was cancelled within its body.
+      return;
+    }
     standIn.arrivals += 1;
     const body = Buffer.concat(chunks);
     standIn.bodies.push(body);
