Gossip daemon: bytes that are no request don't replace the answers before them

A request that ran, and bytes behind it that are no request: its caller got 400 with 'execution: not-run' in its place, which is untrue. The servers of the gossip daemon now use the same module as those of the store daemon for who closes a connection; a refusal with an unread body lets nothing behind it be passed on; answers that wait for an earlier one are told of the close, so that their attempts are cancelled.

The new test in test/daemon_test.ts got 400 alone on the code before, and now 200, 200, 400.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -86,6 +86,7 @@
   isStopping(): boolean;
   /** The whole response to bytes that are no request; without a body by default. */
   formatRefusal?(diagnostic: Diagnostic): string;
+  onRefused?(diagnostic: Diagnostic): void;
 }
 
 /** The open connections of callers. */
@@ -269,6 +270,7 @@
     const isEnded = order.tryGetNewest()?.outgoing.shouldKeepAlive === false;
     if (order.takesMore() && !isEnded) {
       counters.add(`refused_${diagnostic.reason}`);
+      options.onRefused?.(diagnostic);
       logger.info("bytes_refused", {
         reason: diagnostic.reason,
         unanswered: order.size(),
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -186,6 +186,8 @@
       reason: diagnostic.reason,
     });
     if (outgoing.destroyed) return;
+    // As a header of its own, so that nothing more is passed on behind it.
+    if (!incoming.complete) outgoing.setHeader("connection", "close");
     outgoing.writeHead(diagnostic.status, {
       "content-type": "application/json",
       [Header.Reason]: diagnostic.reason,
@@ -194,7 +196,6 @@
         [Header.RetryAfter]: String(Math.ceil(retryAfterMs / MS_PER_SECOND)),
         [Header.RetryAfterMs]: String(retryAfterMs),
       }),
-      ...(!incoming.complete && { connection: "close" }),
     });
     outgoing.end(JSON.stringify({
       execution,
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -254,6 +254,7 @@
       address,
       app,
       onMalformed: ({ reason }: Diagnostic) => counters.add(reason),
+      log: { counters, logger, isStopping: () => isDraining },
     });
   }
 
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -6,12 +6,18 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
 import { getRequestListener } from "@hono/node-server";
 import type { Hono } from "hono";
-import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { createCounters } from "../core/counters.ts";
+import type { Diagnostic } from "../core/diagnostics.ts";
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
+import {
+  type CallerConnectionsOptions,
+  createCallerConnections,
+} from "./caller_connections.ts";
+import { createClock } from "./clock.ts";
+import type { Logger } from "./logger.ts";
 
 /** Largest request head, in bytes. */
 const MAX_HEADER_BYTES = 32_768;
@@ -29,8 +35,20 @@
   readonly address: string;
   readonly app: Hono<HttpEnv>;
   onMalformed(diagnostic: Diagnostic): void;
+  /** Where closed connections are counted and logged, if anywhere. */
+  readonly log?: Pick<
+    CallerConnectionsOptions,
+    "counters" | "logger" | "isStopping"
+  >;
 }
 
+const SILENT: Logger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: () => {},
+};
+
 /** Starts a server; resolves once it listens, rejects if it can't. */
 export async function startHttpServer(
   options: HttpServerOptions,
@@ -44,9 +62,18 @@
     requestTimeout: 0,
     noDelay: true,
     highWaterMark: MAX_READ_BYTES,
-  }, listener);
-  server.on("clientError", (error, socket) => {
-    respondMalformed(error as NodeJS.ErrnoException, socket, options);
+    // Node.js would answer by itself, and close behind the answer.
+    requireHostHeader: false,
+  });
+  createCallerConnections(server, {
+    handler: (incoming, outgoing) => void listener(incoming, outgoing),
+    counters: createCounters(),
+    logger: SILENT,
+    clock: createClock(),
+    isStopping: () => false,
+    ...options.log,
+    formatRefusal,
+    onRefused: options.onMalformed,
   });
   const { host, port } = splitAddress(options.address);
   await new Promise<void>((resolve, reject) => {
@@ -71,29 +98,15 @@
   });
 }
 
-function respondMalformed(
-  error: NodeJS.ErrnoException,
-  socket: Duplex,
-  options: HttpServerOptions,
-): void {
-  if (error.code === "ECONNRESET" || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const diagnostic = error.code === "HPE_HEADER_OVERFLOW"
-    ? Diagnostics.headers_too_large
-    : Diagnostics.malformed_request;
-  options.onMalformed(diagnostic);
+function formatRefusal(diagnostic: Diagnostic): string {
   const body = JSON.stringify({
     execution: "not-run",
     reason: diagnostic.reason,
     message: diagnostic.text,
   });
-  socket.end(
-    `HTTP/1.1 ${diagnostic.status} Refused\r\n` +
-      "connection: close\r\ncontent-type: application/json\r\n" +
-      "vanillarock-execution: not-run\r\n" +
-      `vanillarock-reason: ${diagnostic.reason}\r\n` +
-      `content-length: ${body.length}\r\n\r\n${body}`,
-  );
+  return `HTTP/1.1 ${diagnostic.status} Refused\r\n` +
+    "connection: close\r\ncontent-type: application/json\r\n" +
+    "vanillarock-execution: not-run\r\n" +
+    `vanillarock-reason: ${diagnostic.reason}\r\n` +
+    `content-length: ${body.length}\r\n\r\n${body}`;
 }
--- a/test/daemon_test.ts
+++ b/test/daemon_test.ts
@@ -183,6 +183,21 @@
   expect(res.status).toBe(200);
 });
 
+test("bytes that are no request are refused behind the answer of a request that runs", async () => {
+  for (const { behaviour } of fleet.upstreams) behaviour.serviceMs = 100;
+  const read = "GET /boards/7 HTTP/1.1\r\nhost: x\r\n" +
+    "vanillarock-account: karaca\r\n\r\n";
+  const text = await sendRaw(BOARDS, `${read}${read}GET nonsense\r\n\r\n`);
+  expect(text.match(/HTTP\/1\.1 \d+|vanillarock-execution: [\w-]+/g)).toEqual([
+    "HTTP/1.1 200",
+    "vanillarock-execution: ran",
+    "HTTP/1.1 200",
+    "vanillarock-execution: ran",
+    "HTTP/1.1 400",
+    "vanillarock-execution: not-run",
+  ]);
+});
+
 test("a body cut off runs nowhere", async () => {
   const before = countStarts(ORDERS) + countStarts(ORDERS + 1);
   const head = "POST /orders HTTP/1.1\r\nhost: x\r\n" +
