Idle connections to an upstream give way to new ones of the other kind

Callers saw 502 for orders that came after a burst of reads: the upstream accepts a limited number of connections and resets those beyond it, with the requests on them. Reads and orders have pools of their own, and the idle connections of one counted against the limit while the other opened as many again.

Once all slots have a connection, a new one now waits (20 ms at most) until the longest idle one of the other pool has closed. The pools stay apart: an extra response of a faulty upstream to a read must not come before the answer to an order.

--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -203,8 +203,7 @@
       tryGetClosedReason() === undefined
         ? routes?.config.healthPaths.get(settings.service)
         : undefined,
-    getListedSlots: () =>
-      upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
+    getListedSlots,
     hasWaiting: () => guardTask.guard.getReport().queued > 0,
     onReading: () => guardTask.wake(),
     onCold: coldStarts.recordHealth,
@@ -222,6 +221,7 @@
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       memory,
+      getSlots: getListedSlots,
       onEndless: () => counters.add("response_cut_endless"),
       onLoad: watch.recordLoad,
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
@@ -494,6 +494,10 @@
   store.start();
   return { stop: gracefulStop.run };
 
+  function getListedSlots(): number {
+    return upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS;
+  }
+
   function recordMalformed({ reason }: Diagnostic, message: string): void {
     counters.add(reason);
     logger.warn("peer_nonsense", { reason, message });
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -64,6 +64,8 @@
   readonly protocol: UpstreamProtocol;
   /** Budget of the responses that are buffered. */
   readonly memory: MemoryBudget;
+  /** Requests that the upstream runs at once; without it, all connections are kept. */
+  getSlots?(): number;
   /** Called when a response, or what should be one, is cut as endless. */
   onEndless?(): void;
   /** Receives the load that responses report. */
@@ -84,10 +86,10 @@
 ): UpstreamClient {
   const { protocol } = options;
   const { host, port } = splitAddress(options.address);
-  const connections = createUpstreamConnections(
-    options.clock,
-    options.connections,
-  );
+  const connections = createUpstreamConnections(options.clock, {
+    maxSockets: options.connections,
+    getSlots: () => options.getSlots?.() ?? Infinity,
+  });
   const reader = createResponseReader(options);
   return { send, close: () => Promise.resolve(connections.close()) };
 
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -151,6 +151,10 @@
   isLeaving: boolean;
   /** Idle time in ms, after which a connection is reset on its next request. */
   maxIdleMs: number;
+  /** Connections at most; further ones are reset. */
+  maxConnections: number;
+  /** Connections that were reset for that. */
+  resets: number;
   createBody(id: string): string;
   /** True for a request, by its path and body, that ends this upstream some time after it began to run. */
   isFatal(path: string, body: Buffer): boolean;
@@ -214,6 +218,8 @@
     respondsToHealth: true,
     isLeaving: false,
     maxIdleMs: Infinity,
+    maxConnections: Infinity,
+    resets: 0,
     createBody: () => BODY,
     isFatal: () => false,
     downMs: 1_000,
@@ -226,6 +232,14 @@
       await new Promise((resolve) => server.close(resolve));
     },
   };
+  let connections = 0;
+  server.on("connection", (socket: Socket) => {
+    connections += 1;
+    socket.once("close", () => connections -= 1);
+    if (connections <= standIn.maxConnections) return;
+    standIn.resets += 1;
+    socket.resetAndDestroy();
+  });
   return standIn;
 
   /** Ends as a process that crashes, and starts again as a new instance. */
