--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -222,6 +222,10 @@
       protocol: deployment.upstreams,
       memory,
       getSlots: getListedSlots,
+      onConnect: (isInstead) => {
+        counters.add("upstream_connected");
+        if (isInstead) counters.add("upstream_idle_replaced");
+      },
       onEndless: () => counters.add("response_cut_endless"),
       onLoad: watch.recordLoad,
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -66,6 +66,8 @@
   readonly memory: MemoryBudget;
   /** Requests that the upstream runs at once; without it, all connections are kept. */
   getSlots?(): number;
+  /** Called for each connection that is opened; `isInstead` if an idle one was closed for it. */
+  onConnect?(isInstead: boolean): void;
   /** Called when a response, or what should be one, is cut as endless. */
   onEndless?(): void;
   /** Receives the load that responses report. */
@@ -89,6 +91,7 @@
   const connections = createUpstreamConnections(options.clock, {
     maxSockets: options.connections,
     getSlots: () => options.getSlots?.() ?? Infinity,
+    ...(options.onConnect && { onConnect: options.onConnect }),
   });
   const reader = createResponseReader(options);
   return { send, close: () => Promise.resolve(connections.close()) };
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -28,6 +28,8 @@
   readonly maxSockets: number;
   /** Requests that the upstream runs at once; from as many connections on, idle ones are closed for new ones. */
   getSlots(): number;
+  /** Called for each connection that is opened; `isInstead` if an idle one was closed for it. */
+  onConnect?(isInstead: boolean): void;
 }
 
 /** Connections to one upstream. */
@@ -50,7 +52,7 @@
  */
 export function createUpstreamConnections(
   clock: Clock,
-  { maxSockets, getSlots }: UpstreamConnectionsOptions,
+  { maxSockets, getSlots, onConnect }: UpstreamConnectionsOptions,
 ): UpstreamConnections {
   const idleSince = new WeakMap<Socket, Millis>();
   const reusedAt = new WeakMap<Socket, Millis>();
@@ -82,6 +84,7 @@
     pool.createConnection = (options, onCreate) => {
       const open = () => connect(options as NetConnectOpts);
       const spare = tryTakeSpare(pool);
+      onConnect?.(spare !== undefined);
       if (spare === undefined) return open();
       awaitingRoom += 1;
       endSocket(spare, () => {
