--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -46,16 +46,11 @@
   const unread = new Set<Socket>();
   /** HTTP connections; the HTTP server knows only those that it accepted itself. */
   const httpSockets = new Set<Socket>();
-  let openRequests = 0;
   const http = createServer({
     maxHeaderSize: options.maxHeaderBytes,
     requestTimeout: 0,
     keepAliveTimeout: KEEP_ALIVE_MS,
-  }, (req, res) => {
-    openRequests += 1;
-    res.once("close", () => openRequests -= 1);
-    options.handler(req, res);
-  });
+  }, options.handler);
   const tcp = createTcpServer({
     noDelay: true,
     highWaterMark: MAX_READ_BYTES,
@@ -74,7 +69,7 @@
   async function close(withinMs: Millis): Promise<void> {
     frames.drain();
     const closesAt = performance.now() + withinMs;
-    while (countBusy() > 0 && performance.now() < closesAt) {
+    while (countOpen() > 0 && performance.now() < closesAt) {
       await new Promise((resolve) => setTimeout(resolve, LINGER_POLL_MS));
     }
     frames.close();
@@ -83,9 +78,9 @@
     await waitForSockets();
   }
 
-  /** Connections whose peer may still wait for an answer. */
-  function countBusy(): number {
-    return frames.countOpen() + openRequests + unread.size;
+  /** Connections on which a request may be open or on its way; HTTP has no message for its end. */
+  function countOpen(): number {
+    return frames.countOpen() + httpSockets.size + unread.size;
   }
 
   function accept(socket: Socket): void {
