Framing of chunked answers may have 1 MiB again, or the size of its body

The rate of small chunks bounds what they cost, so that the bound of 1 MiB is enough; a larger body may have as much framing as bytes.

--- a/src/upstream/chunked_body.ts
+++ b/src/upstream/chunked_body.ts
@@ -12,10 +12,10 @@
 import { EndlessResponseError } from "./response_errors.ts";
 
 /**
- * Bytes that frame a body beyond its own size: extensions of chunks, and sizes of
- * chunks below 6 bytes, of which servers write some thousand at most.
+ * Bytes that frame a body: its head, sizes and extensions of chunks, trailers. A
+ * larger body may have as many as its own size, which chunks of 6 bytes have.
  */
-export const MAX_EXCESS_FRAMING_BYTES = 131_072;
+const MAX_FRAMING_BYTES = 1_048_576;
 /** Size up to which a chunk counts as small, in bytes. */
 const SMALL_CHUNK_BYTES = 256;
 /**
@@ -87,7 +87,7 @@
   function count(chunk: Buffer): void {
     wireBytes += chunk.length;
     const framing = wireBytes - bodyBytes - res.readableLength;
-    if (framing - bodyBytes > MAX_EXCESS_FRAMING_BYTES) {
+    if (framing > Math.max(MAX_FRAMING_BYTES, bodyBytes)) {
       body.destroy(new EndlessResponseError("chunks are framed without end"));
     } else limitRate();
   }
