Soak: SIGHUP waits for the daemon's first line, not for a fixed boot time

Now the signal is sent once the daemon has logged that it starts, which it does after platform/start.ts has set its handler.

--- a/test/soak/inject.ts
+++ b/test/soak/inject.ts
@@ -54,8 +54,8 @@
 const COLD_SLOWDOWN = 2;
 /** Longest wait for a daemon to become ready, in ms; long, as other faults may delay it. */
 const START_TIMEOUT_MS = 8_000;
-/** Boot time of Node.js, in ms; until then a program cannot handle a signal. */
-const NODE_BOOT_MS = 150;
+/** Interval at which a process that boots is looked at, in ms. */
+const BOOT_POLL_MS = 10;
 /** Delay until a process that ended is restarted, in ms. */
 const RESTART_MS = 100;
 
@@ -161,7 +161,8 @@
   const fatalCalls: CallRecord[] = [];
   /** Processes that a fault ends, with the delay until their restart in ms. */
   const restartDelays = new WeakMap<object, number>();
-  const startedAt = new WeakMap<object, number>();
+  /** Number of log lines of the host when a process was started. */
+  const linesBefore = new WeakMap<object, number>();
   let version = 1;
   let incarnationCount = 0;
   let isFinished = false;
@@ -215,9 +216,9 @@
     },
     [FaultKind.Stopped]: stop,
     [FaultKind.Reloaded]: async (fault) => {
-      const { process } = getHost(fault);
-      const bootedAt = (startedAt.get(process) ?? -Infinity) + NODE_BOOT_MS;
-      await pause(Math.max(0, bootedAt - performance.now()));
+      const host = getHost(fault);
+      const { process } = host;
+      await waitUntilBooted(host);
       process.kill("SIGHUP");
     },
     [FaultKind.Drained]: async (fault) => {
@@ -422,6 +423,19 @@
     await waitUntilReady(host);
   }
 
+  /** Resolves once the process handles signals, which Node.js can't while it boots, or has ended. */
+  async function waitUntilBooted(host: DeploymentHost): Promise<void> {
+    const { process } = host;
+    const from = linesBefore.get(process);
+    if (from === undefined) return;
+    while (
+      process.exitCode === null && process.signalCode === null &&
+      !host.lines.slice(from).some((line) => line.includes("event=starting"))
+    ) {
+      await pause(BOOT_POLL_MS);
+    }
+  }
+
   /** Resolves on a timeout as well: the probe at the end reports such a daemon. */
   async function waitUntilReady(host: DeploymentHost): Promise<void> {
     const until = performance.now() + START_TIMEOUT_MS;
@@ -446,7 +460,7 @@
       setTimeout(() => {
         if (isFinished) return;
         deployment.startDaemon(host);
-        startedAt.set(host.process, performance.now());
+        linesBefore.set(host.process, host.lines.length);
         watchProcess(index);
       }, delayMs ?? RESTART_MS);
     });
