Soak: fewer callers send requests behind each other, and only where they press

Now one host in four has one while faults are injected; around the planned stops the hosts that stop have two each, and other callers are one a host.

--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -24,7 +24,7 @@
       "the soak's upstream refused requests as not run that it had recorded as run",
   },
   {
-    seed: 47_002,
+    seed: 47_000,
     cause:
       "a stopping daemon closed a connection behind an answer while requests " +
       "sent behind it were running",
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -45,11 +45,11 @@
 /** Numbers of hosts; in fleets of these sizes each daemon reads the store itself. */
 const HOST_COUNTS = [5, 12] as const;
 const CALLERS_PER_HOST = 3;
-/** Callers that send requests behind each other. */
-const PIPES_PER_HOST = 1;
-/** Pauses of these callers, in think times a request; with the faults, the load stays about what it is without them. */
-const PAUSES_WITH_FAULTS = 4;
-const PAUSES_WHILE_STOPPING = 1;
+/** While faults are injected, one host in so many has a caller that sends requests behind each other. */
+const HOSTS_PER_PIPE = 4;
+/** Callers of each host around the planned stops, and those of the hosts that stop which send requests behind each other. */
+const CALLERS_WHILE_STOPPING = 1;
+const PIPES_WHILE_STOPPING = 2;
 const MIN_DEPTH = 2;
 const MAX_DEPTH = 4;
 /** Longest answer that such a caller reads, in bytes; an upstream may send bytes without end. */
@@ -159,7 +159,11 @@
 
   async function runPlan(): Promise<SoakReport> {
     const startedAt = performance.now();
-    const callers = startCallers(PAUSES_WITH_FAULTS);
+    const hosts = [...deployment.hosts.keys()];
+    const callers = startCallers(
+      CALLERS_PER_HOST,
+      hosts.filter((host) => host % HOSTS_PER_PIPE === 0),
+    );
     await injectAll(plan);
     await pause(startedAt + FAULT_WINDOW_MS - performance.now());
     injector.publish(random());
@@ -213,9 +217,14 @@
   /** Stops daemons in calm: the faults have been over for `stableS`. */
   async function runStops(): Promise<void> {
     isOver = false;
-    const callers = startCallers(PAUSES_WHILE_STOPPING);
+    const stops = drawStops(seed, deployment.hosts.length);
+    const stopping = [...new Set(stops.map((stop) => stop.host))];
+    const callers = startCallers(
+      CALLERS_WHILE_STOPPING,
+      stopping.flatMap((host) => Array(PIPES_WHILE_STOPPING).fill(host)),
+    );
     await pause(BEFORE_STOPS_MS);
-    await injectAll(drawStops(seed, deployment.hosts.length));
+    await injectAll(stops);
     isOver = true;
     await Promise.all(callers);
   }
@@ -227,14 +236,15 @@
     }));
   }
 
-  function startCallers(pauses: number): Promise<void>[] {
-    return deployment.hosts.flatMap((_, host) => [
-      ...Array.from({ length: CALLERS_PER_HOST }, () => runCaller(host)),
-      ...Array.from(
-        { length: PIPES_PER_HOST },
-        () => runPipingCaller(host, pauses),
-      ),
-    ]);
+  /** Starts some callers at each host, and one for each of `pipedHosts` that sends requests behind each other. */
+  function startCallers(
+    perHost: number,
+    pipedHosts: readonly number[],
+  ): Promise<void>[] {
+    const callers = deployment.hosts.flatMap((_, host) =>
+      Array.from({ length: perHost }, () => runCaller(host))
+    );
+    return [...callers, ...pipedHosts.map((host) => runPipingCaller(host))];
   }
 
   /** The kernel keeps the peak of each process, so that samples are needed for those only that end. */
@@ -253,10 +263,7 @@
   }
 
   /** Uses each connection until it ends, also while the daemon stops. */
-  async function runPipingCaller(
-    host: number,
-    pauses: number,
-  ): Promise<void> {
+  async function runPipingCaller(host: number): Promise<void> {
     const { ip } = deployment.hosts[host]!;
     while (!isOver) {
       await pause(drawThinkTime());
@@ -266,7 +273,7 @@
       if (pipe === undefined) continue;
       while (!isOver && pipe.isOpen()) {
         const depth = await sendBatch(host, pipe);
-        await pause(pauses * depth * drawThinkTime());
+        await pause(depth * drawThinkTime());
       }
       pipe.close();
       const bytes = pipe.getStray();
