Test of a stopping guard: late answers apart from attempts in doubt; listed

Of 8 runs at load averages of 32 to 36, 2 had orders of 30 KB (1 and 4 of some 800) that got 504 after 1.9 s: the guard's daemon had passed them on and got no answer of the upstream, which shares the test's process. Not traced, listed. The test now tells these from attempts in doubt, which it holds to none as before, and prints whether they ran and the daemons' lines.

--- a/test/stopped_peer_mesh_test.ts
+++ b/test/stopped_peer_mesh_test.ts
@@ -17,6 +17,8 @@
 const STOPS = 2;
 const BEFORE_MS = 300;
 const TIMEOUT_MS = 1_900;
+/** Requests whose lines of the daemons' logs the failure contains. */
+const MAX_EXPLAINED = 4;
 /** Longer than a daemon may take to stop. */
 const LONG_MS = 12_000;
 /** Request bodies, in bytes; the second is more than a frame between daemons takes. */
@@ -80,11 +82,14 @@
     expect(served.length).toBeGreaterThan(CALLERS);
     expect(refused.length).toBeGreaterThan(CALLERS);
     expect(refused.filter(({ id }) => ran.has(id))).toEqual([]);
+    const of = answers.length;
     const inDoubt = answers.filter(({ status }) =>
-      status !== 200 && status !== 503
+      ![200, 503, 504].includes(status)
     );
-    expect({ inDoubt, of: answers.length })
-      .toEqual({ inDoubt: [], of: answers.length });
+    expect({ inDoubt, of }, explain(inDoubt)).toEqual({ inDoubt: [], of });
+    const late = answers.filter(({ status }) => status === 504)
+      .map((it) => ({ ...it, hasRun: ran.has(it.id) }));
+    expect({ late, of }, explain(late)).toEqual({ late: [], of });
   },
   60_000,
 );
@@ -125,6 +130,13 @@
   30_000,
 );
 
+/** Lines of the daemons' logs about some requests. */
+function explain(requests: readonly { id: string }[]): string {
+  return requests.slice(0, MAX_EXPLAINED).flatMap(({ id }) =>
+    fleet.hosts.flatMap(({ lines }) => lines.filter((l) => l.includes(id)))
+  ).join("\n");
+}
+
 /** A caller that got an answer and never closes its connection. */
 function openSlowCaller({ ip }: DeploymentHost): Promise<Socket> {
   return new Promise((resolve, reject) => {
