--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -23,6 +23,7 @@
 import { createCallerConnections } from "../src/daemon/caller_connections.ts";
 import { createIngressHandler } from "../src/daemon/ingress_server.ts";
 import type { LogFields, Logger } from "../src/daemon/logger.ts";
+import { openPipe } from "./support/pipelining_caller.ts";
 import { createTestHost } from "./support/core_host.ts";
 
 const ROUTES = createRouteTable({
@@ -308,3 +309,38 @@
     await new Promise((resolve) => server.close(resolve));
   }
 }
+
+test("an answer that is cut while it waits becomes a refusal in doubt, and the others arrive", async () => {
+  const bodies = new Map<string, Readable>();
+  const task = {
+    ...createTask(),
+    serve: ({ path }: GatewayRequest) => {
+      const body = new Readable({ read() {} });
+      bodies.set(path, body);
+      const headers = { "content-length": "4" };
+      return Promise.resolve({ response: { status: 200, headers, body } });
+    },
+  } as unknown as GatewayTask;
+  const { port, close } = await listen(task);
+  const pipe = await openPipe("127.0.0.1", port);
+  const paths = ["/order/1", "/order/2", "/order/3", "/order/4"];
+  const answers = paths.map((path) => pipe.send({ id: path, path }));
+  await waitUntil(() => bodies.size === 4);
+  // One whose turn has come, with others behind it, and one that waits.
+  bodies.get(paths[0]!)!.push("ab");
+  bodies.get(paths[0]!)!.destroy(new Error("cut"));
+  bodies.get(paths[2]!)!.destroy(new Error("cut"));
+  for (const path of [paths[1]!, paths[3]!]) {
+    bodies.get(path)!.push("body");
+    bodies.get(path)!.push(null);
+  }
+  const all = await Promise.all(answers);
+  expect(all.map((it) => [it.status, it.isWhole])).toEqual([
+    [502, true],
+    [200, true],
+    [502, true],
+    [200, true],
+  ]);
+  pipe.close();
+  await close();
+});
