--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -48,6 +48,7 @@
 const PEER_STATE_TEST = "test/peer_state_test.ts";
 const HTTP_LINK_TEST = "test/http_link_test.ts";
 const WAITING_TEST = "test/waiting_test.ts";
+const CALLER_CONNECTIONS_TEST = "test/caller_connections_test.ts";
 const HANDLER_FAILURE_TEST = "test/handler_failure_test.ts";
 const STOP_PLAN_TEST = "test/stop_plan_test.ts";
 const GRACEFUL_STOP_TEST = "test/graceful_stop_test.ts";
@@ -2025,4 +2026,24 @@
     }],
     testFile: HANDLER_FAILURE_TEST,
   },
+  {
+    name: "the_last_answer_announces_the_end",
+    guarantee: "a connection closes behind the last answer",
+    file: "src/daemon/caller_connections.ts",
+    edits: [{
+      find: "if (!isDue || !isLast) return;",
+      replace: "if (!isDue) return;",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
+  {
+    name: "bytes_are_refused_behind_answers",
+    guarantee: "a connection closes behind the last answer",
+    file: "src/daemon/caller_connections.ts",
+    edits: [{
+      find: '  server.on("clientError", handleParserError);\n',
+      replace: "",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
 ];
