Revert: idle connections to an upstream give way to new ones of the other kind

Likely the wait for a closing connection where reads and orders of one upstream alternate; not traced further. Its counters go with it.

--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -203,7 +203,8 @@
       tryGetClosedReason() === undefined
         ? routes?.config.healthPaths.get(settings.service)
         : undefined,
-    getListedSlots,
+    getListedSlots: () =>
+      upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
     hasWaiting: () => guardTask.guard.getReport().queued > 0,
     onReading: () => guardTask.wake(),
     onCold: coldStarts.recordHealth,
@@ -221,11 +222,6 @@
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       memory,
-      getSlots: getListedSlots,
-      onConnect: (isInstead) => {
-        counters.add("upstream_connected");
-        if (isInstead) counters.add("upstream_idle_replaced");
-      },
       onEndless: () => counters.add("response_cut_endless"),
       onLoad: watch.recordLoad,
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
@@ -498,10 +494,6 @@
   store.start();
   return { stop: gracefulStop.run };
 
-  function getListedSlots(): number {
-    return upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS;
-  }
-
   function recordMalformed({ reason }: Diagnostic, message: string): void {
     counters.add(reason);
     logger.warn("peer_nonsense", { reason, message });
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -64,10 +64,6 @@
   readonly protocol: UpstreamProtocol;
   /** Budget of the responses that are buffered. */
   readonly memory: MemoryBudget;
-  /** Requests that the upstream runs at once; without it, all connections are kept. */
-  getSlots?(): number;
-  /** Called for each connection that is opened; `isInstead` if an idle one was closed for it. */
-  onConnect?(isInstead: boolean): void;
   /** Called when a response, or what should be one, is cut as endless. */
   onEndless?(): void;
   /** Receives the load that responses report. */
@@ -88,11 +84,10 @@
 ): UpstreamClient {
   const { protocol } = options;
   const { host, port } = splitAddress(options.address);
-  const connections = createUpstreamConnections(options.clock, {
-    maxSockets: options.connections,
-    getSlots: () => options.getSlots?.() ?? Infinity,
-    ...(options.onConnect && { onConnect: options.onConnect }),
-  });
+  const connections = createUpstreamConnections(
+    options.clock,
+    options.connections,
+  );
   const reader = createResponseReader(options);
   return { send, close: () => Promise.resolve(connections.close()) };
 
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -5,7 +5,7 @@
  */
 
 import { Agent } from "node:http";
-import { connect, type NetConnectOpts, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { Millis } from "../core/types.ts";
 import type { Clock } from "../daemon/clock.ts";
 import { createSmallReads } from "../link/small_reads.ts";
@@ -19,19 +19,6 @@
 /** A dropped connection is reset within a few round trips, in ms; later resets have other causes. */
 const STALE_RESET_WINDOW_MS = 10;
 
-/** Longest wait for the upstream's close of a connection that makes room for another one, in ms. */
-const MAKE_ROOM_MS = 20;
-
-/** Settings of the connections. */
-export interface UpstreamConnectionsOptions {
-  /** Connections at most, each for idempotent and for at-most-once requests. */
-  readonly maxSockets: number;
-  /** Requests that the upstream runs at once; from as many connections on, idle ones are closed for new ones. */
-  getSlots(): number;
-  /** Called for each connection that is opened; `isInstead` if an idle one was closed for it. */
-  onConnect?(isInstead: boolean): void;
-}
-
 /** Connections to one upstream. */
 export interface UpstreamConnections {
   getPool(isAtMostOnce: boolean): Agent;
@@ -46,20 +33,16 @@
 /**
  * Creates the pools. An idle connection is closed when it receives bytes, which
  * belong to no request, and when it has been idle for longer than the upstream
- * appears to keep it. An upstream resets connections beyond its limit, with the
- * requests on them, so that idle connections of one pool give way to new ones of
- * the other.
+ * appears to keep it.
  */
 export function createUpstreamConnections(
   clock: Clock,
-  { maxSockets, getSlots, onConnect }: UpstreamConnectionsOptions,
+  maxSockets: number,
 ): UpstreamConnections {
   const idleSince = new WeakMap<Socket, Millis>();
   const reusedAt = new WeakMap<Socket, Millis>();
   const smallReads = createSmallReads();
   let maxIdleMs = MAX_IDLE_MS;
-  /** Connections that are opened once another one has closed. */
-  let awaitingRoom = 0;
   const idempotentPool = createPool(() => maxIdleMs);
   const atMostOncePool = createPool(() =>
     Math.min(maxIdleMs, MAX_AT_MOST_ONCE_IDLE_MS)
@@ -81,18 +64,6 @@
     });
     const keep = pool.keepSocketAlive.bind(pool);
     const reuse = pool.reuseSocket.bind(pool);
-    pool.createConnection = (options, onCreate) => {
-      const open = () => connect(options as NetConnectOpts);
-      const spare = tryTakeSpare(pool);
-      onConnect?.(spare !== undefined);
-      if (spare === undefined) return open();
-      awaitingRoom += 1;
-      endSocket(spare, () => {
-        awaitingRoom -= 1;
-        onCreate?.(null, open());
-      });
-      return undefined;
-    };
     pool.keepSocketAlive = (stream) => {
       const socket = stream as Socket;
       const isKeptOpen = keep(socket);
@@ -111,14 +82,6 @@
     return pool;
   }
 
-  /** Takes the longest idle connection of the other pool if all slots have one. */
-  function tryTakeSpare(pool: Agent): Socket | undefined {
-    const other = pool === idempotentPool ? atMostOncePool : idempotentPool;
-    const count = countSockets(pool) + countSockets(other) + awaitingRoom;
-    if (count < getSlots()) return undefined;
-    return Object.values(other.freeSockets)[0]?.shift();
-  }
-
   function recordReset(socket: Socket): void {
     const reusedAtMs = reusedAt.get(socket);
     if (reusedAtMs === undefined) return;
@@ -128,21 +91,6 @@
   }
 }
 
-function countSockets({ sockets, freeSockets }: Agent): number {
-  return [...Object.values(sockets), ...Object.values(freeSockets)]
-    .reduce((sum, list) => sum + (list?.length ?? 0), 0);
-}
-
-/** Ends an idle connection; calls back once the upstream has closed it too, or after a short time. */
-function endSocket(socket: Socket, done: () => void): void {
-  const timeout = setTimeout(() => socket.destroy(), MAKE_ROOM_MS);
-  socket.once("close", () => {
-    clearTimeout(timeout);
-    done();
-  });
-  socket.end();
-}
-
 function destroySocket(this: Socket): void {
   this.destroy();
 }
