--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -30,4 +30,10 @@
       "sent behind it were running",
   },
   { seed: 47_002, cause: "the same" },
+  {
+    seed: 48_043,
+    cause:
+      "a daemon that had just started served a route as an older copy of the " +
+      "store had it, which a later version made unreadable",
+  },
 ];
