Test of unreadable entries: wait until the daemon has read them, not 500 ms

The test looked after 500 ms and a request. The daemon was right: changes have two seconds.

The test now waits for the three lines, two seconds at most (configS), only then sends its request, which so surely comes after the entries, and counts the lines once more 500 ms later. It asks for no less than before.

--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -14,6 +14,9 @@
 import { StoreMode } from "./platform/store_stand_in.ts";
 import { UpstreamMode } from "./platform/upstream_stand_in.ts";
 
+/** Time until a change is in force, in ms: `configS` of the settings. */
+const IN_FORCE_MS = 2_000;
+
 let fleet: Deployment;
 
 beforeAll(async () => {
@@ -288,13 +291,13 @@
   fleet.store.putText("servers/i-broken", "{not json");
   fleet.store.put("servers/i-typed", { address: 7, info: {}, status: {} });
   fleet.store.putText("op/config", "{}");
-  await pause(500);
+  const getIgnored = () =>
+    fleet.hosts[1]!.lines.filter((l) => l.includes("store_entry_ignored"));
+  await expect.poll(getIgnored, { timeout: IN_FORCE_MS }).toHaveLength(3);
   const res = await fleet.call(fleet.hosts[1]!, { id: "after-bad" });
   expect(res.status).toBe(200);
-  const ignored = fleet.hosts[1]!.lines.filter((l) =>
-    l.includes("store_entry_ignored")
-  );
-  expect(ignored).toHaveLength(3);
+  await pause(500);
+  expect(getIgnored()).toHaveLength(3);
   fleet.publish(3);
 });
 
