Requests whose deadline passed behind others of their connection are refused as not run

The time since a request was read is known before it is passed on, so it is refused at once; the same holds for a body that took longer than the request's time. The test failed before: 504 in place of 503 for all of the 12 held requests.

--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -171,10 +171,15 @@
     if (!mayTakeNow(route, metadata.timeoutMs, options)) {
       return refuse(req, "stopping");
     }
+    // It may have waited for the requests before it, or for its body.
+    const spentMs = host.now() - req.arrivedAt;
+    if (spentMs > Math.min(metadata.timeoutMs ?? Infinity, route.timeoutMs)) {
+      return refuse(req, "deadline_in_queue");
+    }
     const arrival = createIngressArrival(host, route, {
       id: req.id,
       timeoutMs: metadata.timeoutMs,
-      spentMs: host.now() - req.arrivedAt,
+      spentMs,
       replayable: kept !== undefined,
       bodyBytes,
       signature: createSignature(incoming, buffered ?? null),
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -277,9 +277,9 @@
   task: GatewayTask,
   logger: Logger = DISCARDING_LOGGER,
   memory = createMemoryBudget({ limitBytes: 1_000_000 }),
+  host = createTestHost(),
 ): Promise<{ port: number; close(): Promise<void> }> {
   const server = createServer();
-  const host = createTestHost();
   const counters = createCounters();
   createCallerConnections(server, {
     counters,
@@ -344,3 +344,35 @@
   pipe.close();
   await close();
 });
+
+// Each got 504 after an attempt with 1 ms left.
+test("requests whose deadline passed while others of their connection ran are refused as not run", async () => {
+  const diagnostic = Diagnostics.deadline_passed;
+  const inDoubt = {
+    verdict: { execution: Execution.MayHaveRun, diagnostic },
+  };
+  const host = createTestHost();
+  const waiting: (() => void)[] = [];
+  const task = {
+    ...createTask(),
+    serve: () =>
+      new Promise((resolve) => {
+        waiting.push(() => resolve(inDoubt));
+        if (host.now() > 0) resolve(inDoubt);
+      }),
+  } as unknown as GatewayTask;
+  const { port, close } = await listen(task, undefined, undefined, host);
+  const pipe = await openPipe("127.0.0.1", port);
+  const answers = Array.from(
+    { length: 140 },
+    (_, i) => pipe.send({ id: `r-${i}`, path: "/order/1" }),
+  );
+  await waitUntil(() => waiting.length === 128);
+  host.advance(1_001);
+  for (const resolve of waiting) resolve();
+  const late = (await Promise.all(answers)).slice(128);
+  expect(late.map((it) => it.status)).toEqual(Array(12).fill(503));
+  expect(waiting).toHaveLength(128);
+  pipe.close();
+  await close();
+});
