A daemon that closes its connections accepts no new ones

For the last 0.3 s of a stop callers' new connections were accepted, their requests read, and closed without an answer: orders that can't be sent again, as their callers don't know that nothing ran. The listener was closed after the connections, which take all of that time if one caller keeps its side open. A port that doesn't listen is refused by the kernel, before any byte is read. The close of Node.js' HTTP server also destroys idle connections, so that of its base class is called. The test failed before: the connection was accepted.

--- a/src/daemon/caller_listener.ts
+++ b/src/daemon/caller_listener.ts
@@ -1,6 +1,7 @@
 /** The listener of a store daemon for callers. */
 
 import { createServer, type Server } from "node:http";
+import { Server as TcpServer } from "node:net";
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
 import type { Millis } from "../core/types.ts";
@@ -51,6 +52,8 @@
   return { ...connections, server, close, setLimits };
 
   async function close(withinMs: Millis): Promise<void> {
+    // The method of the HTTP server would reset idle connections.
+    TcpServer.prototype.close.call(server);
     await connections.close(withinMs);
     server.close();
   }
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -16,6 +16,7 @@
   type Place,
 } from "../src/daemon/caller_connections.ts";
 import { createClock } from "../src/daemon/clock.ts";
+import { startCallerListener } from "../src/daemon/caller_listener.ts";
 import type { LogFields, Logger } from "../src/daemon/logger.ts";
 import { openPipe, type Pipe } from "./support/pipelining_caller.ts";
 
@@ -267,6 +268,31 @@
   expect(listener.lines).toEqual([]);
 });
 
+test("while connections are closed, new ones are refused, not accepted and closed", async () => {
+  const taken: Taken[] = [];
+  const log = () => {};
+  const listener = await startCallerListener({
+    address: "127.0.0.1:0",
+    maxHeaderBytes: 16_384,
+    counters: createCounters(),
+    logger: { debug: log, info: log, warn: log, error: log },
+    clock: createClock(),
+    isStopping: () => true,
+    handler: (incoming, outgoing, place) =>
+      void taken.push({ incoming, outgoing, place }),
+  });
+  const { port } = listener.server.address() as AddressInfo;
+  const pipe = await openPipe("127.0.0.1", port);
+  const first = pipe.send({ id: "/1", path: "/1" });
+  await until(() => taken.length === 1);
+  const closed = listener.close(2_000);
+  await expect(openPipe("127.0.0.1", port))
+    .rejects.toMatchObject({ code: "ECONNREFUSED" });
+  await answer(taken[0]!);
+  expect(await first).toMatchObject({ status: 200, isWhole: true });
+  await closed;
+});
+
 const MALFORMED = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n";
 test.each([
   { name: "no request", bytes: "BLAH BLAH\r\n\r\n", refusal: MALFORMED },
