Idle connections to an upstream give way at the limit that is known

Callers saw 502 for orders after a burst of reads: an upstream accepts a limited number of connections and resets those beyond it, with the requests on them; reads and orders have pools of their own, and the idle connections of one counted against the limit while the other opened as many again.

The limit is stated in the configuration (maxConns of a service), which was not read. At the limit, less two connections that are not for requests, a new connection now waits until the longest idle one of the other pool has closed, 20 ms at most. An upstream that accepts fewer shows it by a reset of a new connection while all others stay open; that limit is forgotten after a minute or once more are kept. Far below the limit nothing changes: deployments state 240 to 2,400 connections for 6 to 12 slots.

The test of the known fault now states the limit, as the platform's configuration always does; its checks are the same. The case without a statement, in which nothing can be known before the first reset, is a test of its own: one burst may be in doubt, not each.

--- a/src/core/degraded_config.ts
+++ b/src/core/degraded_config.ts
@@ -135,6 +135,7 @@
     ...mergeRoutes(rows, { active, isKnown: services.isKnown, problems }),
     healthPaths: services.healthPaths,
     coldRatePerS: services.coldRatePerS,
+    maxConnections: services.maxConnections,
     limits: { ...DEFAULT_LIMITS, ...active?.limits, ...published.limits },
     problems,
   };
@@ -151,6 +152,7 @@
 interface MergedServices {
   readonly healthPaths: ReadonlyMap<ServiceName, string>;
   readonly coldRatePerS: ReadonlyMap<ServiceName, number>;
+  readonly maxConnections: ReadonlyMap<ServiceName, number>;
   isKnown(service: ServiceName): boolean;
 }
 
@@ -168,25 +170,39 @@
   const coldRatePerS = new Map<ServiceName, number>(
     isComplete ? [] : active?.coldRatePerS,
   );
+  const maxConnections = new Map<ServiceName, number>(
+    isComplete ? [] : active?.maxConnections,
+  );
   for (const { name, healthPath, isReadable, ...row } of rows ?? []) {
     if (name === undefined) continue;
     names.add(name);
-    const activePerS = isReadable === false
-      ? active?.coldRatePerS?.get(name)
-      : undefined;
-    const perS = row.coldRatePerS ?? activePerS;
-    if (perS === undefined) coldRatePerS.delete(name);
-    else coldRatePerS.set(name, perS);
+    const known = isReadable === false ? active : undefined;
+    setOrDelete(
+      coldRatePerS,
+      name,
+      row.coldRatePerS ?? known?.coldRatePerS?.get(name),
+    );
+    setOrDelete(
+      maxConnections,
+      name,
+      row.maxConnections ?? known?.maxConnections?.get(name),
+    );
     const path = healthPath ?? active?.healthPaths.get(name);
     if (path !== undefined) healthPaths.set(name, path);
   }
   return {
     healthPaths,
     coldRatePerS,
+    maxConnections,
     isKnown: (name) => !isComplete || names.has(name),
   };
 }
 
+function setOrDelete<K, V>(map: Map<K, V>, key: K, value: V | undefined): void {
+  if (value === undefined) map.delete(key);
+  else map.set(key, value);
+}
+
 interface RouteContext {
   readonly active: RoutingConfig | undefined;
   /** Receives what is found here. */
--- a/src/core/routing_types.ts
+++ b/src/core/routing_types.ts
@@ -70,6 +70,8 @@
   readonly isReadable?: boolean;
   /** Requests per second that a cold upstream can take. */
   readonly coldRatePerS?: number;
+  /** Connections that an upstream accepts. */
+  readonly maxConnections?: number;
 }
 
 /** A configuration as published, before it is merged with the active one. */
@@ -99,6 +101,8 @@
   readonly problems: readonly DegradedPart[];
   /** Requests per second that a cold upstream of each service can take; services without a limit are missing. */
   readonly coldRatePerS?: ReadonlyMap<ServiceName, number>;
+  /** Connections that an upstream of each service accepts; services without a limit are missing. */
+  readonly maxConnections?: ReadonlyMap<ServiceName, number>;
 }
 
 /** States that an upstream has in the list. */
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -123,6 +123,10 @@
       clock,
       protocol: createDefaultProtocol(settings.upstream),
       memory: createMemoryBudget({ limitBytes: computeBufferLimit() }),
+      tryGetMaxConnections: () => settings.upstream.connections,
+      getSlots: () => settings.upstream.slots,
+      onMadeRoom: () => counters.add("upstream_connection_gave_way"),
+      onConnectionRefused: () => counters.add("upstream_connection_refused"),
       onEndless: () => counters.add("response_cut_endless"),
     }),
     guard: {
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -203,8 +203,7 @@
       tryGetClosedReason() === undefined
         ? routes?.config.healthPaths.get(settings.service)
         : undefined,
-    getListedSlots: () =>
-      upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS,
+    getListedSlots,
     hasWaiting: () => guardTask.guard.getReport().queued > 0,
     onReading: () => guardTask.wake(),
     onCold: coldStarts.recordHealth,
@@ -222,6 +221,11 @@
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       memory,
+      tryGetMaxConnections: () =>
+        routes?.config.maxConnections?.get(settings.service),
+      getSlots: getListedSlots,
+      onMadeRoom: () => counters.add("upstream_connection_gave_way"),
+      onConnectionRefused: () => counters.add("upstream_connection_refused"),
       onEndless: () => counters.add("response_cut_endless"),
       onLoad: watch.recordLoad,
       onNotice: (notice, source) => guardTask.recordNotice(notice, source),
@@ -494,6 +498,10 @@
   store.start();
   return { stop: gracefulStop.run };
 
+  function getListedSlots(): number {
+    return upstreams.tryGetAt(settings.upstreamAddress)?.slots ?? ASSUMED_SLOTS;
+  }
+
   function recordMalformed({ reason }: Diagnostic, message: string): void {
     counters.add(reason);
     logger.warn("peer_nonsense", { reason, message });
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -26,6 +26,7 @@
   isEndlessHead,
 } from "./response_errors.ts";
 import { createChunkedBody } from "./chunked_body.ts";
+import { createConnectionLimit } from "./connection_limit.ts";
 import { failOnHiddenReset } from "./hidden_reset.ts";
 import {
   createResponseReader,
@@ -64,6 +65,14 @@
   readonly protocol: UpstreamProtocol;
   /** Budget of the responses that are buffered. */
   readonly memory: MemoryBudget;
+  /** Connections that the upstream accepts as stated; undefined if nothing is stated. */
+  tryGetMaxConnections?(): number | undefined;
+  /** Requests that the upstream runs at once. */
+  getSlots?(): number;
+  /** Called when an idle connection is closed to make room for a new one. */
+  onMadeRoom?(): void;
+  /** Called when a reset of a new connection shows how many the upstream accepts. */
+  onConnectionRefused?(): void;
   /** Called when a response, or what should be one, is cut as endless. */
   onEndless?(): void;
   /** Receives the load that responses report. */
@@ -84,10 +93,15 @@
 ): UpstreamClient {
   const { protocol } = options;
   const { host, port } = splitAddress(options.address);
-  const connections = createUpstreamConnections(
-    options.clock,
-    options.connections,
-  );
+  const connections = createUpstreamConnections(options.clock, {
+    maxSockets: options.connections,
+    limit: createConnectionLimit(options.clock, {
+      tryGetStated: () => options.tryGetMaxConnections?.(),
+      getSlots: () => options.getSlots?.() ?? 0,
+    }),
+    onMadeRoom: () => options.onMadeRoom?.(),
+    onRefused: () => options.onConnectionRefused?.(),
+  });
   const reader = createResponseReader(options);
   return { send, close: () => Promise.resolve(connections.close()) };
 
