A reply in a frame counts only for the request that it names

A connection between daemons carries one exchange after the other. If a peer sent a reply once more, and the copy crossed the next request on the connection, it was taken for the reply to that one: a refusal told an order that may run as not run, so that it could run twice; a grant used an earlier request's grant; a response went on with the wrong ticket, which the gateway refuses, and shifted all later exchanges by one. No daemon of ours sends a reply twice as far as is known; each refusal bears its ticket now, and replies with another ticket than the request's end the connection, in doubt. Refusals without a ticket, of daemons of an earlier version, are read as before.

A frame that belongs to no reply ended the connection, but frames behind it in the same read were still read: a refusal there was taken as the reply.

Six new cases fail before (frames_test.ts: a refusal, a response and a grant that come once more; a malformed reply, a part and an end before a refusal) and pass now, in 3 runs of the file. Two more pass before and after: a part behind the end of a body, and cancels that cross replies.

Two tests change: the peer of 'a response that nobody reads' answered with the wrong ticket; the test of replies without a request waits until the connection is closed, where 10 ms were too short beside load (once in 4 runs), and its checks are the same.

--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -268,7 +268,7 @@
       case ReplyKind.Refused: {
         const { grant } = reply;
         const verdict = encodeVerdict(reply.verdict);
-        return finish(exchange, { verdict, ...(grant && { grant }) });
+        return finish(exchange, { ticket, verdict, ...(grant && { grant }) });
       }
       case ReplyKind.Failed:
         return exchange.cut("failed");
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -156,6 +156,7 @@
     );
     return new Promise((resolve) => {
       const reader = createReplyReader({
+        ticket: head.ticket,
         metadata,
         onLinkError: (message) => options.onLinkError(message),
         resolve,
@@ -194,6 +195,7 @@
 }
 
 function createReplyReader(options: {
+  readonly ticket: Ticket;
   readonly metadata: ReplyMetadata;
   onLinkError(message: string): void;
   resolve(reply: GuardReply): void;
@@ -212,6 +214,12 @@
       from.cancel();
       return false;
     }
+    // The reply to an earlier request tells nothing about this one.
+    if ((reply.ticket ?? options.ticket) !== options.ticket) {
+      options.onLinkError("a reply to another request");
+      from.cancel();
+      return false;
+    }
     metadata.report(reply.meta);
     if (reply.hasParts && reply.status !== undefined) {
       parts = createParts(from);
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -177,6 +177,8 @@
     let isHttpPeer = false;
     let hasReceived = false;
     const reader = createFrameReader((frame) => {
+      // What follows in the read that ended the connection belongs to nobody.
+      if (socket.destroyed) return;
       hasReceived = true;
       receive(connection, frame);
     });
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -196,11 +196,122 @@
   for (let i = 0; i < 5; i++) {
     const reply = await submit(`t/${i}`);
     expect(reply.kind === ReplyKind.Response && reply.ticket).toBe(`t/${i}`);
-    await new Promise((resolve) => setTimeout(resolve, 10));
+    await expect.poll(() => [...sockets].every((it) => it.destroyed), {
+      interval: 1,
+    }).toBe(true);
   }
   expect(sockets.size).toBe(5);
 });
 
+function createRefusal(ticket?: string): Buffer {
+  const verdict = encodeVerdict({
+    execution: Execution.NotRun,
+    diagnostic: Diagnostics.no_room_now,
+  });
+  return encodeFrame(
+    FrameKind.Reply,
+    JSON.stringify({ meta: {}, verdict, ...(ticket && { ticket }) }),
+  );
+}
+
+// It was told the earlier one's refusal, as not run, and might run.
+test.each([
+  ["a refusal", (ticket: string) => createRefusal(ticket)],
+  ["a response", (ticket: string) => createReply(ticket, "first")],
+  ["a grant", (ticket: string) => {
+    const head = { meta: {}, ticket, grant: "g", key: "k" };
+    return encodeFrame(FrameKind.Reply, JSON.stringify(head));
+  }],
+])(
+  "%s that comes once more answers no later attempt on its connection",
+  async (_name, create) => {
+    await startPeer((socket, { head }, count) => {
+      const { ticket } = decodeRequestFrame(head)!;
+      if (count !== 1) return void socket.write(create(ticket));
+      socket.write(create("t/0"));
+      setTimeout(() => socket.write(createReply(ticket, "own")), 5);
+    });
+    await submit("t/0");
+    expect(await submit("t/1")).toMatchObject({
+      kind: ReplyKind.Failed,
+      mayHaveArrived: true,
+    });
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect((await submit("t/2")).kind).not.toBe(ReplyKind.Failed);
+    expect(sockets.size).toBe(2);
+  },
+);
+
+test("a refusal of a peer that names no ticket is read", async () => {
+  await startPeer((socket) => void socket.write(createRefusal()));
+  expect((await submit("t")).kind).toBe(ReplyKind.Refused);
+});
+
+// What came in the same read as a malformed frame was taken as the reply.
+test.each([
+  ["a malformed reply", encodeFrame(FrameKind.Reply, "{}")],
+  ["a part", encodeFrame(FrameKind.Part, "", Buffer.from("x"))],
+  ["an end", encodeFrame(FrameKind.End)],
+])(
+  "nothing is read behind %s that belongs to no reply",
+  async (_name, bytes) => {
+    await startPeer((socket) =>
+      void socket.write(Buffer.concat([bytes, createRefusal("t")]))
+    );
+    expect(await submit("t")).toMatchObject({
+      kind: ReplyKind.Failed,
+      mayHaveArrived: true,
+    });
+  },
+);
+
+test("a part behind the end of a body closes its connection, the body stays whole", async () => {
+  const head = JSON.stringify({
+    meta: {},
+    ticket: "t",
+    status: 200,
+    headers: {},
+    hasParts: true,
+  });
+  const part = encodeFrame(FrameKind.Part, "", Buffer.from("x"));
+  const end = encodeFrame(FrameKind.End);
+  await startPeer((socket, _frame, count) => {
+    if (count > 0) return void socket.write(createReply("t2", "next"));
+    socket.write(encodeFrame(FrameKind.Reply, head));
+    socket.write(Buffer.concat([part, end, part, end]));
+  });
+  const first = await submit("t");
+  if (first.kind !== ReplyKind.Response) throw new Error(first.kind);
+  let text = "";
+  for await (const chunk of first.response.body) text += chunk;
+  expect(text).toBe("x");
+  expect(await submit("t2")).toMatchObject({ kind: ReplyKind.Response });
+  expect(sockets.size).toBe(2);
+});
+
+test("a cancel that crosses the reply leaves nothing of it to the next attempt", async () => {
+  for (let delayMs = 0; delayMs < 4; delayMs++) {
+    await startPeer((socket, { head }) => {
+      const { ticket } = decodeRequestFrame(head)!;
+      socket.write(encodeFrame(FrameKind.Accepted));
+      setTimeout(() => socket.write(createReply(ticket, ticket)), 1);
+    });
+    for (let i = 0; i < 15; i++) {
+      const forward = createForward();
+      const cancelled = submit(`c/${i}`, forward);
+      setTimeout(() => forward.signal.emit("abort"), delayMs);
+      const next = [submit(`a/${i}`), cancelled.then(() => submit(`b/${i}`))];
+      for (const reply of await Promise.all(next)) {
+        if (reply.kind !== ReplyKind.Response) throw new Error(reply.kind);
+        expect(String(reply.response.bytes)).toBe(reply.ticket);
+        expect(reply.ticket).toMatch(new RegExp(`^[ab]/${i}$`));
+      }
+    }
+    await link!.close();
+    server!.close();
+  }
+});
+
 test.each([
   ["closes", (socket: Socket) => void socket.end()],
   ["resets", (socket: Socket) => void socket.resetAndDestroy()],
@@ -296,7 +407,7 @@
   const part = encodeFrame(FrameKind.Part, "", Buffer.alloc(9_000));
   const end = encodeFrame(FrameKind.End);
   await startPeer((socket, _frame, count) => {
-    if (count > 0) return void socket.write(createReply("t", "next"));
+    if (count > 0) return void socket.write(createReply("t2", "next"));
     socket.write(encodeFrame(FrameKind.Reply, head));
     setTimeout(() => socket.write(part), 5);
     // The last part and the end arrive in one read.
