Tests of stops wait until the published version is in force

Cause, a race of the tests: the deployment starts with version 1, whose time-out is 2 s, and daemons have two seconds to apply the next one. Trace: twelve reads of 2.6 s, one each 25 ms right after publish() of version 2 with 12 s, in six fresh deployments at a load of 8 to 14. By the daemon's lines (accepted, version=) all 31 that were accepted under version 1 got 504 after 2.0 s, all 41 under version 2 got 200 after 2.6 s. Version 2 was in force 2 to 152 ms after publish() at four daemons of another deployment.

Deployment.waitInForce() waits until the metrics of each daemon that runs name the newest published version. Tests of stops, and others that publish a version before their first request, call it before callers begin and after each start of a daemon; it replaces fixed pauses of 500 ms in stop_answers, stop_log and stopped_peer. Checks and bounds are as they were.

--- a/test/endless_upstream_mesh_test.ts
+++ b/test/endless_upstream_mesh_test.ts
@@ -35,6 +35,7 @@
   fleet.publish(2, {
     rows: [["b", "shop", "/broken/", "safe", 2, 1, 2, 3, "broken", null]],
   });
+  await fleet.waitInForce();
   await broken.upstream.close();
 });
 afterAll(() => fleet.close());
--- a/test/kept_connection_stop_mesh_test.ts
+++ b/test/kept_connection_stop_mesh_test.ts
@@ -25,6 +25,7 @@
 beforeAll(async () => {
   pair = await startDeployment(230, ["front", "shop"]);
   pair.publish(2, { service: "shop", timeoutS: 2 });
+  await pair.waitInForce();
 }, 30_000);
 afterAll(() => pair.close());
 
@@ -40,6 +41,7 @@
       if (stopping.process.exitCode !== null) {
         pair.startDaemon(stopping);
         await pair.waitUntilReady(stopping);
+        await pair.waitInForce();
       }
       const idle = connect({
         host: stopping.ip,
--- a/test/late_stop_mesh_test.ts
+++ b/test/late_stop_mesh_test.ts
@@ -31,6 +31,7 @@
     timeoutS: TIMEOUT_MS / 1_000,
     sloS: TIMEOUT_MS / 1_000,
   });
+  await fleet.waitInForce();
 }, 30_000);
 afterEach(() => {
   for (const { upstream } of fleet.hosts) {
--- a/test/peer_changes_mesh_test.ts
+++ b/test/peer_changes_mesh_test.ts
@@ -23,6 +23,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(203, ["front", "shop", "shop"]);
   fleet.publish(2, { service: "shop" });
+  await fleet.waitInForce();
   for (const host of fleet.hosts) {
     host.upstream.slots = 100;
     host.upstream.workMs = WORK_MS;
--- a/test/pipelined_stop_mesh_test.ts
+++ b/test/pipelined_stop_mesh_test.ts
@@ -44,6 +44,7 @@
       fleet.startDaemon(front);
       await fleet.waitUntilReady(front);
     }
+    await fleet.waitInForce();
     const answers: PipedAnswer[] = [];
     const callers = Array.from(
       { length: CALLERS },
--- a/test/platform/mesh.ts
+++ b/test/platform/mesh.ts
@@ -18,6 +18,7 @@
 export const PEER_PORT = 18_300;
 const READY_PORT = 18_302;
 const UPSTREAM_PORT = 18_301;
+const METRICS_PORT = 9_464;
 const STORE_PORT = 18_306;
 /** Port in the addresses of seeds; nothing listens there. */
 const SEED_PORT = 18_307;
@@ -104,6 +105,8 @@
   getReadyStatus(host: DeploymentHost): Promise<number>;
   startDaemon(host: DeploymentHost): void;
   waitUntilReady(host: DeploymentHost): Promise<void>;
+  /** Waits until each daemon that runs has the newest published version in force. */
+  waitInForce(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -140,6 +143,7 @@
   const folder = mkdtempSync(join(tmpdir(), "mesh-"));
   let agent = new Agent({ connections: 32 });
   const hosts: DeploymentHost[] = [];
+  let newest = 0;
   const deployment: Deployment = {
     store,
     hosts,
@@ -150,6 +154,7 @@
     getReadyStatus,
     startDaemon,
     waitUntilReady,
+    waitInForce,
     close,
   };
   for (const [index, service] of services.entries()) {
@@ -199,6 +204,7 @@
     const { service = services[0]!, timeoutS = 2, sloS = 1, attempts = 3 } =
       change;
     const { added = "/added/", rows = [] } = change;
+    newest = version;
     store.put("op/config", {
       version: version.toString(16).padStart(8, "0"),
       routes: {
@@ -335,6 +341,17 @@
     }
   }
 
+  async function waitInForce(): Promise<void> {
+    await Promise.all(hosts.map(async (host) => {
+      for (let i = 0; i < MAX_READY_POLLS; i++) {
+        if (!isRunning(host) || await getVersion(host) === newest) return;
+        await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+      }
+      const lines = host.lines.join("\n");
+      throw new Error(`${host.ip} has no version ${newest}:\n${lines}`);
+    }));
+  }
+
   async function call(
     host: DeploymentHost,
     req: CallerRequest,
@@ -367,7 +384,7 @@
   async function close(): Promise<void> {
     await Promise.all(hosts.map(async (host) => {
       const child = host.process;
-      if (child.exitCode === null && child.signalCode === null) {
+      if (isRunning(host)) {
         const ended = new Promise((resolve) => child.once("exit", resolve));
         child.kill("SIGKILL");
         await ended;
@@ -382,6 +399,22 @@
   }
 }
 
+function isRunning({ process }: DeploymentHost): boolean {
+  return process.exitCode === null && process.signalCode === null;
+}
+
+/** Version that a daemon has in force; undefined without a response. */
+async function getVersion({ ip }: DeploymentHost): Promise<number | undefined> {
+  try {
+    const res = await request(`http://${ip}:${METRICS_PORT}/metrics`);
+    const text = await res.body.text();
+    const version = /^vanillarock_config_version (\d+)$/m.exec(text)?.[1];
+    return version === undefined ? undefined : Number(version);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Address on which a daemon behind a relay listens for its peers. */
 function getListenIp(ip: string): string {
   return ip.replace("127.0.", "127.1.");
--- a/test/stop_answers_mesh_test.ts
+++ b/test/stop_answers_mesh_test.ts
@@ -23,7 +23,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(60, ["front", "shop"]);
   fleet.publish(2, { service: "shop", timeoutS: 30, sloS: 20 });
-  await pause(500);
+  await fleet.waitInForce();
 }, 30_000);
 afterAll(() => fleet.close());
 
@@ -42,6 +42,7 @@
     if (front.process.exitCode !== null) {
       fleet.startDaemon(front);
       await fleet.waitUntilReady(front);
+      await fleet.waitInForce();
     }
     back.upstream.slots = 200;
     await pause(100);
--- a/test/stop_events_mesh_test.ts
+++ b/test/stop_events_mesh_test.ts
@@ -27,6 +27,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(182, ["shop", "shop", "shop", "shop"]);
   publish();
+  await fleet.waitInForce();
 }, 30_000);
 beforeEach(async () => {
   for (const host of fleet.hosts) {
@@ -39,6 +40,7 @@
     fleet.startDaemon(host);
     await fleet.waitUntilReady(host);
   }
+  await fleet.waitInForce();
 }, 30_000);
 afterAll(() => fleet.close());
 
@@ -114,6 +116,7 @@
     const pair = await startDeployment(183, ["front", "shop"]);
     try {
       pair.publish(2, { service: "shop", timeoutS: TIMEOUT_MS / 1_000 });
+      await pair.waitInForce();
       const [at, stopping] = pair.hosts as [DeploymentHost, DeploymentHost];
       stopping.upstream.slots = 200;
       stopping.upstream.getWorkMs = (id) =>
--- a/test/stop_log_mesh_test.ts
+++ b/test/stop_log_mesh_test.ts
@@ -18,7 +18,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(184, ["front", "shop"]);
   fleet.publish(2, { service: "shop", timeoutS: LONG_MS / 1_000 });
-  await pause(500);
+  await fleet.waitInForce();
 }, 30_000);
 afterAll(() => fleet.close());
 
@@ -42,6 +42,7 @@
   back.upstream.workMs = LONG_MS;
   fleet.startDaemon(front);
   await fleet.waitUntilReady(front);
+  await fleet.waitInForce();
   const { answer, lines } = await stopDuring(back, "order");
   expect(answer).toMatchObject({ status: 502, isWhole: true });
   expect(lines).toEqual([
--- a/test/stop_mesh_test.ts
+++ b/test/stop_mesh_test.ts
@@ -22,6 +22,7 @@
   async () => {
     const [front, back] = fleet.hosts as [DeploymentHost, DeploymentHost];
     fleet.publish(2, { service: "shop", timeoutS: TIMEOUT_MS / 1_000 });
+    await fleet.waitInForce();
     while (back.upstream.ran.length === 0) {
       await fleet.call(front, { id: "first" });
       await pause(20);
--- a/test/stopped_peer_mesh_test.ts
+++ b/test/stopped_peer_mesh_test.ts
@@ -30,6 +30,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(200, ["front", "shop"]);
   fleet.publish(2, { service: "shop" });
+  await fleet.waitInForce();
   for (const { upstream } of fleet.hosts) upstream.slots = 200;
 }, 30_000);
 afterAll(() => fleet.close());
@@ -50,6 +51,7 @@
       if (back.process.exitCode !== null) {
         fleet.startDaemon(back);
         await fleet.waitUntilReady(back);
+        await fleet.waitInForce();
       }
       // The other daemon learns of the start.
       await pause(200);
@@ -104,7 +106,7 @@
       await fleet.waitUntilReady(back);
     }
     fleet.publish(3, { service: "shop", timeoutS: 30 });
-    await pause(500);
+    await fleet.waitInForce();
     back.upstream.workMs = LONG_MS;
     const long = fleet.call(front, {
       id: "long",
--- a/test/support/stop_callers.ts
+++ b/test/support/stop_callers.ts
@@ -74,6 +74,7 @@
     fleet.startDaemon(front);
     await fleet.waitUntilReady(front);
   }
+  await fleet.waitInForce();
   const answers: PipedAnswer[] = [];
   const running = Array.from({ length: callers }, runCaller);
   await pause(beforeMs);
--- a/test/waiting_requests_mesh_test.ts
+++ b/test/waiting_requests_mesh_test.ts
@@ -38,6 +38,7 @@
 beforeAll(async () => {
   fleet = await startDeployment(80, ["shop", "shop", "front"]);
   fleet.publish(2, { timeoutS: 9, sloS: 8 });
+  await fleet.waitInForce();
   await pause(SETTLE_MS);
 });
 afterAll(() => fleet.close());
