Soak: the store for tests writes again the newest of each key after losses that overlap

Cause: the store of the tests, no daemon. The plan loses writes at 2.4 s and again at 3.3 s, version 2 is published between the two. What the first loss had to write again was version 1; the second loss had taken version 2 out of the store, so that the first one saw no newer write, wrote version 1, and the second one then took that for a newer write than version 2. From then on the store held version 1 until version 3 was published 4.3 s later: daemons that had version 2 kept it, those that missed it or started since served version 1, as the store told them.

Now each loss is made good from what was last written under each key.

--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -20,7 +20,7 @@
 
 /** A loss of writes. */
 export interface Rollback {
-  /** Writes again what was lost, except keys that were written since. */
+  /** Writes again what the store lacks of what was last written under each key, whichever loss it is due to. */
   writeAgain(): void;
 }
 
@@ -65,6 +65,8 @@
   const items = new Map<string, Item>();
   const calls = new Map<string, number>();
   const pendingWatches = new Set<PendingWatch>();
+  /** What was last written under each key, undefined if it was removed. */
+  const written = new Map<string, string | undefined>();
   let events: Item[] = [];
   let revision = 1;
   let oldestRevision = 0;
@@ -113,16 +115,12 @@
 
   function putText(key: string, text: string): void {
     const value = Buffer.from(text).toString("base64");
+    written.set(key, value);
     append({ key, value });
   }
 
   function rollBack(ageMs: number): Rollback {
-    const rolledBackAt = performance.now();
-    const since = rolledBackAt - ageMs;
-    const lost = new Map<string, string | undefined>();
-    for (const { key } of changes.filter((c) => c.at >= since)) {
-      lost.set(key, items.get(key)?.value);
-    }
+    const since = performance.now() - ageMs;
     changes = changes.filter((c) => c.at < since);
     items.clear();
     for (const item of changes) {
@@ -133,20 +131,18 @@
     revision = changes.at(-1)?.rev ?? 1;
     events = events.filter((e) => e.rev <= revision);
     return { writeAgain };
+  }
 
-    function writeAgain(): void {
-      const writtenSince = new Set(
-        changes.filter((c) => c.at > rolledBackAt).map((c) => c.key),
-      );
-      for (const [key, value] of lost) {
-        if (writtenSince.has(key)) continue;
-        if (value === undefined) remove(key);
-        else append({ key, value });
-      }
+  function writeAgain(): void {
+    for (const [key, value] of written) {
+      if (items.get(key)?.value === value) continue;
+      if (value === undefined) remove(key);
+      else append({ key, value });
     }
   }
 
   function remove(key: string): void {
+    written.set(key, undefined);
     items.delete(key);
     append({ key, deleted: true });
   }
