A connection is read on after its last answer as long as its caller sends

Uploads that were refused early (404, 413, 503 of a stop) ended with EPIPE and no answer where their caller needs more than 250 ms to send the body and reads the answer behind it, as many clients do: the connection was closed with bytes on their way, which resets it. So callers lost the statement that nothing ran. The time now runs from the last byte, 2 s at most; the end of a stop closes what is left as before.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -22,8 +22,10 @@
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
 
-/** Time for which a connection is read on after the last answer, in ms: closing it with unread bytes resets it. */
+/** Time without a byte for which a connection is read on after the last answer, in ms: closing it with unread bytes resets it. */
 const LINGER_MS = 250;
+/** The same in all, in ms, for callers that read the answer only once they have sent a whole body. */
+const MAX_LINGER_MS = 2_000;
 /**
  * Requests of one connection that are passed on at a time. What is read beyond
  * waits, and the connection isn't read on, so that memory and work are bounded.
@@ -338,8 +340,14 @@
     connection.order.takeNoMore();
     socket.end(connection.refusal ?? "");
     socket.resume();
-    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-    socket.once("close", () => clearTimeout(timer));
+    const destroysAt = options.clock.now() + MAX_LINGER_MS;
+    let { bytesRead } = socket;
+    const timer = setInterval(() => {
+      const isSilent = socket.bytesRead === bytesRead;
+      if (isSilent || options.clock.now() >= destroysAt) socket.destroy();
+      bytesRead = socket.bytesRead;
+    }, LINGER_MS);
+    socket.once("close", () => clearInterval(timer));
   }
 
   function forget(connection: Connection): void {
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -5,7 +5,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { Readable } from "node:stream";
 import { Buffer } from "node:buffer";
 import { afterEach, expect, test } from "vitest";
@@ -236,6 +236,52 @@
   }
 });
 
+test("a caller that reads only once it has sent its body gets the answer that came before", async () => {
+  const listener = await listen();
+  const bytes = 700_000;
+  const parts = 14;
+  const socket = connect(listener.port, "127.0.0.1");
+  closers.push(() => Promise.resolve(void socket.destroy()));
+  const errors: Error[] = [];
+  socket.on("error", (error) => errors.push(error));
+  socket.pause();
+  socket.write(
+    `POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\n\r\n`,
+  );
+  await until(() => listener.taken.has("/1"));
+  const { outgoing, place } = listener.taken.get("/1")!;
+  place.prepareHead(true);
+  outgoing.writeHead(413, { "content-length": "0" }).end();
+  for (let i = 0; i < parts; i++) {
+    socket.write("x".repeat(bytes / parts));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  let text = "";
+  socket.on("data", (data) => text += data);
+  socket.resume();
+  await until(() => socket.closed);
+  expect(errors).toEqual([]);
+  expect(text).toContain("HTTP/1.1 413");
+});
+
+test("a caller that sends on without end behind its last answer is closed", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const [first] = await sendAll(listener, pipe, ["/1"]);
+  listener.setStopping();
+  listener.answer("/1");
+  expect(await first).toMatchObject({ status: 200, isWhole: true });
+  let isClosed = false;
+  listener.taken.get("/1")!.incoming.socket.once(
+    "close",
+    () => isClosed = true,
+  );
+  const timer = setInterval(() => pipe.write("x".repeat(1_000)), 20);
+  await new Promise((resolve) => setTimeout(resolve, 3_000));
+  clearInterval(timer);
+  expect(isClosed).toBe(true);
+});
+
 test("a caller that sends without end has a bounded number of requests passed on", async () => {
   const listener = await listen();
   const pipe = await open(listener);
