A stop of the gossip daemon cuts no answer that is being sent

Callers that read a large answer slowly lost its rest, and the requests behind it their answers, when the gossip daemon stopped: closeIdleConnections of Node.js treats a connection as idle once its present answer was handed over, sent or not, whatever requests wait behind it. An answer of 6 MB and a request behind it, stopped after 200 ms: 3.9 MB arrived, the second answer never, and the stop counted as finished after 0 to 2 ms. The server now closes its connections as the store daemon does: each behind the answers to what was read, without a time limit of its own, as the daemon has one.

--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Server as TcpServer } from "node:net";
 import { getRequestListener } from "@hono/node-server";
 import type { Hono } from "hono";
 import { createCounters } from "../core/counters.ts";
@@ -13,6 +14,7 @@
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
 import {
+  type CallerConnections,
   type CallerConnectionsOptions,
   createCallerConnections,
 } from "./caller_connections.ts";
@@ -22,7 +24,8 @@
 /** Largest request head, in bytes. */
 const MAX_HEADER_BYTES = 32_768;
 const KEEP_ALIVE_MS = 75_000;
-const IDLE_CHECK_MS = 25;
+
+const connectionsOf = new WeakMap<Server, CallerConnections>();
 
 /** Type of `c.env` in hono's handlers. */
 export interface HttpEnv {
@@ -65,7 +68,7 @@
     // Node.js would answer by itself, and close behind the answer.
     requireHostHeader: false,
   });
-  createCallerConnections(server, {
+  const connections = createCallerConnections(server, {
     handler: (incoming, outgoing) => void listener(incoming, outgoing),
     counters: createCounters(),
     logger: SILENT,
@@ -75,6 +78,7 @@
     formatRefusal,
     onRefused: options.onMalformed,
   });
+  connectionsOf.set(server, connections);
   const { host, port } = splitAddress(options.address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -83,19 +87,12 @@
   return server;
 }
 
-/** Stops listening; resolves once every request in progress has ended. */
-export function stopHttpServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setInterval(
-      () => server.closeIdleConnections(),
-      IDLE_CHECK_MS,
-    );
-    server.close(() => {
-      clearInterval(timer);
-      resolve();
-    });
-    server.closeIdleConnections();
-  });
+/** Stops listening; resolves once every request in progress has its whole answer. */
+export async function stopHttpServer(server: Server): Promise<void> {
+  // The method of the HTTP server would cut answers that are not sent whole.
+  TcpServer.prototype.close.call(server);
+  await connectionsOf.get(server)!.close();
+  server.close();
 }
 
 function formatRefusal(diagnostic: Diagnostic): string {
