Tests of stops: the time of a stop is checked last

An overrun of the grace time is listed in KNOWN-RED.txt by its message. It was checked before the requests without an answer (pipelined_stop_mesh_test) and before the number of those served (stop_events_mesh_test), so that a run in which a stop took 6.05 s passed as known whatever callers had lost.

--- a/test/pipelined_stop_mesh_test.ts
+++ b/test/pipelined_stop_mesh_test.ts
@@ -54,7 +54,7 @@
     const stoppedAt = performance.now();
     front.process.kill("SIGTERM");
     await Promise.all(callers);
-    expect(performance.now() - stoppedAt).toBeLessThan(GRACE_MS);
+    const goneMs = performance.now() - stoppedAt;
     const ran = new Set(fleet.hosts.flatMap(({ upstream }) => upstream.ran));
     const lost = answers.filter(({ id, isWhole }) => !isWhole && ran.has(id));
     const late = answers.filter(({ sentAt }) => sentAt > stoppedAt);
@@ -62,6 +62,8 @@
       .toBeGreaterThan(CALLERS);
     expect({ lost: lost.length, of: answers.length })
       .toEqual({ lost: 0, of: answers.length });
+    // Last, as a known failure must not hide the others.
+    expect(goneMs).toBeLessThan(GRACE_MS);
   },
   40_000,
 );
--- a/test/stop_events_mesh_test.ts
+++ b/test/stop_events_mesh_test.ts
@@ -104,8 +104,8 @@
     });
     await waitForOthers();
     expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
-    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
     expect(outcome.served[0]).toBeGreaterThan(CALLERS);
+    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
   },
   40_000,
 );
@@ -206,8 +206,8 @@
       },
     });
     expect(outcome).toMatchObject({ lost: [], exitCode: 0 });
-    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
     expect(outcome.served[0]).toBeGreaterThan(CALLERS);
+    expect(outcome.exitedMs).toBeLessThan(GRACE_MS);
   },
   40_000,
 );
