Requests that a caller sends without waiting take turns

Cause: a read of 64 KB has some 700 requests, which were parsed and passed on before anything else ran, and the connection was read on behind each answer though it was paused, as Node.js resumes the socket of a request that is over. Refused requests leave at once, so that 128 in progress bounded nothing. What was passed on waited at the upstreams: 1,536 requests before the next caller's.

Change: a connection has 8 requests at once and 100 a second. Beyond that it takes turns with its like, 4 requests of all of them in a turn of the loop, and isn't read meanwhile (loop_turns.ts; the rate limit is that of small chunks, now rate_limit.ts). Beyond its rate it has 4 requests in progress, and more only while fewer than 32 of all callers are. Nothing waits that has a turn.

The new test of caller_connections_test failed before (128 requests in one turn where 40 are allowed); both mutations are detected. Two tests there asked for 128 requests in progress of a caller that sends without end; it is 32 now, which they ask for.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -18,9 +18,11 @@
 } from "../core/connection_order.ts";
 import type { Counters } from "../core/counters.ts";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { createRateLimit, type RateLimit } from "../core/rate_limit.ts";
 import type { Millis } from "../core/types.ts";
 import type { Clock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
+import { createLoopTurns, type Step } from "./loop_turns.ts";
 
 /** Time without a byte for which a connection is read on after the last answer, in ms: closing it with unread bytes resets it. */
 const LINGER_MS = 250;
@@ -31,6 +33,19 @@
  * waits, and the connection isn't read on, so that memory and work are bounded.
  */
 const MAX_PASSED_ON = 128;
+/**
+ * Requests of one connection that are passed on as they are read, each ms and at
+ * once. Beyond that the connections take turns. A read of 64 KB may have 3,000
+ * requests.
+ */
+const REQUEST_RATE = { perMs: 0.1, atOnce: 8 };
+/** Requests that a connection beyond its rate may have passed on in any case. */
+const MIN_PASSED_ON = 4;
+/**
+ * Requests of all connections with which one beyond its rate has no more than
+ * these: what waits at the upstreams is in the way of the other callers.
+ */
+const MAX_PASSED_ON_BEYOND = 32;
 /** Request ids in a line of the log. */
 const MAX_LOGGED_IDS = 8;
 
@@ -111,8 +126,11 @@
 interface Connection {
   readonly socket: Socket;
   readonly order: ConnectionOrder<Entry>;
-  /** Requests that were read and not passed on, as too many are. */
+  /** Requests that were read and wait to be passed on; meanwhile it isn't read. */
   readonly held: Entry[];
+  readonly rate: RateLimit;
+  /** Passes on the first held request, or reads on. */
+  readonly step: Step;
   /** The first cause is the one that counts. */
   cause?: CloseCause;
   /** The last request that was read, answered or not. */
@@ -131,7 +149,10 @@
 ): CallerConnections {
   const { counters, logger } = options;
   const connections = new Map<Socket, Connection>();
+  const turns = createLoopTurns();
   let unanswered = 0;
+  /** Unanswered requests that aren't passed on yet. */
+  let waiting = 0;
   let isClosing = false;
   let onAllClosed: (() => void) | undefined;
   server.on("connection", accept);
@@ -147,6 +168,8 @@
       socket,
       order: createConnectionOrder(),
       held: [],
+      rate: createRateLimit(options.clock, REQUEST_RATE),
+      step: () => takeTurn(connection),
       readAgainAt: -Infinity,
       isEnding: false,
     };
@@ -154,6 +177,9 @@
     // Node.js calls it behind an answer that announces the end. Its own method
     // closes at once, so that bytes that are still to be read reset the connection.
     socket.destroySoon = () => end(connection);
+    // Node.js reads on behind each request, also behind each answer.
+    const resume = socket.resume.bind(socket);
+    socket.resume = () => connection.held.length > 0 ? socket : resume();
     socket.once("end", () => {
       recordCause(connection, { by: ClosedBy.Caller, reason: "ended" });
     });
@@ -171,7 +197,7 @@
 
   function take(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const connection = connections.get(incoming.socket)!;
-    const { order, held, socket } = connection;
+    const { order, held, rate, socket } = connection;
     // A head that was written without `prepareHead` may announce the end, too.
     const newest = order.tryGetNewest();
     if (newest?.outgoing.getHeader("connection") === "close") {
@@ -183,14 +209,46 @@
     if (asksForUpgrade(incoming)) order.takeNoMore();
     unanswered += 1;
     outgoing.once("close", () => settle(connection, entry));
-    if (order.size() <= MAX_PASSED_ON) {
-      return options.handler(incoming, outgoing, entry);
-    }
     held.push(entry);
-    // Node.js reads on behind each request that it has parsed.
+    waiting += 1;
+    rate.add(1);
+    if (held.length > 1) return;
+    if (rate.getWaitMs() === 0 && mayPassOn(connection)) {
+      return passOn(connection);
+    }
+    // Until the parser is done with what was read, Node.js reads on.
     process.nextTick(() => {
       if (held.length > 0) socket.pause();
     });
+    turns.add(connection.step);
+  }
+
+  function mayPassOn({ order, held, rate }: Connection): boolean {
+    const passedOn = order.size() - held.length;
+    if (passedOn >= MAX_PASSED_ON) return false;
+    return passedOn < MIN_PASSED_ON || rate.getWaitMs() === 0 ||
+      unanswered - waiting < MAX_PASSED_ON_BEYOND;
+  }
+
+  function passOn({ held }: Connection): void {
+    const { incoming, outgoing } = held[0]!;
+    waiting -= 1;
+    options.handler(incoming, outgoing, held.shift()!);
+  }
+
+  /** One step of a connection that waits for its turns; true if there is more. */
+  function takeTurn(connection: Connection): boolean {
+    const { held, socket } = connection;
+    if (!mayPassOn(connection)) return false;
+    if (held.length > 0) {
+      passOn(connection);
+      return true;
+    }
+    if (socket.isPaused()) {
+      connection.readAgainAt = options.clock.now();
+      socket.resume();
+    }
+    return false;
   }
 
   function createEntry(
@@ -308,13 +366,7 @@
     unanswered -= 1;
     if (order.isDone()) return end(connection);
     order.tryGetFirst()?.onFirst?.();
-    const next = held.shift();
-    if (next !== undefined) {
-      options.handler(next.incoming, next.outgoing, next);
-    } else if (socket.isPaused()) {
-      connection.readAgainAt = options.clock.now();
-      socket.resume();
-    }
+    if (held.length > 0 || socket.isPaused()) turns.add(connection.step);
   }
 
   /** Passes on nothing more; what was read and not passed on counts as not read. */
@@ -329,6 +381,7 @@
     for (const entry of connection.held.splice(0)) {
       connection.order.remove(entry);
       unanswered -= 1;
+      waiting -= 1;
       drop(connection, entry.incoming);
     }
   }
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -2046,4 +2046,24 @@
     }],
     testFile: CALLER_CONNECTIONS_TEST,
   },
+  {
+    name: "requests_of_a_connection_take_turns",
+    guarantee: "no caller takes the event loop from others",
+    file: "src/daemon/caller_connections.ts",
+    edits: [{
+      find: "if (rate.getWaitMs() === 0 && mayPassOn(connection)) {",
+      replace: "if (mayPassOn(connection)) {",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
+  {
+    name: "turns_of_the_loop_are_short",
+    guarantee: "no caller takes the event loop from others",
+    file: "src/daemon/loop_turns.ts",
+    edits: [{
+      find: "i < STEPS_PER_TURN;",
+      replace: "i < Infinity;",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
 ];
--- a/src/upstream/chunked_body.ts
+++ b/src/upstream/chunked_body.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
-import type { Millis } from "../core/types.ts";
+import { createRateLimit } from "../core/rate_limit.ts";
 import type { Clock } from "../daemon/clock.ts";
 import { EndlessResponseError } from "./response_errors.ts";
 
@@ -36,9 +36,10 @@
   let pieces: Buffer[] = [];
   let wireBytes = 0;
   let bodyBytes = 0;
-  /** Small chunks that were read beyond the rate. */
-  let excessChunks = 0;
-  let countedAt: Millis = clock.now();
+  const smallChunks = createRateLimit(clock, {
+    perMs: SMALL_CHUNKS_PER_MS,
+    atOnce: MAX_SMALL_CHUNKS_AT_ONCE,
+  });
   let isWanted = false;
   let holdTimer: NodeJS.Timeout | undefined;
   // Holds what one read returned at most; what follows waits in the connection.
@@ -71,7 +72,7 @@
 
   function receive(piece: Buffer): void {
     bodyBytes += piece.length;
-    excessChunks += 1 - piece.length / SMALL_CHUNK_BYTES;
+    smallChunks.add(1 - piece.length / SMALL_CHUNK_BYTES);
     if (pieces.push(piece) === 1) queueMicrotask(flush);
   }
 
@@ -93,13 +94,9 @@
   }
 
   function limitRate(): void {
-    const now = clock.now();
-    const spare = (now - countedAt) * SMALL_CHUNKS_PER_MS;
-    countedAt = now;
-    excessChunks = Math.max(0, excessChunks - spare);
-    const overChunks = excessChunks - MAX_SMALL_CHUNKS_AT_ONCE;
-    if (overChunks <= 0 || holdTimer !== undefined) return;
-    holdTimer = setTimeout(release, overChunks / SMALL_CHUNKS_PER_MS);
+    const waitMs = smallChunks.getWaitMs();
+    if (waitMs === 0 || holdTimer !== undefined) return;
+    holdTimer = setTimeout(release, waitMs);
     res.pause();
     socket.pause();
   }
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -287,9 +287,9 @@
   const pipe = await open(listener);
   const paths = Array.from({ length: 5_000 }, (_, i) => `/${i}`);
   const answers = paths.map((path) => pipe.send({ id: path, path }));
-  await until(() => listener.taken.size >= 128);
+  await until(() => listener.taken.size >= 32);
   await new Promise((resolve) => setTimeout(resolve, 100));
-  expect(listener.taken.size).toBe(128);
+  expect(listener.taken.size).toBe(32);
   expect(listener.connections.countUnanswered()).toBeLessThan(2_000);
   for (const path of paths) {
     await until(() => listener.taken.has(path));
@@ -298,19 +298,37 @@
   expect((await Promise.all(answers)).every((it) => it.isWhole)).toBe(true);
 });
 
+test("requests that a caller sends without waiting are passed on a few in each turn of the loop", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const paths = Array.from({ length: 1_000 }, (_, i) => `/${i}`);
+  pipe.write(
+    paths.map((it) => `GET ${it} HTTP/1.1\r\nhost: a\r\n\r\n`).join(""),
+  );
+  let most = 0;
+  for (let passedOn = 0; passedOn < paths.length;) {
+    await new Promise((resolve) => setImmediate(resolve));
+    const added = paths.slice(passedOn, listener.taken.size);
+    passedOn += added.length;
+    most = Math.max(most, added.length);
+    for (const path of added) listener.answer(path);
+  }
+  expect(most).toBeLessThanOrEqual(40);
+});
+
 test("closing passes on nothing more of a caller that sends without end", async () => {
   const listener = await listen();
   const pipe = await open(listener);
   const paths = Array.from({ length: 300 }, (_, i) => `/${i}`);
   const answers = paths.map((path) => pipe.send({ id: path, path }));
-  await until(() => listener.taken.size === 128);
+  await until(() => listener.taken.size === 32);
   const closed = listener.connections.close(3_000);
   for (const path of [...listener.taken.keys()]) listener.answer(path);
   const all = await Promise.all(answers);
   await closed;
-  expect(listener.taken.size).toBe(128);
-  expect(all.filter((it) => it.isWhole).length).toBe(128);
-  expect(all.filter((it) => it.isBehindClose).length).toBe(300 - 128);
+  expect(listener.taken.size).toBe(32);
+  expect(all.filter((it) => it.isWhole).length).toBe(32);
+  expect(all.filter((it) => it.isBehindClose).length).toBe(300 - 32);
   expect(listener.lines).toEqual([]);
 });
 
