--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -100,6 +100,8 @@
   isSigned?: boolean;
   /** Error that ended the request without a response. */
   error?: string;
+  /** True if its caller ended it itself, after its timeout. */
+  hasGivenUp?: boolean;
   /** Instance of the upstream that responded. */
   instance?: string;
   /** Version of which it requested a route. */
@@ -177,6 +179,19 @@
   until: number;
 }
 
+/** A span in which the process of callers, upstreams and store was held up. */
+export interface HeldUpSpan {
+  readonly from: number;
+  readonly until: number;
+}
+
+/** A span within which a daemon was ready to run and got no processor, by the kernel's count. */
+export interface StarvedSpan extends HeldUpSpan {
+  readonly host: number;
+  /** Part of the span, in ms. */
+  readonly waitedMs: number;
+}
+
 /** Most resident memory that a daemon had, in bytes. */
 export interface PeakMemory {
   readonly host: number;
@@ -221,6 +236,8 @@
   readonly ends: readonly number[];
   /** Instances with a response without end whose connection is open after all faults. */
   readonly endlessOpen: readonly string[];
+  readonly heldUp: readonly HeldUpSpan[];
+  readonly starved: readonly StarvedSpan[];
   readonly peakMemory: readonly PeakMemory[];
   readonly unexpectedExits: readonly UnexpectedExit[];
   readonly finals: readonly FinalState[];
@@ -261,3 +278,10 @@
   readonly guarantee: Guarantee;
   readonly detail: string;
 }
+
+/** The result of all checks. */
+export interface Verdict {
+  readonly violations: readonly Violation[];
+  /** Violations of bounds in time that may be due to the soak's own process or the machine. */
+  readonly unjudged: readonly Violation[];
+}
