The end of a stop counts its time from when answers were due

Beside load a stop outlives the grace time (6.03 to 6.70 s after SIGTERM, 6.52 s in stop_log today). Traced with time stamps in a copy of the bundle and /proc/PID/task/*/schedstat, 25 stops at a load of 22 to 40 on 8 cores with 1 to 100 callers, 5.27 to 6.03 s: SIGTERM handled 0 to 183 ms late, answers ended up to 190 ms late, 144 ms in one stop to tell 100 callers' connections, connections gone by 5.80 s, log written 0 to 16 ms later (72 once), and 3 to 262 ms from process.exit until the process is gone. A wake of the main thread waited up to 150 ms for a processor.

One part was the daemon's own: the time for closing was cut short where the wait ended late, but each step counted it from its own begin, behind the 144 ms, so that closing took 386 ms where 186 were left. All steps now ask for what is left of 300 ms since answers were due, at least 100 ms once the connections were told.

test/graceful_stop_test.ts: both new cases failed before (237 ms left where 120 and 80 are due).

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -112,10 +112,10 @@
   countUnanswered(): number;
   /**
    * Closes each connection once what was passed on over it has its answer, and
-   * what is still open after a time, in ms, if one is given. Resolves when all
-   * are closed.
+   * what is still open after a time, which is asked for in ms once the others are
+   * being closed, if one is given. Resolves when all are closed.
    */
-  close(withinMs?: Millis): Promise<void>;
+  close(getLeftMs?: () => Millis): Promise<void>;
 }
 
 /** A place, and what starts it or tells its turn. */
@@ -438,14 +438,14 @@
     else logger.warn("connection_closed", fields);
   }
 
-  function close(withinMs?: Millis): Promise<void> {
+  function close(getLeftMs?: () => Millis): Promise<void> {
     isClosing = true;
     for (const connection of connections.values()) takeNoMore(connection);
     if (connections.size === 0) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer = withinMs === undefined
+      const timer = getLeftMs === undefined
         ? undefined
-        : setTimeout(cutAll, withinMs);
+        : setTimeout(cutAll, getLeftMs());
       onAllClosed = () => {
         clearTimeout(timer);
         resolve();
--- a/src/daemon/graceful_stop.ts
+++ b/src/daemon/graceful_stop.ts
@@ -17,7 +17,7 @@
 const POLL_MS = 50;
 /** Longest time for closing all resources, in ms. */
 const CLOSE_MS = 300;
-/** The same for a stop that ended late, as the process was held up. */
+/** Shortest time for it, where answers ended late, as the process was held up. */
 const MIN_CLOSE_MS = 100;
 /** Share of this time for the connections of callers. */
 const CONNECTIONS_SHARE = 0.8;
@@ -80,9 +80,10 @@
   endOpen(): void;
   /**
    * Stops to listen, in the turn in which nothing was open, and adds what remains
-   * to be closed, within a time in ms, to the life cycle.
+   * to be closed to the life cycle. `getLeftMs` tells the time for that, in ms,
+   * whenever it is called.
    */
-  closeListeners(withinMs: Millis): void;
+  closeListeners(getLeftMs: () => Millis): void;
 }
 
 /** The stop of a daemon. */
@@ -115,12 +116,13 @@
     }
     // Same event loop turn as the last check above, so that no request arrives in between.
     const closingAt = clock.now();
-    const lateMs = Math.max(0, closingAt - answersBy);
-    const withinMs = Math.max(MIN_CLOSE_MS, CLOSE_MS - lateMs);
-    options.closeListeners(withinMs * CONNECTIONS_SHARE);
+    // From when answers were due, as each step may take long where the process is held up.
+    const closedBy = Math.min(closingAt, answersBy) + CLOSE_MS;
+    const getLeftMs = () => Math.max(MIN_CLOSE_MS, closedBy - clock.now());
+    options.closeListeners(() => getLeftMs() * CONNECTIONS_SHARE);
     const tookS = (closingAt - startedAt) / MS_PER_SECOND;
     logger.info("stopped", { ...describeOpen(), tookS });
-    await close(withinMs);
+    await close(getLeftMs());
   }
 
   async function waitForAnswers(
--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -31,10 +31,10 @@
   /** Accepts no further connections. */
   stop(): void;
   /**
-   * Closes all connections once they carry no request; those that still do
-   * after a time, in ms, are cut.
+   * Closes all connections once they carry no request; those that still do after
+   * a time are cut, which is asked for in ms once the others were told.
    */
-  close(withinMs: Millis): Promise<void>;
+  close(getLeftMs: () => Millis): Promise<void>;
 }
 
 /** Starts to listen; rejects if it can't. */
@@ -66,9 +66,9 @@
     close,
   };
 
-  async function close(withinMs: Millis): Promise<void> {
+  async function close(getLeftMs: () => Millis): Promise<void> {
     frames.drain();
-    const closesAt = performance.now() + withinMs;
+    const closesAt = performance.now() + getLeftMs();
     while (countOpen() > 0 && performance.now() < closesAt) {
       await new Promise((resolve) => setTimeout(resolve, LINGER_POLL_MS));
     }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -396,10 +396,10 @@
       relay.close();
     },
     endOpen: gatewayTask.endAll,
-    closeListeners: (withinMs) => {
-      const isAnswered = ingress.close(withinMs);
+    closeListeners: (getLeftMs) => {
+      const isAnswered = ingress.close(getLeftMs);
       peers.stop();
-      const arePeersTold = peers.close(withinMs);
+      const arePeersTold = peers.close(getLeftMs);
       lifecycle.add("peers", () => arePeersTold);
       for (const server of [readiness, metrics]) {
         lifecycle.add("server", () => closeServer(server));
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -158,7 +158,7 @@
   const idle = await open(listener);
   const pipe = await open(listener);
   const answers = await sendAll(listener, pipe, ["/1", "/2"]);
-  const closed = listener.connections.close(2_000);
+  const closed = listener.connections.close(() => 2_000);
   await until(() => !idle.isOpen());
   listener.answer("/2");
   listener.answer("/1");
@@ -173,7 +173,7 @@
   const listener = await listen();
   const pipe = await open(listener);
   const answers = await sendAll(listener, pipe, ["/1"]);
-  await listener.connections.close(100);
+  await listener.connections.close(() => 100);
   expect((await answers[0]!).isWhole).toBe(false);
   expect(listener.lines[0]!.fields).toMatchObject({
     by: "daemon",
@@ -322,7 +322,7 @@
   const paths = Array.from({ length: 300 }, (_, i) => `/${i}`);
   const answers = paths.map((path) => pipe.send({ id: path, path }));
   await until(() => listener.taken.size === 32);
-  const closed = listener.connections.close(3_000);
+  const closed = listener.connections.close(() => 3_000);
   for (const path of [...listener.taken.keys()]) listener.answer(path);
   const all = await Promise.all(answers);
   await closed;
@@ -349,7 +349,7 @@
   const pipe = await openPipe("127.0.0.1", port);
   const first = pipe.send({ id: "/1", path: "/1" });
   await until(() => taken.length === 1);
-  const closed = listener.close(2_000);
+  const closed = listener.close(() => 2_000);
   await expect(openPipe("127.0.0.1", port))
     .rejects.toMatchObject({ code: "ECONNREFUSED" });
   await answer(taken[0]!);
--- a/test/graceful_stop_test.ts
+++ b/test/graceful_stop_test.ts
@@ -16,10 +16,18 @@
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
-function setUp(open: { callers: number; requests?: readonly OpenRequest[] }) {
+function setUp(
+  open: {
+    callers: number;
+    requests?: readonly OpenRequest[];
+    /** Time that the process needs to tell all connections, in ms. */
+    tellingMs?: number;
+  },
+) {
   const startedAt = performance.now();
   const counters = createCounters();
   const events: string[] = [];
+  /** Time left for closing, in ms, asked for at its begin and at its end. */
   const closings: number[] = [];
   const log = (event: string) => void events.push(event);
   const lifecycle = createLifecycle();
@@ -36,9 +44,11 @@
       log("endOpen");
       open.callers = 0;
     },
-    closeListeners: (withinMs) => {
+    closeListeners: (getLeftMs) => {
       log("closeListeners");
-      closings.push(withinMs);
+      closings.push(getLeftMs());
+      vi.advanceTimersByTime(open.tellingMs ?? 0);
+      closings.push(getLeftMs());
     },
   });
   return { stop, events, counters, closings, lifecycle };
@@ -105,3 +115,23 @@
   await ended;
   expect(events.at(-1)).toBe("close_timeout");
 });
+
+// Each step had the whole time for itself, counted from its own begin.
+test.each([
+  { tellingMs: 150, leftMs: 150, closedMs: 300 },
+  { tellingMs: 280, leftMs: 100, closedMs: 380 },
+])(
+  "a stop that needs $tellingMs ms to tell its connections has $leftMs ms left to close them",
+  async ({ tellingMs, leftMs, closedMs }) => {
+    const beganAt = performance.now();
+    const open = { callers: 1, tellingMs };
+    const { stop, closings, lifecycle } = setUp(open);
+    lifecycle.add("hanging", () => new Promise(() => {}));
+    const ended = stop.run().then(() => performance.now());
+    await vi.advanceTimersByTimeAsync(ANSWERS_MS + 1_000);
+    // Within 5 ms.
+    expect(closings[0]).toBeCloseTo(300 * 0.8, -1);
+    expect(closings[1]).toBeCloseTo(leftMs * 0.8, -1);
+    expect(await ended - beganAt - ANSWERS_MS).toBeCloseTo(closedMs, -1);
+  },
+);
