Requests behind an answer that may be cut are not passed on until it has ended

Callers lost the answers of requests that sound upstreams ran, behind an answer of another upstream that broke off in its body: the connection has to be closed there, as the head is written, and what was read behind it meanwhile had been passed on. The test failed before: three requests passed on where one is expected.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -83,6 +83,12 @@
    * read behind the request. From then on nothing more is passed on.
    */
   prepareHead(mustEnd?: boolean): void;
+  /**
+   * To be called before the head of an answer that may still be cut: what is read
+   * behind the request is passed on only once the answer has ended, as a cut takes
+   * it along.
+   */
+  holdOthers(): void;
   /** Closes the connection, as the answer can't be completed. */
   cut(reason: string): void;
 }
@@ -128,6 +134,8 @@
   readonly order: ConnectionOrder<Entry>;
   /** Requests that were read and wait to be passed on; meanwhile it isn't read. */
   readonly held: Entry[];
+  /** A request whose answer holds up those behind it. */
+  holder?: Entry;
   readonly rate: RateLimit;
   /** Passes on the first held request, or reads on. */
   readonly step: Step;
@@ -223,7 +231,8 @@
     turns.add(connection.step);
   }
 
-  function mayPassOn({ order, held, rate }: Connection): boolean {
+  function mayPassOn({ order, held, holder, rate }: Connection): boolean {
+    if (holder !== undefined) return false;
     const passedOn = order.size() - held.length;
     if (passedOn >= MAX_PASSED_ON) return false;
     return passedOn < MIN_PASSED_ON || rate.getWaitMs() === 0 ||
@@ -274,6 +283,7 @@
         outgoing.setHeader("connection", "close");
         order.takeNoMore();
       },
+      holdOthers: () => void (connection.holder = entry),
       cut: (reason) => {
         recordCause(connection, { by: ClosedBy.Daemon, reason });
         outgoing.destroy();
@@ -365,6 +375,7 @@
     if (!order.remove(entry)) return;
     unanswered -= 1;
     if (order.isDone()) return end(connection);
+    if (connection.holder === entry) delete connection.holder;
     order.tryGetFirst()?.onFirst?.();
     if (held.length > 0 || socket.isPaused()) turns.add(connection.step);
   }
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -327,6 +327,7 @@
     if (isUnframed(response)) delimitByClose(outgoing, response.body);
     req.place.prepareHead(mustEnd);
     if (bytes === undefined) req.response = response.body;
+    if (!response.isComplete) req.place.holdOthers();
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
     if (bytes !== undefined) {
       return sendBytes(bytes, outgoing, (error) => end(error, bytes.length));
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -345,6 +345,51 @@
   await close();
 });
 
+test("requests behind an answer that is cut in its body have not been passed on", async () => {
+  const bodies: Readable[] = [];
+  const task = {
+    ...createTask(),
+    serve: () => {
+      const body = new Readable({ read() {} });
+      bodies.push(body);
+      const headers = { "content-length": "4" };
+      return Promise.resolve({ response: { status: 200, headers, body } });
+    },
+  } as unknown as GatewayTask;
+  const { port, close } = await listen(task);
+  const pipe = await openPipe("127.0.0.1", port);
+  const send = (id: string) => pipe.send({ id, path: "/order/1" });
+  const first = send("r-1");
+  await waitUntil(() => bodies.length === 1);
+  bodies[0]!.push("ab");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const others = [send("r-2"), send("r-3")];
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(bodies).toHaveLength(1);
+  bodies[0]!.push("cd");
+  bodies[0]!.push(null);
+  expect(await first).toMatchObject({ status: 200, isWhole: true });
+  await waitUntil(() => bodies.length === 3);
+  for (const body of bodies.slice(1)) {
+    body.push("body");
+    body.push(null);
+  }
+  expect((await Promise.all(others)).map((it) => it.isWhole))
+    .toEqual([true, true]);
+  const cut = send("r-4");
+  await waitUntil(() => bodies.length === 4);
+  bodies[3]!.push("ab");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const behind = send("r-5");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  bodies[3]!.destroy(new Error("cut"));
+  expect((await Promise.all([cut, behind])).map((it) => it.isWhole))
+    .toEqual([false, false]);
+  expect(bodies).toHaveLength(4);
+  pipe.close();
+  await close();
+});
+
 // Each got 504 after an attempt with 1 ms left.
 test("requests whose deadline passed while others of their connection ran are refused as not run", async () => {
   const diagnostic = Diagnostics.deadline_passed;
