Soak: daemons run with the arguments that the platform gives Node.js

Before, each daemon of the soak started without its cached code (code_cache_unused reason=rejected, as the flags differ from the build's) and without the limit of the heap that it has in use.

--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -8,6 +8,7 @@
   CALLER_PORT,
   type CallerResponse,
   type Deployment,
+  PLATFORM_NODE_ARGS,
   startDeployment,
 } from "../platform/mesh.ts";
 import { INSTANCE_HEADER } from "../platform/upstream_stand_in.ts";
@@ -129,6 +130,7 @@
   const services = Array.from({ length: count }, () => "shop");
   const deployment = await startDeployment(options.base, services, {
     hasRelays: true,
+    nodeArgs: PLATFORM_NODE_ARGS,
     bounds: {
       evacuateS: EVACUATE_MS / 1_000,
       coldOver: COLD_OVER,
