Soak: a read at the end that times out while the soak is held up is not judged

The read reached its upstream 1 ms after it was placed; the process of the upstreams was held up for 1,984 ms from 23 ms later, by its own clock, and the daemon ended the read at its deadline of 2,000 ms.

A 504 within reads beside which the soak was held up for 1,000 ms or more, half of a read's time, is printed as not judged. At 999 ms, and with any other status, it stays a violation (tests). Each read that fails is one violation now.

--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -67,7 +67,10 @@
   Guarantee.ConfigInForce,
   Guarantee.NothingAfterLeaving,
   Guarantee.NothingWhileEvacuated,
+  Guarantee.Recovers,
 ]);
+/** Time for which the soak is held up beside a read at the end whose 504 is not judged, in ms: half of the read's own time. */
+const SPOILED_READ_MS = 1_000;
 /** Names of monotonic times in the records. */
 const TIME_NAMES = new Set(["at", "from", "until", "sentAt", "endedAt"]);
 /** Memory beyond which the platform kills a daemon, in bytes. */
@@ -243,9 +246,11 @@
       )
       .map((c) => `${describe(c)} on version ${c.version}`),
   [Guarantee.Recovers]: ({ finals }) =>
-    finals
-      .filter((f) => f.reads.filter((s) => s === 200).length < f.reads.length)
-      .map((f) => `host ${f.host}: ${f.reads.join(" ")}`),
+    finals.flatMap(({ host, reads }) =>
+      reads.flatMap((status, index) =>
+        status === 200 ? [] : [`host ${host}: read ${index} got ${status}`]
+      )
+    ),
   [Guarantee.StaysUp]: ({ unexpectedExits }) =>
     unexpectedExits.map((e) => `host ${e.host}: ${e.lines.join(" | ")}`),
   [Guarantee.RetriesBounded]: ({ calls, fatalCalls, arrivals }) => {
@@ -523,7 +528,13 @@
     return { ...shiftedCall, endedAt };
   });
   const ends = history.ends.map((at) => at - sumUntil(heldUp, at));
-  return { ...shifted, calls, ends };
+  const finals = history.finals.map((state) => {
+    const heldUpMs = sumUntil(heldUp, state.until) -
+      sumUntil(heldUp, state.from);
+    if (heldUpMs < SPOILED_READ_MS) return state;
+    return { ...state, reads: state.reads.map((s) => s === 504 ? 200 : s) };
+  });
+  return { ...shifted, calls, ends, finals };
 }
 
 /** Time that a request's daemon waited for a processor during it, in ms. */
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -419,12 +419,16 @@
         return 0;
       }
     };
+    const from = performance.now();
     const reads: number[] = [];
     for (let i = 0; i < FINAL_READS; i++) {
       reads.push(await get("/read/1", `${i}`));
     }
+    const until = performance.now();
     return {
       host,
+      from,
+      until,
       newestRoute: await get(`${getAddedPrefix(version)}1`, "newest"),
       droppedRoute: await get(`${getAddedPrefix(version - 1)}1`, "dropped"),
       unreadableRoute: await get(
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -208,6 +208,8 @@
 /** State of a daemon after the end of all faults. */
 export interface FinalState {
   readonly host: number;
+  readonly from: number;
+  readonly until: number;
   /** Status of a request on the newest route. */
   readonly newestRoute: number;
   /** Status of a request on a route that only the previous version had. */
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -78,7 +78,7 @@
   { id: "r", instance: "i", at: 10, body: "" },
   { id: "o", instance: "i", at: 10, body: "o." },
 ];
-const refused = { unreadableRoute: 503 };
+const refused = { from: 9_000, until: 11_000, unreadableRoute: 503 };
 const added: CallRecord = {
   ...read,
   id: "a",
@@ -322,6 +322,25 @@
   },
 );
 
+test.each([
+  { status: 504, heldUpMs: 1_000, kind: "unjudged" as const },
+  { status: 504, heldUpMs: 999, kind: "violations" as const },
+  { status: 503, heldUpMs: 1_000, kind: "violations" as const },
+])(
+  "a read at the end with status $status while the soak was held up for $heldUpMs ms: $kind",
+  ({ status, heldUpMs, kind }) => {
+    const finals = [{ ...validHistory.finals[0]!, reads: [200, status] }];
+    const heldUp = [
+      { from: 8_500, until: 9_000 },
+      { from: 9_500, until: 9_500 + heldUpMs },
+    ];
+    const verdict = judge({ ...validHistory, finals, heldUp });
+    const detail = `host 0: read 1 got ${status}`;
+    expect(verdict[kind]).toEqual([{ guarantee: Guarantee.Recovers, detail }]);
+    expect([...verdict.violations, ...verdict.unjudged]).toHaveLength(1);
+  },
+);
+
 test("what bounds no time is a violation though the soak was held up", () => {
   const history = { ...validHistory, runs: [...runs, runs[1]!] };
   const heldUp = [{ from: 0, until: 1_000 }];
