The gossip daemon closes callers' connections behind whole answers

Callers of a gossip daemon that share a connection between requests lost answers. An answer whose body was cut closed the connection at once: the requests before and behind it ran and had no answer. In a stop, refused requests kept their connections, which were then destroyed as idle ones, whatever was on its way on them; nothing announced that.

The gossip daemon counted its connections, and left their end to Node.js, which takes an answer as sent once its end was passed on and a connection as idle between two requests.

Its listeners now use the same connections. What writes a head, of whatever part, announces the end if it is due; a stop closes each connection once what was passed on has its answer, with a lingering close. New connections are refused from then on, so that another daemon knows that nothing was sent. The preparation of answers that others follow is a module of its own (shared_answers.ts), used by both daemons.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -119,9 +119,9 @@
   /**
    * Closes each connection once what was passed on over it has its answer, and
    * what is still open after a time, which is asked for in ms once the others are
-   * being closed, if one is given. Resolves when all are closed.
+   * being closed. Resolves when all are closed.
    */
-  close(getLeftMs?: () => Millis): Promise<void>;
+  close(getLeftMs: () => Millis): Promise<void>;
 }
 
 /** A place, and what starts it or tells its turn. */
@@ -449,14 +449,12 @@
     else logger.warn("connection_closed", fields);
   }
 
-  function close(getLeftMs?: () => Millis): Promise<void> {
+  function close(getLeftMs: () => Millis): Promise<void> {
     isClosing = true;
     for (const connection of connections.values()) takeNoMore(connection);
     if (connections.size === 0) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer = getLeftMs === undefined
-        ? undefined
-        : setTimeout(cutAll, getLeftMs());
+      const timer = setTimeout(cutAll, getLeftMs());
       onAllClosed = () => {
         clearTimeout(timer);
         resolve();
--- a/src/daemon/caller_listener.ts
+++ b/src/daemon/caller_listener.ts
@@ -51,7 +51,7 @@
   });
   return { ...connections, server, close, setLimits };
 
-  async function close(getLeftMs?: () => Millis): Promise<void> {
+  async function close(getLeftMs: () => Millis): Promise<void> {
     // The method of the HTTP server would reset idle connections.
     TcpServer.prototype.close.call(server);
     await connections.close(getLeftMs);
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -3,12 +3,14 @@
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Readable } from "node:stream";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import { v7 } from "uuid";
 import type { AccountDirectory } from "../client_account/directory.ts";
 import type { Counters } from "../core/counters.ts";
 import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
+import type { MemoryBudget } from "../core/memory_budget.ts";
 import {
   Execution,
   type KeptResponse,
@@ -28,9 +30,10 @@
 } from "./caller_admission.ts";
 import type { GatewayRequest, GatewayTask } from "./gateway_task.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
-import type { HttpEnv } from "./http_server.ts";
+import { getPlace, type HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import { canBufferBody, hasUnknownCoding, readBody } from "./request_body.ts";
+import { createSharedAnswers } from "./shared_answers.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
@@ -47,6 +50,8 @@
   readonly getLink: GetLink;
   /** Called for each request that got a response, with its latency in ms. */
   onResponse(service: string, latencyMs: number): void;
+  /** Budget of the responses that are read whole before they are passed on. */
+  readonly memory: MemoryBudget;
   /** Reason to refuse every new request, or undefined. */
   getRefusalReason(): DiagnosticName | undefined;
   now(): number;
@@ -57,11 +62,17 @@
   readonly id: string;
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
+  /** True once the gateway knows how the request ended. */
+  isOver?: boolean;
 }
 
 /** Creates the callers' application. */
 export function createCallerApp(options: CallerServerOptions): Hono<HttpEnv> {
   const { task, accounts, counters, logger } = options;
+  const shared = createSharedAnswers({
+    clock: { now: options.now },
+    memory: options.memory,
+  });
   const app = new Hono<HttpEnv>();
   app.post("/-/keys", issueKeys);
   app.all("*", async (c) => {
@@ -107,20 +118,48 @@
   ): Promise<void> {
     const { id } = req;
     const startedAt = options.now();
-    const onClose = () => {
-      if (!req.outgoing.writableFinished) task.abandon(id);
-    };
-    req.outgoing.once("close", onClose);
+    let body: Readable | undefined;
+    req.outgoing.once("close", () => {
+      if (req.isOver) return;
+      req.isOver = true;
+      body?.destroy();
+      task.abandon(id);
+    });
     const outcome = await task.serve(request);
     const key = outcome.key ?? request.arrival.key;
     if ("verdict" in outcome) {
-      req.outgoing.off("close", onClose);
+      req.isOver = true;
       writeVerdict(req, outcome.verdict, key);
       return;
     }
     options.onResponse(request.arrival.service, options.now() - startedAt);
-    if ("replay" in outcome) writeReplay(req, outcome.replay, key);
-    else writeResponse(req, outcome.response, key);
+    if ("replay" in outcome) return writeReplay(req, outcome.replay, key);
+    const { response } = outcome;
+    if (response.bytes === undefined) body = response.body;
+    await respond(req, response, key);
+  }
+
+  /** Writes a response once it is its turn on the connection. */
+  async function respond(
+    req: CallerRequest,
+    response: StreamedResponse,
+    key: string | undefined,
+  ): Promise<void> {
+    const ready = await shared.prepare(getPlace(req.outgoing), response);
+    if (req.isOver) return;
+    if (!(ready instanceof Error)) return writeResponse(req, ready, key);
+    logCut(req, ready);
+    req.isOver = true;
+    task.complete(req.id);
+    writeVerdict(req, {
+      execution: Execution.MayHaveRun,
+      diagnostic: Diagnostics.answer_cut_short,
+    }, key);
+  }
+
+  function logCut(req: CallerRequest, error: Error): void {
+    counters.add("answer_cut_short");
+    logger.warn("answer_cut_short", { req: req.id, message: error.message });
   }
 
   function writeResponse(
@@ -134,10 +173,9 @@
       ...createHeaders(req, Execution.Ran, key),
     });
     streamBody(response.body, outgoing, (error) => {
-      if (error) {
-        counters.add("answer_cut_short");
-        logger.warn("answer_cut_short", { req: id, message: String(error) });
-      }
+      if (error) logCut(req, error);
+      if (req.isOver) return;
+      req.isOver = true;
       task.complete(id);
     });
   }
@@ -153,12 +191,14 @@
       ...createHeaders(req, Execution.Ran, key),
     });
     req.outgoing.end(Buffer.from(replay.body, "base64"));
+    req.isOver = true;
     task.complete(req.id);
   }
 
   function fail(req: CallerRequest, error: Error): void {
     counters.add("handler_failed");
     logHandlerFailure(logger, error, { handler: "callers", req: req.id });
+    req.isOver = true;
     task.abandon(req.id);
     if (req.outgoing.headersSent) return void req.outgoing.destroy();
     writeVerdict(req, {
--- a/src/daemon/gossip_daemon.ts
+++ b/src/daemon/gossip_daemon.ts
@@ -4,7 +4,6 @@
  * gracefully.
  */
 
-import type { Server } from "node:http";
 import process from "node:process";
 import { v7 } from "uuid";
 import { decodeDocument, validateDocument } from "../client_account/decode.ts";
@@ -33,7 +32,7 @@
 import { createGuardTask } from "./guard_task.ts";
 import { explainCall } from "./gossip_explain.ts";
 import { logHandlerFailure } from "./handler_failure.ts";
-import { startHttpServer, stopHttpServer } from "./http_server.ts";
+import { type HttpServer, startHttpServer } from "./http_server.ts";
 import { createLatencyMetrics, Phase } from "./latency_metrics.ts";
 import { createLifecycle } from "./lifecycle.ts";
 import { createLinkTable } from "./link_table.ts";
@@ -48,6 +47,8 @@
 const MAX_ATTEMPTS = 4;
 /** Time between announcing the drain to peers and closing the callers' listener, in ms. */
 const DRAIN_NOTICE_MS = 300;
+/** Time for the last answers, and for callers to close their connections, in ms. */
+const CLOSE_MS = 500;
 /** Longest wait of a starting daemon for a peer that has no newer configuration, in ms. */
 const PEER_WAIT_MS = 3_000;
 const PEER_POLL_MS = 10;
@@ -113,6 +114,7 @@
     onRejected,
   });
   const onLate = createDelayListener(clock, { counters, logger });
+  const memory = createMemoryBudget({ limitBytes: computeBufferLimit() });
   const guardTask = createGuardTask(clock, {
     onLate,
     host,
@@ -122,7 +124,7 @@
       ...settings.upstream,
       clock,
       protocol: createDefaultProtocol(settings.upstream),
-      memory: createMemoryBudget({ limitBytes: computeBufferLimit() }),
+      memory,
       tryGetMaxConnections: () => settings.upstream.connections,
       getSlots: () => settings.upstream.slots,
       onMadeRoom: () => counters.add("upstream_connection_gave_way"),
@@ -196,7 +198,7 @@
   logger.info("ready", { incarnation, accounts: accounts.size() });
   return { getStatus, stop };
 
-  async function startServers(): Promise<Record<ListenerName, Server>> {
+  async function startServers(): Promise<Record<ListenerName, HttpServer>> {
     const { listen } = settings;
     const peers = await listenOn(
       listen.peers,
@@ -230,6 +232,7 @@
       onResponse: (service, latencyMs) =>
         latencies.record(Phase.Response, { service }, latencyMs),
       getRefusalReason,
+      memory,
       now: clock.now,
     });
   }
@@ -253,7 +256,7 @@
   function listenOn(
     address: string,
     app: ReturnType<typeof createCallersApp>,
-  ): Promise<Server> {
+  ): Promise<HttpServer> {
     return startHttpServer({
       address,
       app,
@@ -414,10 +417,8 @@
     lifecycle.add("probes", probes.close);
     lifecycle.add("links", links.close);
     for (const [name, server] of Object.entries(servers)) {
-      lifecycle.add(name, () => {
-        server.close();
-        server.closeAllConnections();
-      });
+      const isClosed = server.close(CLOSE_MS);
+      lifecycle.add(name, () => isClosed);
     }
     const closed = await lifecycle.close();
     if (closed.isErr()) {
@@ -430,9 +431,9 @@
   async function finishOpenRequests(): Promise<void> {
     const drained = guardTask.drain();
     await pause(DRAIN_NOTICE_MS);
-    await stopHttpServer(servers.callers);
+    await servers.callers.close(settings.stopTimeoutMs);
     await drained;
-    await stopHttpServer(servers.peers);
+    await servers.peers.close(settings.stopTimeoutMs);
   }
 }
 
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -6,17 +6,19 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { Server as TcpServer } from "node:net";
+import { Server as NetServer } from "node:net";
 import { getRequestListener } from "@hono/node-server";
 import type { Hono } from "hono";
 import { createCounters } from "../core/counters.ts";
+import { Debug } from "../core/debug.ts";
 import type { Diagnostic } from "../core/diagnostics.ts";
+import type { Millis } from "../core/types.ts";
 import { splitAddress } from "../link/address.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
 import {
-  type CallerConnections,
   type CallerConnectionsOptions,
   createCallerConnections,
+  type Place,
 } from "./caller_connections.ts";
 import { createClock } from "./clock.ts";
 import type { Logger } from "./logger.ts";
@@ -25,8 +27,6 @@
 const MAX_HEADER_BYTES = 32_768;
 const KEEP_ALIVE_MS = 75_000;
 
-const connectionsOf = new WeakMap<Server, CallerConnections>();
-
 /** Type of `c.env` in hono's handlers. */
 export interface HttpEnv {
   Bindings: { incoming: IncomingMessage; outgoing: ServerResponse };
@@ -52,10 +52,31 @@
   error: () => {},
 };
 
+/** A running server. */
+export interface HttpServer {
+  readonly server: Server;
+  /**
+   * Accepts no further connections, and closes each open one once what was
+   * passed on over it has its answer; what is still open after a time, in ms, is
+   * cut. Resolves when all are closed.
+   */
+  close(withinMs: Millis): Promise<void>;
+}
+
+/** Places of requests on their connections, by response. */
+const places = new WeakMap<ServerResponse, Place>();
+
+/** The place of a request to one of these servers. */
+export function getPlace(outgoing: ServerResponse): Place {
+  const place = places.get(outgoing);
+  Debug.assert(place !== undefined, "a response of another server");
+  return place;
+}
+
 /** Starts a server; resolves once it listens, rejects if it can't. */
 export async function startHttpServer(
   options: HttpServerOptions,
-): Promise<Server> {
+): Promise<HttpServer> {
   const listener = getRequestListener(options.app.fetch, {
     overrideGlobalObjects: false,
   });
@@ -69,7 +90,11 @@
     requireHostHeader: false,
   });
   const connections = createCallerConnections(server, {
-    handler: (incoming, outgoing) => void listener(incoming, outgoing),
+    handler: (incoming, outgoing, place) => {
+      places.set(outgoing, place);
+      announceEnds(outgoing, place);
+      void listener(incoming, outgoing);
+    },
     counters: createCounters(),
     logger: SILENT,
     clock: createClock(),
@@ -78,21 +103,31 @@
     formatRefusal,
     onRefused: options.onMalformed,
   });
-  connectionsOf.set(server, connections);
   const { host, port } = splitAddress(options.address);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
   });
-  return server;
+  return { server, close };
+
+  async function close(withinMs: Millis): Promise<void> {
+    // The method of the HTTP server also closes connections, by what it takes as idle.
+    NetServer.prototype.close.call(server);
+    await connections.close(() => withinMs);
+    server.close();
+  }
 }
 
-/** Stops listening; resolves once every request in progress has its whole answer. */
-export async function stopHttpServer(server: Server): Promise<void> {
-  // The method of the HTTP server would cut answers that are not sent whole.
-  TcpServer.prototype.close.call(server);
-  await connectionsOf.get(server)!.close();
-  server.close();
+/** Announces the end of the connection in the head of a response, however it is written, if it is due. */
+function announceEnds(outgoing: ServerResponse, place: Place): void {
+  const { writeHead } = outgoing;
+  outgoing.writeHead = function (
+    this: ServerResponse,
+    ...head: Parameters<typeof writeHead>
+  ) {
+    place.prepareHead();
+    return writeHead.apply(this, head);
+  } as typeof writeHead;
 }
 
 function formatRefusal(diagnostic: Diagnostic): string {
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -25,7 +25,6 @@
 import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
 import { Header } from "../link/wire.ts";
-import { createResponseReader } from "../upstream/response_reader.ts";
 import type { CallerHandler, Place } from "./caller_connections.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
@@ -40,6 +39,11 @@
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
 import { createSignature } from "./request_signature.ts";
+import {
+  createSharedAnswers,
+  isUndelimited,
+  isUnframed,
+} from "./shared_answers.ts";
 import { hasEnded } from "./unread_sockets.ts";
 import {
   hasBody,
@@ -101,11 +105,7 @@
 /** Creates the handler of the callers' listener. */
 export function createIngressHandler(options: IngressOptions): CallerHandler {
   const { host, task, dialect, counters, logger } = options;
-  const reader = createResponseReader({
-    clock: host,
-    memory: options.memory,
-    protocol: { buffersResponses: true },
-  });
+  const shared = createSharedAnswers({ clock: host, memory: options.memory });
   let count = 0;
   return (incoming, outgoing, place) => {
     count += 1;
@@ -258,7 +258,7 @@
       tookMs: Math.round(tookMs),
     });
     const isAlone = place.isFirst() && place.isNewest();
-    const ready = isAlone ? response : await prepareShared(req, response);
+    const ready = isAlone ? response : await shared.prepare(place, response);
     if (req.isOver) return;
     if (!(ready instanceof Error)) return writeResponse(req, arrival, ready);
     logCut(req, ready);
@@ -270,51 +270,6 @@
     }, arrival);
   }
 
-  /**
-   * Waits for the turn of a response. A cut in its body takes with it what is
-   * behind it on the connection, so that the body is read to its end before,
-   * within bounds; so is one that only the end of its connection ends. Resolves
-   * to an error if the body was cut.
-   */
-  async function prepareShared(
-    { place, incoming }: CallerRequest,
-    response: StreamedResponse,
-  ): Promise<StreamedResponse | Error> {
-    if (response.bytes !== undefined) {
-      await place.whenFirst();
-      return isUndelimited(incoming, response)
-        ? setLength(response, response.bytes.length)
-        : response;
-    }
-    const { body } = response;
-    body.on("error", ignoreError);
-    await place.whenFirst();
-    if (body.errored) return body.errored;
-    const isWhole = response.isComplete && !isUndelimited(incoming, response);
-    if (isWhole || place.isNewest()) return response;
-    try {
-      const read = await readWhole(response);
-      if (!isUndelimited(incoming, read)) return read;
-      read.body.destroy();
-      return new Error("too large for a caller that doesn't know chunks");
-    } catch (error) {
-      return error instanceof Error ? error : new Error(String(error));
-    }
-  }
-
-  async function readWhole(
-    response: StreamedResponse,
-  ): Promise<StreamedResponse> {
-    const { [Header.Unframed]: _, ...headers } = response.headers;
-    // The reader states the length of what is in chunks; the end of the rest is told by its error.
-    const framed = headers["content-length"] === undefined
-      ? { ...headers, "transfer-encoding": "chunked" }
-      : headers;
-    const result = await reader.read({ ...response, headers: framed });
-    if ("response" in result) return result.response;
-    throw new Error(result.failure.message);
-  }
-
   function writeResponse(
     req: CallerRequest,
     arrival: Arrival,
@@ -441,31 +396,6 @@
   body.once("error", () => outgoing.socket?.resetAndDestroy());
 }
 
-/** True if only the end of the connection ends the body. */
-function isUnframed({ status, headers }: StreamedResponse): boolean {
-  return headers[Header.Unframed] !== undefined && status !== 204 &&
-    status !== 304;
-}
-
-/** The same for the caller, who may not know chunks. */
-function isUndelimited(
-  { httpVersion, method }: IncomingMessage,
-  response: StreamedResponse,
-): boolean {
-  return isUnframed(response) ||
-    (httpVersion === "1.0" && method !== "HEAD" &&
-      response.headers["content-length"] === undefined);
-}
-
-function setLength(
-  response: StreamedResponse,
-  bytes: number,
-): StreamedResponse {
-  const { [Header.Unframed]: _, ...headers } = response.headers;
-  headers["content-length"] = String(bytes);
-  return { ...response, headers };
-}
-
 /** Returns a function that tells the size of the body once it has ended, in bytes. */
 function measureBody({ headers, body }: StreamedResponse): () => number {
   const stated = headers["content-length"];
@@ -475,9 +405,6 @@
   return () => size;
 }
 
-/** What becomes of the error is decided where the body is used. */
-function ignoreError(): void {}
-
 function getCallerId(id: string): string {
   return id.slice(id.indexOf(":") + 1);
 }
--- a/src/stand_in/platform.ts
+++ b/src/stand_in/platform.ts
@@ -57,7 +57,7 @@
   let windowStart = Date.now();
   let windowCalls = 0;
   const waiters = new Set<() => void>();
-  const server = await startHttpServer({
+  const { server } = await startHttpServer({
     address: options.address,
     app: createApp(),
     onMalformed: () => {},
--- a/src/stand_in/upstream.ts
+++ b/src/stand_in/upstream.ts
@@ -93,7 +93,7 @@
   const startedAt = Date.now();
   const waiting: (() => void)[] = [];
   let inFlight = 0;
-  const server = await startHttpServer({
+  const { server } = await startHttpServer({
     address: options.address,
     app: createApp(),
     onMalformed: () => {},
--- a/test/http_server_test.ts
+++ b/test/http_server_test.ts
@@ -6,11 +6,7 @@
 import { Hono } from "hono";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { expect, test } from "vitest";
-import {
-  type HttpEnv,
-  startHttpServer,
-  stopHttpServer,
-} from "../src/daemon/http_server.ts";
+import { type HttpEnv, startHttpServer } from "../src/daemon/http_server.ts";
 
 const BODY = Buffer.alloc(6_000_000, "x");
 
@@ -25,7 +21,7 @@
     await pause(500);
     return c.text("the last answer");
   });
-  const server = await startHttpServer({
+  const { server, close } = await startHttpServer({
     address: "127.0.0.1:0",
     app,
     onMalformed: () => {},
@@ -37,7 +33,7 @@
     socket.write(`GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`);
   }
   await pause(200);
-  const stopped = stopHttpServer(server);
+  const stopped = close(10_000);
   await pause(200);
   socket.on("data", (piece) => pieces.push(piece)).resume();
   await Promise.all([stopped, once(socket, "close")]);
--- a/test/support/pipelining_caller.ts
+++ b/test/support/pipelining_caller.ts
@@ -44,6 +44,9 @@
   getStray(): string;
   /** Ends the writing side only. */
   end(): void;
+  /** Reads nothing until `resume`. */
+  pause(): void;
+  resume(): void;
   close(): void;
 }
 
@@ -113,6 +116,8 @@
     countWaiting: () => waiting.length,
     getStray: () => stray,
     end: () => socket.end(),
+    pause: () => void socket.pause(),
+    resume: () => void socket.resume(),
     close: () => socket.destroy(),
   };
 
