The end of a caller is noticed while its requests wait

Upstreams worked on for callers that had left: a connection with requests that wait was paused, and a paused connection never shows its end.

While requests wait, the connection is read on and up to 64 KB are kept without being parsed; they are parsed first once it may go on.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -133,7 +133,7 @@
 interface Connection {
   readonly socket: Socket;
   readonly order: ConnectionOrder<Entry>;
-  /** Requests that were read and wait to be passed on; meanwhile it isn't read. */
+  /** Requests that were read and wait to be passed on; meanwhile nothing more is parsed. */
   readonly held: Entry[];
   /** A request whose answer holds up those behind it. */
   holder?: Entry;
@@ -253,13 +253,13 @@
 
   /** One step of a connection that waits for its turns; true if there is more. */
   function takeTurn(connection: Connection): boolean {
-    const { held, input, socket } = connection;
+    const { held, input } = connection;
     if (!mayPassOn(connection)) return false;
     if (held.length > 0) {
       passOn(connection);
       return true;
     }
-    if (socket.isPaused()) {
+    if (input.isOnHold()) {
       connection.readAgainAt = options.clock.now();
       input.readOn();
     }
@@ -315,9 +315,9 @@
   }
 
   /** True if the rest of a head may be there, and the daemon hasn't read it. */
-  function wasPaused({ socket, readAgainAt }: Connection): boolean {
+  function wasPaused({ input, readAgainAt }: Connection): boolean {
     const sinceMs = options.clock.now() - readAgainAt;
-    return socket.isPaused() || sinceMs < server.headersTimeout;
+    return input.isOnHold() || sinceMs < server.headersTimeout;
   }
 
   /** The error is in the body of a request, which has its own answer. */
@@ -377,13 +377,13 @@
   }
 
   function settle(connection: Connection, entry: Entry): void {
-    const { order, held, socket } = connection;
+    const { order, held, input } = connection;
     if (!order.remove(entry)) return;
     unanswered -= 1;
     if (order.isDone()) return end(connection);
     if (connection.holder === entry) delete connection.holder;
     order.tryGetFirst()?.onFirst?.();
-    if (held.length > 0 || socket.isPaused()) turns.add(connection.step);
+    if (held.length > 0 || input.isOnHold()) turns.add(connection.step);
   }
 
   /** Passes on nothing more; what was read and not passed on counts as not read. */
--- a/src/daemon/caller_input.ts
+++ b/src/daemon/caller_input.ts
@@ -4,7 +4,7 @@
  * connection takes turns with others.
  */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import process from "node:process";
 import { Socket } from "node:net";
 import { createRateLimit } from "../core/rate_limit.ts";
@@ -17,6 +17,12 @@
 /** Time that a connection may take beyond that without turns, in ms: each ms, and at once. */
 const PARSING_RATE = { perMs: 0.05, atOnce: 2 };
 
+/**
+ * Bytes that are read of a connection that waits, and kept without being parsed:
+ * only reading tells that its caller has left.
+ */
+const MAX_UNPARSED_BYTES = 65_536;
+
 /** Whether the time that parsing takes is measured. */
 enum Measures {
   No,
@@ -38,9 +44,11 @@
 
 /** The input of one connection. */
 export interface CallerInput {
-  /** Stops reading until `readOn` is called. */
+  /** Parses nothing more until `readOn` is called. */
   hold(): void;
-  /** Reads on; no effect while Node.js waits for who reads a body or answers. */
+  /** True if it waits for `readOn`. */
+  isOnHold(): boolean;
+  /** Parses on; no effect while Node.js waits for who reads a body or answers. */
   readOn(): void;
   /** True if Node.js waits for who reads a body or answers; tells `onWaiting` once it doesn't. */
   isFull(): boolean;
@@ -61,6 +69,9 @@
   let isWaiting = false;
   let measures = Measures.No;
   let isDropped = false;
+  let unparsed: Buffer[] = [];
+  let unparsedBytes = 0;
+  let parse: Parse = () => {};
   // Node.js pauses for who reads a body or answers, and resumes behind each
   // request and each answer, whoever has paused.
   socket.pause = () => {
@@ -69,22 +80,51 @@
   };
   socket.resume = () => {
     isFull = false;
-    if (isDropped || !isWaiting) return resume();
-    onWaiting();
+    if (isDropped || !isWaiting && unparsed.length === 0) return resume();
+    if (measures === Measures.Yes && unparsedBytes < MAX_UNPARSED_BYTES) {
+      resume();
+    }
+    if (isWaiting) onWaiting();
+    else process.nextTick(parseUnparsed);
     return socket;
   };
-  return { hold, readOn, isFull: () => isFull, measure, drop };
+  return {
+    hold,
+    isOnHold: () => isWaiting || socket.isPaused(),
+    readOn,
+    isFull: () => isFull,
+    measure,
+    drop,
+  };
 
   function hold(): void {
     if (isDropped) return;
     isWaiting = true;
-    pause();
+    // Node.js parses what it reads.
+    if (measures !== Measures.Yes) pause();
   }
 
   function readOn(): void {
     if (isFull && !isDropped) return;
     isWaiting = false;
-    resume();
+    // In a turn of the loop there may be several steps, but only one of a connection.
+    if (unparsed.length > 0) process.nextTick(parseUnparsed);
+    else resume();
+  }
+
+  function parseUnparsed(): void {
+    if (isWaiting || isFull || socket.destroyed) return;
+    const data = Buffer.concat(unparsed);
+    unparsed = [];
+    unparsedBytes = 0;
+    if (data.length > 0) parseSlices(data);
+    if (!isFull && unparsedBytes < MAX_UNPARSED_BYTES) resume();
+  }
+
+  function keep(data: Buffer): void {
+    unparsed.push(data);
+    unparsedBytes += data.length;
+    if (unparsedBytes >= MAX_UNPARSED_BYTES) pause();
   }
 
   function resume(): Socket {
@@ -104,12 +144,15 @@
     // Node.js starts to read a paused connection only as long as it does the parsing.
     if (measures !== Measures.Due || isDropped || socket.isPaused()) return;
     measures = Measures.Yes;
-    const [parse] = socket.listeners("data") as Parse[];
+    parse = socket.listeners("data")[0] as Parse;
     socket.removeAllListeners("data");
-    socket.on("data", (data: Buffer) => parseSlices(data, parse!));
+    socket.on("data", (data: Buffer) => {
+      if (isWaiting || unparsed.length > 0) keep(data);
+      else parseSlices(data);
+    });
   }
 
-  function parseSlices(data: Buffer, parse: Parse): void {
+  function parseSlices(data: Buffer): void {
     const startedAt = clock.now();
     let tookMs = 0;
     let end = 0;
@@ -128,6 +171,7 @@
       onWaiting();
     }
     if (rest.length === 0) return;
+    if (!isFull) return keep(rest);
     pause();
     socket.unshift(rest);
   }
@@ -135,6 +179,7 @@
   function drop(): void {
     if (isDropped) return;
     isDropped = true;
+    unparsed = [];
     // The parser is at work now.
     process.nextTick(() => {
       socket.removeAllListeners("data");
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -2077,12 +2077,22 @@
     testFile: CALLER_CONNECTIONS_TEST,
   },
   {
-    name: "paused_connections_stay_paused",
+    name: "what_a_waiting_connection_sends_is_not_parsed",
     guarantee: "no caller takes the event loop from others",
     file: "src/daemon/caller_input.ts",
     edits: [{
-      find: "if (isDropped || !isWaiting) return resume();",
-      replace: "return resume();",
+      find: "if (isWaiting || unparsed.length > 0) keep(data);",
+      replace: "if (unparsed.length > 0) keep(data);",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
+  {
+    name: "a_waiting_connection_is_read",
+    guarantee: "a caller that leaves is noticed",
+    file: "src/daemon/caller_input.ts",
+    edits: [{
+      find: "if (measures !== Measures.Yes) pause();",
+      replace: "pause();",
     }],
     testFile: CALLER_CONNECTIONS_TEST,
   },
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -370,6 +370,19 @@
   expect(listener.lines).toEqual([]);
 });
 
+// While it waited, it wasn't read, so that upstreams worked on for nobody.
+test("the end of a caller is noticed though more of its requests wait than are passed on", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  const paths = Array.from({ length: 300 }, (_, i) => `/${i}`);
+  const answers = paths.map((path) => pipe.send({ id: path, path }));
+  await until(() => listener.taken.size === 32);
+  pipe.close();
+  await Promise.all(answers);
+  await until(() => listener.connections.countUnanswered() === 0);
+  expect(listener.taken.size).toBe(32);
+});
+
 test("closing passes on nothing more of a caller that sends without end", async () => {
   const listener = await listen();
   const pipe = await open(listener);
