--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -2082,7 +2082,7 @@
     file: "src/daemon/caller_input.ts",
     edits: [{
       find: "if (isWaiting || unparsed.length > 0) keep(data);",
-      replace: "if (unparsed.length > 0) keep(data);",
+      replace: "if (isDropped) keep(data);",
     }],
     testFile: CALLER_CONNECTIONS_TEST,
   },
