Requests for which no connection to a peer is free are refused as not run

Between two daemons there are 64 connections at most. Streams that callers read slowly hold theirs; requests beyond waited until their time had passed, without having been sent, and were told 504, in doubt: in a probe with 80 callers that read nothing of 15 MB each, all 20 others got 504 after 5.3 s (time-out 5 s). Now a request waits for half of its time, the use of a grant for 500 ms, and is then refused as not run (no_room_now), so that it can be placed elsewhere or sent again. Releases wait without a limit, as before.

Evidence: the new case of frames_test.ts fails on (it waits until the test times out) and passes now.

--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -8,7 +8,13 @@
 import { performance } from "node:perf_hooks";
 import { Readable } from "node:stream";
 import type { IncomingHttpHeaders } from "node:http";
-import type { RequestHead, Ticket } from "../core/types.ts";
+import { Diagnostics } from "../core/diagnostics.ts";
+import {
+  Execution,
+  type Millis,
+  type RequestHead,
+  type Ticket,
+} from "../core/types.ts";
 import {
   decodeReplyFrame,
   type ReplyFrameHead,
@@ -43,6 +49,14 @@
 
 /** Largest request body that is sent in a frame, in bytes; the receiver holds it in memory. */
 const MAX_REQUEST_BODY_BYTES = 16_384;
+/**
+ * Longest wait for a free connection, as a share of the request's time. Those in
+ * use may carry responses that their callers read slowly; the rest of the time is
+ * for another host, or for the caller's own retry.
+ */
+const MAX_WAIT_SHARE = 1 / 2;
+/** The same for the use of a grant, in ms; grants are valid for a second. */
+const MAX_RUN_WAIT_MS = 500;
 /** Time for which a peer that knew no frames gets none, in ms. */
 const HTTP_PEER_MS = 60_000;
 
@@ -170,11 +184,12 @@
           return false;
         },
         onFailure: (failure) => {
+          if (failure.isBusy) return resolve(createBusyRefusal(head));
           if (!failure.isHttpPeer) return reader.fail(failure);
           httpUntil = performance.now() + HTTP_PEER_MS;
           void io.sendOverHttp().then(resolve);
         },
-      });
+      }, getMaxWait(head));
       forward?.signal.once("abort", sent.cancel);
     });
   }
@@ -187,6 +202,24 @@
   sendOverHttp(): Promise<GuardReply>;
 }
 
+/** A release waits without a limit, as the guard has to get it. */
+function getMaxWait({ step, head }: RequestFrameHead): Millis | undefined {
+  if (head !== undefined) return head.timeoutMs * MAX_WAIT_SHARE;
+  return step === Step.Run ? MAX_RUN_WAIT_MS : undefined;
+}
+
+/** The request was not sent, and the peer is not silent. */
+function createBusyRefusal({ grant }: RequestFrameHead): GuardReply {
+  return {
+    kind: ReplyKind.Refused,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.no_room_now,
+    },
+    ...(grant !== undefined && { grant }),
+  };
+}
+
 /** Reads the frames of one reply. */
 interface ReplyReader {
   /** Returns true for the last frame. */
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -25,6 +25,8 @@
   readonly wasSent: boolean;
   /** True if the peer knows no frames and has read no request. */
   readonly isHttpPeer: boolean;
+  /** True if no connection was free for it in time. */
+  readonly isBusy?: boolean;
   readonly message: string;
 }
 
@@ -46,7 +48,12 @@
 
 /** Connections to one peer. */
 export interface FramePool {
-  send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange;
+  /** Starts an exchange; one for which no connection is free fails after a time, in ms, if one is given. */
+  send(
+    frame: Buffer,
+    handlers: ExchangeHandlers,
+    maxWaitMs?: Millis,
+  ): FrameExchange;
   /** New exchanges use new connections; those in progress finish on the old ones. */
   replaceConnections(): void;
   close(): void;
@@ -77,6 +84,8 @@
   readonly frame: Buffer;
   readonly handlers: ExchangeHandlers;
   connection?: Connection;
+  /** Ends its wait. */
+  timeout?: NodeJS.Timeout;
 }
 
 /** Creates a pool without connections. */
@@ -90,10 +99,14 @@
   let current = new Set<Connection>();
   return { send, replaceConnections, close };
 
-  function send(frame: Buffer, handlers: ExchangeHandlers): FrameExchange {
+  function send(
+    frame: Buffer,
+    handlers: ExchangeHandlers,
+    maxWaitMs?: Millis,
+  ): FrameExchange {
     const exchange: Exchange = { frame, handlers };
     if (mayStart()) start(exchange);
-    else waiting.add(exchange);
+    else wait(exchange, maxWaitMs);
     return {
       cancel: () => cancel(exchange),
       pause: () => tryGetSocket(exchange)?.pause(),
@@ -117,6 +130,27 @@
     connection.socket?.write(frame);
   }
 
+  function wait(exchange: Exchange, maxMs: Millis | undefined): void {
+    waiting.add(exchange);
+    if (maxMs === undefined) return;
+    exchange.timeout = setTimeout(() => {
+      const message = `no connection was free in ${maxMs} ms`;
+      endWaiting(exchange, { message, isBusy: true });
+    }, maxMs);
+  }
+
+  /** Ends an exchange that waits for a connection; false if it doesn't. */
+  function endWaiting(
+    exchange: Exchange,
+    failure: Pick<ExchangeFailure, "message" | "isBusy">,
+  ): boolean {
+    if (!waiting.delete(exchange)) return false;
+    clearTimeout(exchange.timeout);
+    const { handlers } = exchange;
+    handlers.onFailure({ wasSent: false, isHttpPeer: false, ...failure });
+    return true;
+  }
+
   function mayStart(): boolean {
     return idle.length > 0 || current.size < options.maxConnections;
   }
@@ -126,19 +160,18 @@
     for (const next of waiting) {
       if (!mayStart()) return;
       waiting.delete(next);
+      clearTimeout(next.timeout);
       start(next);
     }
   }
 
   function cancel(exchange: Exchange): void {
     const { connection, handlers } = exchange;
-    if (waiting.delete(exchange)) {
-      const message = "cancelled before a connection was free";
-      handlers.onFailure({ wasSent: false, isHttpPeer: false, message });
-    } else if (connection?.handlers === handlers) {
-      connection.isCancelled = true;
-      connection.socket?.destroy();
-    }
+    const message = "cancelled before a connection was free";
+    if (endWaiting(exchange, { message })) return;
+    if (connection?.handlers !== handlers) return;
+    connection.isCancelled = true;
+    connection.socket?.destroy();
   }
 
   /** A connection that is closing is still in the list until it has closed. */
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -459,6 +459,30 @@
   expect(seen).toHaveLength(10);
 });
 
+test("an exchange for which no connection becomes free is refused as not run, and not sent", async () => {
+  const seen: string[] = [];
+  await startPeer((_socket, { head }) =>
+    void seen.push(decodeRequestFrame(head)!.ticket)
+  );
+  const silent = Array.from({ length: 4 }, () => createForward());
+  const ended = silent.map((it, i) => submit(`silent/${i}`, it));
+  const forward = createForward();
+  const refusal = {
+    kind: ReplyKind.Refused,
+    verdict: {
+      execution: Execution.NotRun,
+      diagnostic: Diagnostics.no_room_now,
+    },
+  };
+  expect(await submit("waiting", forward)).toEqual(refusal);
+  // The gateway takes no other refusal for that of a run.
+  expect(await link!.run("run", "g", { forward }))
+    .toEqual({ ...refusal, grant: "g" });
+  for (const { signal } of silent) signal.emit("abort");
+  await Promise.all(ended);
+  expect(seen.filter((it) => !it.startsWith("silent"))).toEqual([]);
+});
+
 test("silent connections that were replaced keep no exchange waiting", async () => {
   await startPeer((socket, { head }, count) => {
     if (count < 4) return;
