--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -7,6 +7,7 @@
 import { Execution, type Ticket } from "../core/types.ts";
 import {
   decodeRequestFrame,
+  hashTicket,
   type ReplyFrameHead,
   type RequestFrameHead,
 } from "../link/frame_heads.ts";
@@ -268,7 +269,8 @@
       case ReplyKind.Refused: {
         const { grant } = reply;
         const verdict = encodeVerdict(reply.verdict);
-        return finish(exchange, { ticket, verdict, ...(grant && { grant }) });
+        const of = hashTicket(ticket);
+        return finish(exchange, { verdict, of, ...(grant && { grant }) });
       }
       case ReplyKind.Failed:
         return exchange.cut("failed");
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -3,6 +3,7 @@
  * a schema library takes a twentieth of a daemon's processor time here.
  */
 
+import murmurhash from "murmurhash";
 import { Repeatability, type RequestHead, type Ticket } from "../core/types.ts";
 import { isFinalStatus } from "./final_status.ts";
 import { Step } from "./wire.ts";
@@ -28,6 +29,8 @@
   readonly meta: FrameHeaders;
   /** Encoded verdict of a refusal. */
   readonly verdict?: string;
+  /** Names the request of a refusal: the hash of its ticket, which is shorter. */
+  readonly of?: number;
   readonly grant?: string;
   readonly key?: string;
   readonly ticket?: Ticket;
@@ -39,6 +42,11 @@
   readonly hasParts?: boolean;
 }
 
+/** Hash by which a refusal names the ticket of its request. */
+export function hashTicket(ticket: Ticket): number {
+  return murmurhash.v3(ticket);
+}
+
 type Check = (value: unknown) => boolean;
 
 const isText: Check = (value) => typeof value === "string";
@@ -85,6 +93,7 @@
 const checkReply = createCheck<ReplyFrameHead>({
   meta: areHeaders,
   verdict: isOptional(isText),
+  of: isOptional(isNumber),
   grant: isOptional(isText),
   key: isOptional(isText),
   ticket: isOptional(isText),
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -17,6 +17,7 @@
 } from "../core/types.ts";
 import {
   decodeReplyFrame,
+  hashTicket,
   type ReplyFrameHead,
   type RequestFrameHead,
 } from "./frame_heads.ts";
@@ -248,7 +249,7 @@
       return false;
     }
     // The reply to an earlier request tells nothing about this one.
-    if ((reply.ticket ?? options.ticket) !== options.ticket) {
+    if (!isReplyTo(reply, options.ticket)) {
       options.onLinkError("a reply to another request");
       from.cancel();
       return false;
@@ -311,6 +312,13 @@
   });
 }
 
+/** Refusals of earlier versions name no request. */
+function isReplyTo({ ticket, of }: ReplyFrameHead, own: Ticket): boolean {
+  return ticket === undefined
+    ? of === undefined || of === hashTicket(own)
+    : ticket === own;
+}
+
 function getHead({ status = 0, headers = {} }: ReplyFrameHead) {
   return { status, headers: headers as IncomingHttpHeaders };
 }
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -15,6 +15,7 @@
 import {
   decodeReplyFrame,
   decodeRequestFrame,
+  hashTicket,
 } from "../src/link/frame_heads.ts";
 import { createFrameLink } from "../src/link/frame_link.ts";
 import {
@@ -210,7 +211,11 @@
   });
   return encodeFrame(
     FrameKind.Reply,
-    JSON.stringify({ meta: {}, verdict, ...(ticket && { ticket }) }),
+    JSON.stringify({
+      meta: {},
+      verdict,
+      ...(ticket && { of: hashTicket(ticket) }),
+    }),
   );
 }
 
