Soak: waits for a processor count where they were, and those of all threads

A wait is now placed before the sample that has it, and counts for a request by the time that they have in common; a test has both. Waits of all threads count, as the main thread waits for those that collect garbage.

--- a/test/soak/find_violations.ts
+++ b/test/soak/find_violations.ts
@@ -547,9 +547,10 @@
   starved: readonly StarvedSpan[],
   { host, sentAt, endedAt = Infinity }: CallRecord,
 ): number {
-  return starved
-    .filter((s) => s.host === host && s.until > sentAt && s.from < endedAt)
-    .reduce((sum, s) => sum + s.waitedMs, 0);
+  return starved.filter((s) => s.host === host).reduce((sum, s) => {
+    const commonMs = Math.min(s.until, endedAt) - Math.max(s.from, sentAt);
+    return sum + Math.max(0, Math.min(s.waitedMs, commonMs));
+  }, 0);
 }
 
 /** Time in spans before a time, in ms. */
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -3,7 +3,7 @@
  * guarantees.
  */
 
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import {
   CALLER_PORT,
   type CallerResponse,
@@ -156,8 +156,11 @@
   const peakMemory = new Map<number, PeakMemory>();
   const heldUp: HeldUpSpan[] = [];
   const starved: StarvedSpan[] = [];
-  /** Time for which each process had waited for a processor at the last sample, in ms. */
-  const waited = new Map<number, { at: number; ms: number }>();
+  /** Time for which the threads of each process had waited for a processor at the last sample, in ms. */
+  const waited = new Map<
+    number,
+    { at: number; threads: Map<string, number> }
+  >();
   let tickedAt = performance.now();
   let isOver = false;
   for (const { upstream } of deployment.hosts) {
@@ -195,6 +198,7 @@
     );
     const alone = new Set(calls.filter((c) => c.isPiped !== true));
     await runStops();
+    sampleProcesses();
     const history: History = {
       calls,
       strays,
@@ -284,14 +288,18 @@
       const pid = process.pid!;
       const bytes = readPeakMemory(pid);
       if (bytes !== undefined) peakMemory.set(pid, { host, bytes });
-      const ms = readWaitTime(pid);
-      if (ms === undefined) continue;
-      const { at: from, ms: before } = waited.get(pid) ?? { at, ms };
-      waited.set(pid, { at, ms });
-      const waitedMs = ms - before;
-      if (waitedMs >= STARVED_MS) {
-        starved.push({ host, from, until: at, waitedMs });
-      }
+      const { at: before, threads } = waited.get(pid) ??
+        { at, threads: new Map<string, number>() };
+      const now = readWaitTimes(pid);
+      waited.set(pid, { at, threads: now });
+      const waitedMs = Math.max(
+        0,
+        ...[...now].map(([id, ms]) => ms - (threads.get(id) ?? ms)),
+      );
+      if (waitedMs < STARVED_MS) continue;
+      // A wait is counted when it ends.
+      const from = Math.min(before, at - waitedMs);
+      starved.push({ host, from, until: at, waitedMs });
     }
   }
 
@@ -478,14 +486,18 @@
   }
 }
 
-/** Time for which the main thread of a process was ready to run without a processor, in ms; undefined if it has ended. */
-function readWaitTime(pid: number): number | undefined {
+/** Time for which each thread of a process was ready to run without a processor, in ms by its id; the main thread waits for those that collect garbage. */
+function readWaitTimes(pid: number): Map<string, number> {
+  const times = new Map<string, number>();
   try {
-    const [, ns] = readFileSync(`/proc/${pid}/schedstat`, "utf8").split(" ");
-    return Number(ns) / NS_PER_MS;
+    for (const id of readdirSync(`/proc/${pid}/task`)) {
+      const counts = readFileSync(`/proc/${pid}/task/${id}/schedstat`, "utf8");
+      times.set(id, Number(counts.split(" ")[1]) / NS_PER_MS);
+    }
   } catch {
-    return undefined;
+    // The process, or this thread, has ended.
   }
+  return times;
 }
 
 function countStatuses(calls: readonly CallRecord[]): Record<string, number> {
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -185,7 +185,7 @@
   readonly until: number;
 }
 
-/** A span within which a daemon was ready to run and got no processor, by the kernel's count. */
+/** A span within which a thread of a daemon was ready to run and got no processor, by the kernel's count. */
 export interface StarvedSpan extends HeldUpSpan {
   readonly host: number;
   /** Part of the span, in ms. */
--- a/test/soak_test.ts
+++ b/test/soak_test.ts
@@ -324,8 +324,10 @@
       calls: [{ ...read, endedAt: 1_600 }, order],
       starved: [
         { host, from: 500, until: 750, waitedMs: 60 },
-        { host, from: 1_500, until: 1_750, waitedMs: 45 },
+        // 50 ms of it are within the request.
+        { host, from: 1_550, until: 1_750, waitedMs: 150 },
         { host, from: 1_750, until: 2_000, waitedMs: 100 },
+        { host, from: -900, until: 0, waitedMs: 900 },
       ],
     });
     expect(verdict[kind].map((v) => v.guarantee)).toEqual([Guarantee.InTime]);
