--- a/test/soak/player.ts
+++ b/test/soak/player.ts
@@ -20,8 +20,7 @@
   const startedAt = new Date(performance.timeOrigin);
   const text = JSON.stringify({ startedAt, report, ...history }, shorten, 1);
   writeFileSync(`${folder}/history.json`, text);
-  process.send!(report);
-  process.disconnect();
+  process.send!(report, () => process.disconnect());
 }
 
 /** States the length of a request's body only. */
