Refusals of a stopping daemon name a time to come back

Callers whose request a stopping daemon refuses got 503 without a time. They come back soon, to the same daemon, which still stops, and have few tries.

The refusal now says when a daemon can have been started again: once the grace time is over and 0.5 s have passed, within a third of the caller's time left and spread over its second half, as all other refusals (limitRetryAfter). What ends a stop for requests that no upstream has says it too. /explain tells the same.

Evidence: test/late_stop_mesh_test.ts failed before (retry-after NaN), its six tests pass.

--- a/src/core/stop_plan.ts
+++ b/src/core/stop_plan.ts
@@ -8,6 +8,8 @@
 
 /** Time for closing at the end of the grace time, in ms. */
 const CLOSING_MS = 750;
+/** Time in which a daemon starts, in ms. */
+const START_MS = 500;
 /** Share of the grace time that is left for answers at least, however short it is. */
 const MIN_ANSWER_SHARE = 5 / 6;
 /**
@@ -48,6 +50,8 @@
   begin(): Millis;
   /** False for a request that would probably not be answered before the end. */
   mayTake(req: LateRequest): boolean;
+  /** Time until a daemon that is started again may serve, in ms; undefined before the stop. */
+  tryGetReturnMs(): Millis | undefined;
 }
 
 /** What the plan depends on. */
@@ -67,7 +71,7 @@
   const earlyMs = Math.min(graceMs * EARLY_SHARE, MAX_EARLY_MS);
   let startedAt: Millis | undefined;
   let answersBy: Millis = Infinity;
-  return { recordAnswer, begin, mayTake };
+  return { recordAnswer, begin, mayTake, tryGetReturnMs };
 
   function recordAnswer(route: string, tookMs: Millis): void {
     let known = times.get(route);
@@ -100,6 +104,11 @@
       : known.getTail(leftMs / MARGIN).share <= MAX_LATE_SHARE;
   }
 
+  function tryGetReturnMs(): Millis | undefined {
+    if (startedAt === undefined) return undefined;
+    return Math.max(0, startedAt + graceMs + START_MS - host.now());
+  }
+
   /** True if many answers are known, and practically none of them and nothing that is open took as long. */
   function endsSurely(route: string, leftMs: Millis): boolean {
     const known = times.get(route)!;
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -1,6 +1,6 @@
 /** Decides which callers' requests the gateway of a store daemon gets, and on what terms. */
 
-import type { DiagnosticName } from "../core/diagnostics.ts";
+import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import { limitRetryAfter } from "../core/retry_after.ts";
 import {
   pickService,
@@ -31,6 +31,8 @@
   getRefusalReason?(): DiagnosticName | undefined;
   /** False for a request that a stopping daemon would probably not answer; all may be taken by default. */
   mayTake?(req: LateRequest): boolean;
+  /** Time until a stopping daemon may serve again, in ms, once it is started. */
+  tryGetReturnMs?(): Millis | undefined;
 }
 
 /** What is known of a request before its body is read. */
@@ -122,11 +124,24 @@
   };
 }
 
+/** Adds when to come back to the refusal of a daemon that stops; other verdicts stay. */
+export function addReturn(
+  verdict: Verdict,
+  { tryGetReturnMs }: Pick<IngressAdmissionOptions, "tryGetReturnMs">,
+): Verdict {
+  const isStopping = verdict.diagnostic === Diagnostics.stopping;
+  const retryAfterMs = isStopping ? tryGetReturnMs?.() : undefined;
+  return retryAfterMs === undefined ? verdict : { ...verdict, retryAfterMs };
+}
+
 /** Time until capacity is expected, limited to what the caller can wait, in ms; undefined if a retry is not safe. */
 export function computeRetryAfter(
   host: Pick<CoreHost, "random">,
   verdict: Verdict,
-  sent?: { readonly arrival: Arrival; readonly tookMs: Millis },
+  sent?: {
+    readonly arrival: Pick<Arrival, "timeoutMs">;
+    readonly tookMs: Millis;
+  },
 ): Millis | undefined {
   if (verdict.execution !== Execution.NotRun) return undefined;
   if (sent === undefined) return verdict.retryAfterMs;
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -30,6 +30,7 @@
 import type { GatewayTask } from "./gateway_task.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
 import {
+  addReturn,
   admitIngress,
   computeRetryAfter,
   createIngressArrival,
@@ -335,11 +336,11 @@
     if (arrival !== undefined && verdict.execution !== Execution.NotRun) {
       options.onAnswered?.(arrival, tookMs);
     }
-    const retryAfterMs = computeRetryAfter(
-      host,
-      verdict,
-      arrival && { arrival, tookMs },
-    );
+    const stated = addReturn(verdict, options);
+    const isTimed = arrival !== undefined || stated.retryAfterMs !== undefined;
+    const timeoutMs = arrival?.timeoutMs ?? metadata.timeoutMs ?? Infinity;
+    const sent = isTimed ? { arrival: { timeoutMs }, tookMs } : undefined;
+    const retryAfterMs = computeRetryAfter(host, stated, sent);
     logger.info("refused", {
       req: metadata.id,
       service: arrival?.service,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -429,6 +429,7 @@
       getRoutes: () => routes,
       isStopping: () => gracefulStop.isStopping(),
       mayTake: stopPlan.mayTake,
+      tryGetReturnMs: stopPlan.tryGetReturnMs,
       onResponse: ({ service, route = "" }, latencyMs) => {
         latencies.record(Phase.Response, { service, route }, latencyMs);
       },
@@ -471,6 +472,7 @@
       memory,
       getRoutes: () => routes,
       mayTake: stopPlan.mayTake,
+      tryGetReturnMs: stopPlan.tryGetReturnMs,
       formatMetrics: () =>
         formatMetrics(
           [
--- a/src/daemon/store_operator_server.ts
+++ b/src/daemon/store_operator_server.ts
@@ -14,6 +14,7 @@
 import type { HostId, Verdict } from "../core/types.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import {
+  addReturn,
   admitIngress,
   computeRetryAfter,
   createIngressArrival,
@@ -124,7 +125,8 @@
     verdict: Verdict,
     sent?: Parameters<typeof computeRetryAfter>[2],
   ) {
-    const retryAfterMs = computeRetryAfter({ random }, verdict, sent);
+    const stated = addReturn(verdict, options);
+    const retryAfterMs = computeRetryAfter({ random }, stated, sent);
     const { status } = options.dialect.createVerdictHead(verdict, undefined);
     return { status, ...(retryAfterMs !== undefined && { retryAfterMs }) };
   }
--- a/test/late_stop_mesh_test.ts
+++ b/test/late_stop_mesh_test.ts
@@ -131,6 +131,40 @@
   40_000,
 );
 
+// Their callers came back at once, to a daemon that went on stopping.
+test(
+  "what a stopping daemon refuses is told when to come back, within a third of its time left",
+  async () => {
+    const front = prepare(() => GRACE_MS * 2);
+    if (front.process.exitCode !== null) {
+      fleet.startDaemon(front);
+      await fleet.waitUntilReady(front);
+    }
+    // It doesn't know how long orders take.
+    const order = { method: "POST", path: "/order/1", body: "x" } as const;
+    const call = (id: string, timeoutMs: number) =>
+      fleet.call(front, { ...order, id, timeoutMs });
+    const exited = new Promise((resolve) =>
+      front.process.once("exit", resolve)
+    );
+    front.process.kill("SIGTERM");
+    await expect.poll(() => fleet.getReadyStatus(front)).not.toBe(200);
+    const refused = await Promise.all(
+      [9_000, 60_000].map((timeoutMs, i) => call(`t-${i}`, timeoutMs)),
+    );
+    expect(refused.map(({ status }) => status)).toEqual([503, 503]);
+    const [third, whole] = refused.map(({ headers }) =>
+      Number(headers["retry-after"]) * 1_000
+    );
+    expect(third).toBeGreaterThan(9_000 / 6 - 100);
+    expect(third).toBeLessThanOrEqual(9_000 / 3);
+    expect(whole).toBeGreaterThan(GRACE_MS - 1_000);
+    expect(whole).toBeLessThan(GRACE_MS + 1_000);
+    await exited;
+  },
+  40_000,
+);
+
 function prepare(getWorkMs: (id: string) => number): DeploymentHost {
   for (const { upstream } of fleet.hosts) {
     upstream.slots = 200;
--- a/test/stop_plan_test.ts
+++ b/test/stop_plan_test.ts
@@ -151,3 +151,12 @@
   host.advance(EARLY_MS);
   expect(take(false)).toBe(false);
 });
+
+test("what a stopping daemon refuses may come back once it can have been started again", () => {
+  const { host, plan } = createPlan();
+  expect(plan.tryGetReturnMs()).toBeUndefined();
+  plan.begin();
+  expect(plan.tryGetReturnMs()).toBe(GRACE_MS + 500);
+  host.advance(2_000);
+  expect(plan.tryGetReturnMs()).toBe(GRACE_MS + 500 - 2_000);
+});
