Nothing more is parsed of a body that waits for its reader

Cause: since such bodies are parsed in slices, their pieces pile up while the request waits for its upstream: up to 16 KB of one-byte pieces, an object each.

Change: no slice is parsed while pieces of the body wait; Node.js resumes the connection once they are read.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -181,6 +181,9 @@
       input: createCallerInput(socket, {
         clock: options.clock,
         hasHeld: () => connection.held.length > 0,
+        hasUnread: () =>
+          connection.newest?.complete === false &&
+          connection.newest.readableLength > 0,
         onWaiting: () => turns.add(connection.step),
       }),
       rate: createRateLimit(options.clock, REQUEST_RATE),
--- a/src/daemon/caller_input.ts
+++ b/src/daemon/caller_input.ts
@@ -38,6 +38,8 @@
   readonly clock: Clock;
   /** True while requests that were read wait to be passed on. */
   hasHeld(): boolean;
+  /** True while what was read of a body waits for its reader. */
+  hasUnread(): boolean;
   /** Called when the connection waits for a turn in which it is read on; may be called again. */
   onWaiting(): void;
 }
@@ -61,7 +63,7 @@
 /** Takes over when the connection is read. */
 export function createCallerInput(
   socket: Socket,
-  { clock, hasHeld, onWaiting }: CallerInputOptions,
+  { clock, hasHeld, hasUnread, onWaiting }: CallerInputOptions,
 ): CallerInput {
   const pause = socket.pause.bind(socket);
   const parsing = createRateLimit(clock, PARSING_RATE);
@@ -105,7 +107,7 @@
   }
 
   function readOn(): void {
-    if (isFull && !isDropped) return;
+    if ((isFull || hasUnread()) && !isDropped) return;
     isWaiting = false;
     // In a turn of the loop there may be several steps, but only one of a connection.
     if (unparsed.length > 0) process.nextTick(parseUnparsed);
@@ -162,10 +164,13 @@
       parse.call(socket, data.subarray(start, end));
       tookMs = clock.now() - startedAt;
       if (isDropped || socket.destroyed) return;
-    } while (end < data.length && tookMs < TURN_MS && !isFull && !hasHeld());
+    } while (
+      end < data.length && tookMs < TURN_MS && !isFull &&
+      !hasHeld() && !hasUnread()
+    );
     parsing.add(tookMs);
     const rest = data.subarray(end);
-    const mustWait = rest.length > 0 || parsing.getWaitMs() > 0;
+    const mustWait = rest.length > 0 || hasUnread() || parsing.getWaitMs() > 0;
     if (mustWait && !isFull) {
       hold();
       onWaiting();
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -2146,4 +2146,14 @@
     }],
     testFile: FRAMES_TEST,
   },
+  {
+    name: "unread_bodies_are_not_parsed",
+    guarantee: "bounded memory",
+    file: "src/daemon/caller_input.ts",
+    edits: [{
+      find: "if ((isFull || hasUnread()) && !isDropped) return;",
+      replace: "if (isFull && !isDropped) return;",
+    }],
+    testFile: CALLER_CONNECTIONS_TEST,
+  },
 ];
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -341,6 +341,23 @@
   expect(most).toBeLessThan(4_096);
 });
 
+test("of a body that nobody reads few small chunks are parsed, and it arrives whole later", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  pipe.write(CHUNKED);
+  await until(() => listener.taken.has("/1"));
+  const { incoming } = listener.taken.get("/1")!;
+  pipe.write("1\r\na\r\n".repeat(40_000) + END);
+  await until(() => incoming.readableLength > 0);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  expect(incoming.readableLength).toBeLessThan(4_096);
+  let size = 0;
+  for await (const piece of gatherBody(incoming)) {
+    size += (piece as Buffer).length;
+  }
+  expect(size).toBe(40_000);
+});
+
 test("a body of small chunks arrives whole in few pieces, and so do the requests behind it", async () => {
   const listener = await listen();
   const pipe = await open(listener);
