Test of parts of one byte: the peer names the second request's ticket

A reply with another request's ticket ends its connection since replies have to name their own request; the peer of this test, written beside that, answered the second request with the first one's ticket.

--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -165,7 +165,7 @@
   );
   const rest = Buffer.concat([...parts, encodeFrame(FrameKind.End)]);
   await startPeer((socket, _frame, count) => {
-    if (count > 0) return void socket.write(createReply("t", "next"));
+    if (count > 0) return void socket.write(createReply("t2", "next"));
     socket.write(encodeFrame(FrameKind.Reply, PARTS_HEAD));
     socket.write(rest);
   });
