Answers in small chunks share what is left of the processor time

That bound is there for many endless responses at a time; one whole answer paid it too.

Beyond their own rates all bodies that a daemon reads, of its upstream and of other daemons, share 50 pieces a millisecond. Twelve endless ones take 170 in all, 120 before; one within its own rate waits for none of them.

--- a/src/daemon/link_table.ts
+++ b/src/daemon/link_table.ts
@@ -3,6 +3,7 @@
 import type { HostId, LoadReport } from "../core/types.ts";
 import { createFrameLink } from "../link/frame_link.ts";
 import { createHttpLink } from "../link/http_link.ts";
+import type { PieceLimits } from "../link/small_pieces.ts";
 import type { GuardLink, GuardReply } from "../link/types.ts";
 import type { GuardTask } from "./guard_task.ts";
 
@@ -22,6 +23,8 @@
   readonly usesFrames?: boolean;
   /** Called for each connection that is opened for frames. */
   onConnect?(): void;
+  /** Limits of the small parts of replies. */
+  readonly pieces?: PieceLimits;
 }
 
 /** The links by host. */
@@ -62,6 +65,7 @@
       },
       onLinkError: (message) => options.onMalformed(to, message),
       ...(options.onConnect && { onConnect: options.onConnect }),
+      ...(options.pieces && { pieces: options.pieces }),
     });
   }
 
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -45,6 +45,7 @@
 import { createGracefulStop } from "./graceful_stop.ts";
 import { createGuardTask, type GuardTask } from "./guard_task.ts";
 import { splitAddress } from "../link/address.ts";
+import { createPieceLimits } from "../link/small_pieces.ts";
 import { MAX_READ_BYTES } from "../link/small_reads.ts";
 import { logHandlerFailure } from "./handler_failure.ts";
 import { createIngressHandler } from "./ingress_server.ts";
@@ -148,6 +149,7 @@
         0,
       ),
   });
+  const pieces = createPieceLimits(clock);
   const memory = createMemoryBudget({
     limitBytes: computeBufferLimit(settings.memoryMb),
     onStateChange: logBufferState,
@@ -221,6 +223,7 @@
       connections: MAX_UPSTREAM_CONNECTIONS,
       protocol: deployment.upstreams,
       memory,
+      pieces,
       tryGetMaxConnections: () =>
         routes?.config.maxConnections?.get(settings.service),
       getSlots: getListedSlots,
@@ -268,6 +271,7 @@
     onRevisions: () => {},
     usesFrames: true,
     onConnect: () => counters.add("link_connected"),
+    pieces,
     onMalformed: (peer, message) => {
       counters.add("malformed_peer_message");
       logger.warn("peer_nonsense", { peer, message });
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -9,6 +9,7 @@
 import { Readable } from "node:stream";
 import type { IncomingHttpHeaders } from "node:http";
 import { Diagnostics } from "../core/diagnostics.ts";
+import type { RateLimit } from "../core/rate_limit.ts";
 import {
   Execution,
   type Millis,
@@ -37,7 +38,11 @@
   decodeReplay,
   type ReplyMetadata,
 } from "./reply_metadata.ts";
-import { createPieceLimit, weighPiece } from "./small_pieces.ts";
+import {
+  createPieceLimits,
+  type PieceLimits,
+  weighPiece,
+} from "./small_pieces.ts";
 import { MAX_READ_BYTES } from "./small_reads.ts";
 import { createSmallResponse } from "./small_response.ts";
 import {
@@ -66,6 +71,8 @@
 export interface FrameLinkOptions extends HttpLinkOptions {
   /** Called for each connection that is opened for frames. */
   onConnect?(): void;
+  /** Limits of small parts; some of its own by default. */
+  readonly pieces?: PieceLimits;
 }
 
 /** Creates a link; connections are opened on demand. */
@@ -78,6 +85,7 @@
     ...(onConnect && { onConnect }),
   });
   const metadata = createReplyMetadata(options);
+  const pieces = options.pieces ?? createPieceLimits(performance);
   let http: GuardLink | undefined;
   let httpUntil = -Infinity;
   return {
@@ -174,6 +182,7 @@
       const reader = createReplyReader({
         ticket: head.ticket,
         metadata,
+        pieces,
         onLinkError: (message) => options.onLinkError(message),
         resolve,
       });
@@ -234,6 +243,7 @@
 function createReplyReader(options: {
   readonly ticket: Ticket;
   readonly metadata: ReplyMetadata;
+  readonly pieces: PieceLimits;
   onLinkError(message: string): void;
   resolve(reply: GuardReply): void;
 }): ReplyReader {
@@ -259,7 +269,7 @@
     }
     metadata.report(reply.meta);
     if (reply.hasParts && reply.status !== undefined) {
-      parts = createParts(from);
+      parts = createParts(from, options.pieces.create());
       resolve(createResponse(reply, { ...getHead(reply), body: parts.body }));
       return false;
     }
@@ -312,8 +322,7 @@
 }
 
 /** Passes on in one piece what one read returned, and reads small parts at a bounded rate. */
-function createParts(from: FrameExchange): Parts {
-  const smallParts = createPieceLimit(performance);
+function createParts(from: FrameExchange, smallParts: RateLimit): Parts {
   let pieces: Buffer[] = [];
   let isWanted = true;
   let holdTimer: NodeJS.Timeout | undefined;
--- a/src/link/small_pieces.ts
+++ b/src/link/small_pieces.ts
@@ -18,12 +18,39 @@
 /** Small pieces that are read at once; they take some 6 ms. */
 const MAX_SMALL_PIECES_AT_ONCE = 4_096;
 
-/** Creates the limit of one body. */
-export function createPieceLimit(clock: { now(): Millis }): RateLimit {
-  return createRateLimit(clock, {
-    perMs: SMALL_PIECES_PER_MS,
-    atOnce: MAX_SMALL_PIECES_AT_ONCE,
+/**
+ * Small pieces that all bodies together may have each millisecond beyond their own
+ * rates, so that a whole answer in small chunks isn't slow while there is time.
+ */
+const SPARE_PIECES_PER_MS = 50;
+
+/** The limits of the bodies that one process reads. */
+export interface PieceLimits {
+  /** Creates the limit of one body. */
+  create(): RateLimit;
+}
+
+/** Creates limits that have a common allowance. */
+export function createPieceLimits(clock: { now(): Millis }): PieceLimits {
+  const spare = createRateLimit(clock, {
+    perMs: SPARE_PIECES_PER_MS,
+    atOnce: 0,
   });
+  return { create };
+
+  function create(): RateLimit {
+    const own = createRateLimit(clock, {
+      perMs: SMALL_PIECES_PER_MS,
+      atOnce: MAX_SMALL_PIECES_AT_ONCE,
+    });
+    return {
+      add: (amount) => {
+        own.add(amount);
+        if (own.getWaitMs() > 0) spare.add(Math.max(0, amount));
+      },
+      getWaitMs: () => Math.min(own.getWaitMs(), spare.getWaitMs()),
+    };
+  }
 }
 
 /** What a piece counts in its limit; less than 0 for a large one, which makes up for small ones. */
--- a/src/upstream/chunked_body.ts
+++ b/src/upstream/chunked_body.ts
@@ -7,8 +7,8 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
-import type { Clock } from "../daemon/clock.ts";
-import { createPieceLimit, weighPiece } from "../link/small_pieces.ts";
+import type { RateLimit } from "../core/rate_limit.ts";
+import { weighPiece } from "../link/small_pieces.ts";
 import { EndlessResponseError } from "./response_errors.ts";
 
 /**
@@ -19,13 +19,12 @@
 /** Creates the body; to be called as the head arrives. Destroying it closes the connection of the response. */
 export function createChunkedBody(
   res: IncomingMessage,
-  clock: Clock,
+  smallChunks: RateLimit,
 ): Readable {
   const { socket } = res;
   let pieces: Buffer[] = [];
   let wireBytes = 0;
   let bodyBytes = 0;
-  const smallChunks = createPieceLimit(clock);
   let isWanted = false;
   let holdTimer: NodeJS.Timeout | undefined;
   // Holds what one read returned at most; what follows waits in the connection.
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -25,6 +25,7 @@
   EndlessResponseError,
   isEndlessHead,
 } from "./response_errors.ts";
+import { createPieceLimits, type PieceLimits } from "../link/small_pieces.ts";
 import { createChunkedBody } from "./chunked_body.ts";
 import { createConnectionLimit } from "./connection_limit.ts";
 import { failOnHiddenReset } from "./hidden_reset.ts";
@@ -73,6 +74,8 @@
   onMadeRoom?(): void;
   /** Called when a reset of a new connection shows how many the upstream accepts. */
   onConnectionRefused?(): void;
+  /** Limits of small chunks; some of its own by default. */
+  readonly pieces?: PieceLimits;
   /** Called when a response, or what should be one, is cut as endless. */
   onEndless?(): void;
   /** Receives the load that responses report. */
@@ -103,6 +106,7 @@
     onRefused: () => options.onConnectionRefused?.(),
   });
   const reader = createResponseReader(options);
+  const pieces = options.pieces ?? createPieceLimits(options.clock);
   return { send, close: () => Promise.resolve(connections.close()) };
 
   async function send(
@@ -204,7 +208,7 @@
   function createBody(res: IncomingMessage, req: ClientRequest): Readable {
     if (req.method === "HEAD") return res;
     if (res.headers["transfer-encoding"] !== undefined) {
-      return createChunkedBody(res, options.clock);
+      return createChunkedBody(res, pieces.create());
     }
     const isEndedByClose = !req.shouldKeepAlive && isUnframed(res.headers);
     return isEndedByClose ? failOnHiddenReset(res) : res;
