--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -31,7 +31,7 @@
 const MAX_LINGER_MS = 2_000;
 /**
  * Requests of one connection that are passed on at a time. What is read beyond
- * waits, and the connection isn't read on, so that memory and work are bounded.
+ * waits, and nothing more is parsed, so that memory and work are bounded.
  */
 const MAX_PASSED_ON = 128;
 /**
@@ -147,7 +147,7 @@
   newest?: IncomingMessage;
   /** Written behind the last answer, to bytes that are no request. */
   refusal?: string;
-  /** When the connection was last read on after a pause, in ms of the clock. */
+  /** When the connection was last parsed on after a wait, in ms of the clock. */
   readAgainAt: Millis;
   isEnding: boolean;
 }
--- a/src/daemon/caller_input.ts
+++ b/src/daemon/caller_input.ts
@@ -52,8 +52,6 @@
   isOnHold(): boolean;
   /** Parses on; no effect while Node.js waits for who reads a body or answers. */
   readOn(): void;
-  /** True if Node.js waits for who reads a body or answers; tells `onWaiting` once it doesn't. */
-  isFull(): boolean;
   /** From one of the next reads on, parses in slices; no effect if it does. */
   measure(): void;
   /** Reads on without parsing: what is dropped costs no memory, and no byte stays unread. */
@@ -67,7 +65,9 @@
 ): CallerInput {
   const pause = socket.pause.bind(socket);
   const parsing = createRateLimit(clock, PARSING_RATE);
+  /** True while Node.js waits for who reads a body or answers. */
   let isFull = false;
+  /** True from `hold` to `readOn`. */
   let isWaiting = false;
   let measures = Measures.No;
   let isDropped = false;
@@ -94,7 +94,6 @@
     hold,
     isOnHold: () => isWaiting || socket.isPaused(),
     readOn,
-    isFull: () => isFull,
     measure,
     drop,
   };
--- a/src/daemon/loop_turns.ts
+++ b/src/daemon/loop_turns.ts
@@ -1,7 +1,7 @@
 /**
  * Shares the event loop: work of sources that want more than their share waits
  * here. Its sources take turns, with few steps in each turn of the loop, so that
- * the work of the others waits no longer for many of them than for one.
+ * the work of the others waits for many of them as long as for one.
  */
 
 /**
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -173,7 +173,7 @@
     done();
   });
   socket.end();
-  // Its pool must not use it any more.
+  // Takes it out of its pool.
   socket.emit("agentRemove");
 }
 
