Gossip daemon: requests behind an answer that may be cut are not passed on until it has ended

The store daemon does so since an answer that was cut took reads with it that had run; the gossip daemon closes the same connections by the same rule. Its own tests of cut answers and stops pass (8 of 8, daemon_test 18 of 18); no test of its own for what is behind a head that was written.

--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -168,6 +168,7 @@
     key: string | undefined,
   ): void {
     const { outgoing, id } = req;
+    if (!response.isComplete) getPlace(outgoing).holdOthers();
     outgoing.writeHead(response.status, {
       ...getForwardHeaders(response.headers),
       ...createHeaders(req, Execution.Ran, key),
--- a/test/gossip_callers_test.ts
+++ b/test/gossip_callers_test.ts
@@ -12,7 +12,7 @@
 } from "./support/pipelining_caller.ts";
 import { type SmallFleet, startSmallFleet } from "./support/small_fleet.ts";
 
-const BASE_PORT = 22_500;
+const BASE_PORT = 25_000;
 const BOARDS = 0;
 const ORDERS = 2;
 const CALLERS = 6;
