Logs and metrics tell first tries from callers that came back, and what slots were used for

Cause: nothing showed whether a request was a first try, how long its caller had waited, or whether a slot's time went to an answer within the objective. Change: caller_times.ts estimates the wait from the time-out that the caller states beside the range that first tries state in calm; accepted has statedMs and waitedBeforeMs, upstream_answered has route, use and isReturned, the histograms of waits and of time at the upstream have labels for both. No decision uses them.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -82,6 +82,8 @@
   readonly maxWaitMs?: Millis;
   /** True if all hosts of the service are draining, as far as the gateway knows. */
   readonly isLastChoice?: boolean;
+  /** True for a caller that has come back after an earlier try, as far as its daemon can tell. */
+  readonly isReturned?: boolean;
   /** Incarnation of the upstream that the request is meant for. */
   readonly instance?: string;
   /** Limit of that incarnation as the gateway knows it, in requests per second. */
@@ -294,6 +296,8 @@
   readonly maxRuns?: number;
   /** Time left to meet the latency objective, in ms. */
   readonly objectiveMs?: Millis;
+  /** True if the caller has come back after an earlier try, as far as can be told. */
+  readonly isReturned?: boolean;
   /** Rank among the requests of a service; 0 is the most urgent. */
   readonly priority?: number;
   /** Name of the route; its requests have similar service times. */
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -550,7 +550,7 @@
 >;
 
 function createHead(request: GatewayRequest, action: SendAction): RequestHead {
-  const { account, service, repeatability, key, priority, route } =
+  const { account, service, repeatability, key, priority, route, isReturned } =
     request.arrival;
   const { timeoutMs, mayQueue, maxWaitMs, isLastChoice, instance, limitPerS } =
     action;
@@ -571,6 +571,7 @@
     ...(mayQueue !== undefined && { mayQueue }),
     ...(maxWaitMs !== undefined && { maxWaitMs }),
     ...(isLastChoice && { isLastChoice }),
+    ...(isReturned && { isReturned }),
     ...(instance !== undefined && { instance }),
     ...(limitPerS !== undefined && { limitPerS }),
   };
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -27,6 +27,7 @@
   type Verdict,
 } from "../core/types.ts";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { FIRST_FAILURE_STATUS } from "../core/retry_policy.ts";
 import {
   type ForwardRequest,
   type GuardLink,
@@ -73,9 +74,20 @@
   onUpstreamResponse?(timing: UpstreamTiming): void;
 }
 
+/** What came of the time that a request was in a slot of the upstream. */
+export enum SlotUse {
+  InTime = "in-time",
+  /** The response came after the request's objective. */
+  Late = "late",
+  Failed = "failed",
+}
+
 /** Timing of a request at this host. */
 export interface UpstreamTiming {
   readonly route: string | undefined;
+  /** True for a caller that had come back, as far as its daemon could tell. */
+  readonly isReturned: boolean;
+  readonly use: SlotUse;
   /** From the guard's receipt of the request to its start, in ms. */
   readonly waitedMs: Millis;
   /** From its start to the upstream's response, in ms. */
@@ -360,8 +372,12 @@
     const { response } = result;
     const tookMs = clock.now() - startedAt;
     const waitedMs = startedAt - state.receivedAt!;
+    const { route, isReturned = false } = state.head ?? {};
+    const use = getSlotUse(state, response.status);
     options.onUpstreamResponse?.({
-      route: state.head?.route,
+      route,
+      isReturned,
+      use,
       waitedMs,
       tookMs,
     });
@@ -369,6 +385,9 @@
       req: getRequestId(ticket),
       ticket,
       status: response.status,
+      route,
+      use,
+      isReturned: isReturned || undefined,
       tookMs: Math.round(tookMs),
       waitedMs: Math.round(waitedMs),
       slowdown,
@@ -393,6 +412,16 @@
     sendResponse(ticket, { ...response, body }, { isRecorded });
   }
 
+  function getSlotUse(
+    { head, receivedAt }: TicketState,
+    status: number,
+  ): SlotUse {
+    if (status >= FIRST_FAILURE_STATUS) return SlotUse.Failed;
+    const objectiveMs = head?.objectiveMs ?? Infinity;
+    const isInTime = clock.now() - receivedAt! <= objectiveMs;
+    return isInTime ? SlotUse.InTime : SlotUse.Late;
+  }
+
   function failStart(ticket: Ticket, error: Error): void {
     const req = getRequestId(ticket);
     logHandlerFailure(logger, error, { handler: "guard", req });
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -93,6 +93,8 @@
   readonly timeoutMs?: Millis | undefined;
   /** Time since the request arrived, in ms. */
   readonly spentMs: Millis;
+  /** Time for which its caller had waited before, in ms; 0 for a first try. */
+  readonly waitedBeforeMs?: Millis;
   /** True if the body is kept for a retry. */
   readonly replayable: boolean;
   readonly bodyBytes: number;
@@ -103,7 +105,15 @@
 export function createIngressArrival(
   host: Pick<CoreHost, "random">,
   route: PrefixRoute,
-  { id, spentMs, replayable, bodyBytes, signature, ...terms }: IngressTerms,
+  {
+    id,
+    spentMs,
+    waitedBeforeMs = 0,
+    replayable,
+    bodyBytes,
+    signature,
+    ...terms
+  }: IngressTerms,
 ): Arrival {
   const requestedMs = terms.timeoutMs ?? route.timeoutMs;
   const timeoutMs = Math.min(requestedMs, route.timeoutMs) - spentMs;
@@ -120,6 +130,7 @@
     priority: route.priority,
     route: route.name,
     bodyBytes,
+    ...(waitedBeforeMs > 0 && { isReturned: true }),
     ...(signature && { signature }),
   };
 }
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -10,6 +10,7 @@
   ServerResponse,
 } from "node:http";
 import { Readable } from "node:stream";
+import { createCallerTimes } from "../core/caller_times.ts";
 import type { Counters } from "../core/counters.ts";
 import { type DiagnosticName, Diagnostics } from "../core/diagnostics.ts";
 import type { MemoryBudget } from "../core/memory_budget.ts";
@@ -21,6 +22,7 @@
   type ServiceName,
   type Verdict,
 } from "../core/types.ts";
+import { FIRST_FAILURE_STATUS } from "../core/retry_policy.ts";
 import type { StreamedResponse } from "../link/types.ts";
 import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
@@ -108,6 +110,7 @@
 export function createIngressHandler(options: IngressOptions): CallerHandler {
   const { host, task, dialect, counters, logger } = options;
   const shared = createSharedAnswers({ clock: host, memory: options.memory });
+  const callerTimes = createCallerTimes(host);
   let count = 0;
   return (incoming, outgoing, place) => {
     count += 1;
@@ -178,10 +181,14 @@
     if (spentMs > Math.min(metadata.timeoutMs ?? Infinity, route.timeoutMs)) {
       return refuse(req, "deadline_in_queue");
     }
+    const waitedBeforeMs = metadata.timeoutMs === undefined
+      ? 0
+      : callerTimes.recordArrival(route.name, metadata.timeoutMs);
     const arrival = createIngressArrival(host, route, {
       id: req.id,
       timeoutMs: metadata.timeoutMs,
       spentMs,
+      waitedBeforeMs,
       replayable: kept !== undefined,
       bodyBytes,
       signature: createSignature(incoming, buffered ?? null),
@@ -192,6 +199,10 @@
       service: arrival.service,
       version: routes.config.version,
       leftMs: Math.round(arrival.timeoutMs),
+      statedMs: metadata.timeoutMs,
+      waitedBeforeMs: waitedBeforeMs > 0
+        ? Math.round(waitedBeforeMs)
+        : undefined,
       bytes: bodyBytes,
     });
     const body = buffered === undefined ? gatherBody(incoming) : buffered;
@@ -209,7 +220,9 @@
       return logCallerGone(req);
     }
     outgoing.once("close", () => {
-      if (!req.isOver) abandon(req);
+      if (req.isOver) return;
+      callerTimes.recordUnserved(arrival.route!);
+      abandon(req);
     });
     const outcome = await task.serve({
       arrival,
@@ -254,6 +267,9 @@
     if (response.bytes === undefined) req.response = response.body;
     const tookMs = host.now() - req.arrivedAt;
     options.onResponse(arrival, tookMs);
+    if (response.status >= FIRST_FAILURE_STATUS) {
+      callerTimes.recordUnserved(arrival.route!);
+    }
     logger.info("answered", {
       req: req.metadata.id,
       service: arrival.service,
@@ -333,6 +349,7 @@
     const { outgoing, incoming, metadata } = req;
     req.kept?.release();
     const tookMs = host.now() - req.arrivedAt;
+    if (arrival?.route !== undefined) callerTimes.recordUnserved(arrival.route);
     if (arrival !== undefined && verdict.execution !== Execution.NotRun) {
       options.onAnswered?.(arrival, tookMs);
     }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -238,9 +238,10 @@
     ends: createUpstreamEnds(settings.upstreamAddress, incarnation),
     beforeRun: () => coldStarts.isReadingDue() ? watch.refresh() : undefined,
     afterMessage: watch.pollWhileWaiting,
-    onUpstreamResponse: ({ route = "", waitedMs, tookMs }) => {
-      latencies.record(Phase.Queue, { route }, waitedMs);
-      latencies.record(Phase.Upstream, { route }, tookMs);
+    onUpstreamResponse: ({ route = "", isReturned, use, waitedMs, tookMs }) => {
+      const from = isReturned ? "returned" : "first";
+      latencies.record(Phase.Queue, { route, try: from }, waitedMs);
+      latencies.record(Phase.Upstream, { route, use }, tookMs);
     },
     guard: {
       self: settings.host,
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -74,6 +74,7 @@
   mayQueue: isOptional(isFlag),
   maxWaitMs: isOptional(isTime),
   isLastChoice: isOptional(isFlag),
+  isReturned: isOptional(isFlag),
   instance: isOptional(isText),
   limitPerS: isOptional(isTime),
 });
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -83,6 +83,7 @@
   mayQueue: z.boolean().optional(),
   maxWaitMs: z.number().min(0).optional(),
   isLastChoice: z.boolean().optional(),
+  isReturned: z.boolean().optional(),
   instance: z.string().optional(),
   limitPerS: z.number().min(0).optional(),
 });
