A full service spends its slots on answers that can be in time

Cause: a caller that comes back was taken for a first try, with a whole objective anew. It waited in queues and ran though its answer could only be late, and first tries waited behind it. Work that became late in the queue took each slot that became free. At a cold upstream the latest start was reckoned by the warm speed. Change (docs/design/0025): the objective counts from the first try, which the daemon tells from the time that callers state; late work starts only while a quarter of the slots stays free and is refused at once otherwise (new reason objective_missed); latest starts follow the speed of a cold upstream.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -45,14 +45,22 @@
   readonly isShort?: boolean;
   /** Time left, in ms. */
   readonly timeoutMs: Millis;
-  /** Time left to meet the route's objective, in ms. */
+  /** Time left to meet the route's objective, in ms; negative once it is missed. */
   readonly objectiveMs?: Millis;
+  /** True if its caller has come back after an earlier try. */
+  readonly isReturned?: boolean;
   /** False for a non-queueing request, which starts within `maxWaitMs` or is refused. */
   readonly mayQueue: boolean;
   /** Longest wait of a non-queueing request, in ms, by default 0: it finds another host in that time. */
   readonly maxWaitMs?: Millis;
 }
 
+/** The properties that bound how long a request may wait. */
+export type WaitingRequest = Pick<
+  AdmissionRequest,
+  "objectiveMs" | "workMs" | "isShort" | "isReturned"
+>;
+
 /** A decision with the expected time until the request's start, in ms. */
 export type AdmissionDecision =
   | {
@@ -65,7 +73,7 @@
     readonly waitMs: Millis;
   };
 
-/** Share of its objective that a request may always wait, even if its work alone exceeds the objective. */
+/** Share of its objective that a first try may always wait, even if its work alone exceeds the objective. */
 const MIN_QUEUE_WAIT_SHARE = 0.25;
 
 /**
@@ -73,8 +81,9 @@
  * slow, its guard refuses non-queueing requests, which can still try another
  * host. Load pattern "overload": a queue longer than the objective makes every
  * response late, so work that would start too late is refused on arrival
- * instead of at its deadline. Load pattern "an upstream in need": the wait for
- * a start that its limit allows counts like the wait for a slot.
+ * instead of at its deadline. Load pattern "callers that come back": what can't
+ * be in time any more starts at once or is refused. Load pattern "an upstream in
+ * need": the wait for a start that its limit allows counts like that for a slot.
  */
 export function decideAdmission(
   state: AdmissionState,
@@ -84,12 +93,16 @@
   const waitMs = Math.max(slotWaitMs, state.rateWaitMs);
   const isRateBound = state.rateWaitMs > slotWaitMs;
   const startsNow = waitMs === 0;
-  const isTooLong = waitMs > (request.maxWaitMs ?? 0);
+  const isTooLong = waitMs > (request.maxWaitMs ?? 0) ||
+    (isLate(request) && !startsNow);
   if (!request.mayQueue && (isTooLong || isTooSlow(state, request))) {
     const reason = isRateBound ? "over_upstream_limit" : "no_room_now";
     return { admission: Admission.Refuse, reason, waitMs };
   }
   if (startsNow) return { admission: Admission.Start, waitMs };
+  if (isLate(request)) {
+    return { admission: Admission.Refuse, reason: "objective_missed", waitMs };
+  }
   const endsLate = waitMs + request.workMs > request.timeoutMs;
   if (endsLate || waitMs > getQueueWaitLimit(request)) {
     return {
@@ -116,12 +129,25 @@
   return slowdown >= SLOW_FACTOR && expectedMs > objectiveMs;
 }
 
-/** Longest time that a request may wait in the queue, in ms. */
-function getQueueWaitLimit(
-  { objectiveMs, workMs, isShort }: AdmissionRequest,
+/**
+ * True for a request that would probably miss its objective if it started now,
+ * as its caller has come back too late.
+ */
+export function isLate(request: WaitingRequest): boolean {
+  return getQueueWaitLimit(request) < 0;
+}
+
+/**
+ * Longest time that a request may wait in the queue, in ms; negative if it is
+ * late. A first try may always wait a little.
+ */
+export function getQueueWaitLimit(
+  { objectiveMs, workMs, isShort, isReturned }: WaitingRequest,
 ): Millis {
   if (objectiveMs === undefined || isShort === true) return Infinity;
-  return Math.max(objectiveMs - workMs, objectiveMs * MIN_QUEUE_WAIT_SHARE);
+  const slackMs = objectiveMs - workMs;
+  if (isReturned === true) return slackMs;
+  return Math.max(slackMs, objectiveMs * MIN_QUEUE_WAIT_SHARE);
 }
 
 /**
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -204,6 +204,13 @@
     503,
     "the failure domain of the upstream is evacuated",
   ),
+  objective_missed: row(
+    1036,
+    Refusal,
+    "objective_missed",
+    503,
+    "the latency objective has passed, and no slot is left by requests that can meet theirs",
+  ),
   called_service_full: row(
     1034,
     Refusal,
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -104,7 +104,7 @@
   const estimates = createGuardEstimates(host, options, { queue, rate });
   const { getUsableSlots, getSlowdown, getStartDelayMs, getRetryAfter } =
     estimates;
-  const { getSlotsFor, getMaxSlots } = estimates;
+  const { getSlotsFor, getSlotsForLate, getMaxSlots } = estimates;
   const rules = createStartRules({
     ...(options.tryGetClosedReason &&
       { tryGetClosedReason: options.tryGetClosedReason }),
@@ -307,9 +307,10 @@
       latestStart,
       rank: head.priority ?? 0,
       startBy,
-      usefulUntil: estimates.isShort(head)
-        ? Math.max(startBy, latestStart)
-        : startBy,
+      usefulUntil: Math.min(
+        host.now() + estimates.getUsefulWaitMs(head),
+        Math.max(startBy, latestStart),
+      ),
       state: EntryState.Queued,
     };
     entries.set(ticket, entry);
@@ -462,7 +463,7 @@
     if (tryGetClosedReason() !== undefined) return actions;
     while (busySlots < getMaxSlots() && rate.getWaitMs(0) === 0) {
       const entry = queue.pop((item) =>
-        getStartDelayMs(item) === 0 && busySlots < getSlotsFor(item.head) &&
+        getStartDelayMs(item) === 0 && busySlots < getSlotsForQueued(item) &&
         mayCall(item.head)
       );
       if (entry === undefined) break;
@@ -481,6 +482,12 @@
     return actions;
   }
 
+  function getSlotsForQueued({ head, usefulUntil }: Entry): number {
+    return options.upstream === undefined || host.now() <= usefulUntil
+      ? getSlotsFor(head)
+      : getSlotsForLate();
+  }
+
   /** Assigns a free slot to the entry. */
   function assignSlot(entry: Entry): GuardAction {
     busySlots += 1;
@@ -721,10 +728,10 @@
     return refuse(entry, name, NotRun, getRetryAfter());
   }
 
-  /** True for work past its latest useful start while more requests wait than there are slots. */
+  /** True for work past its latest useful start that would wait beside others. */
   function isOvertaken(entry: Entry, now: Millis): boolean {
     if (options.upstream === undefined || now < entry.usefulUntil) return false;
-    return queue.size() > getUsableSlots();
+    return queue.size() > estimates.getMaxLateWaiting();
   }
 
   function revokeGrant(entry: Entry, name: DiagnosticName): GuardAction {
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -1,6 +1,12 @@
 /** A guard's estimates of its upstream: service times, waits and usable slots. */
 
-import { type AdmissionDecision, decideAdmission } from "./admission.ts";
+import {
+  type AdmissionDecision,
+  decideAdmission,
+  getQueueWaitLimit,
+  isLate,
+  type WaitingRequest,
+} from "./admission.ts";
 import { COLD_SLOWDOWN, ColdState } from "./cold_starts.ts";
 import type { AdmissionQueue } from "./fair_queue.ts";
 import type { Entry } from "./guard_entry.ts";
@@ -16,6 +22,12 @@
 const DEFAULT_WORK_SHARE = 1 / 3;
 /** Work is short below this share of the mean time of the requests that occupy slots. */
 const SHORT_WORK_SHARE = 0.5;
+/**
+ * Share of the slots that late work leaves free. Load pattern "callers that come
+ * back": at the peak some late request is always there to take a slot that
+ * becomes free, and what arrives a moment later and could be in time has to wait.
+ */
+const LATE_WORK_RESERVE = 1 / 4;
 /** Shortest retry-after, in ms; the load does not change sooner. */
 const MIN_RETRY_AFTER_MS = 20;
 
@@ -27,15 +39,19 @@
   getSlotsFor(head: RequestHead): number;
   /** Slots that any request may fill. */
   getMaxSlots(): number;
-  /** True for work that takes little capacity, such as the calls of running requests. */
-  isShort(head: RequestHead): boolean;
+  /** Slots that an entry may fill which can't meet its objective any more. */
+  getSlotsForLate(): number;
+  /** Requests that may wait before those that are late are refused. */
+  getMaxLateWaiting(): number;
+  /** Time for which a request that arrives now can wait and still serve its caller well, in ms; negative if it is late. */
+  getUsefulWaitMs(head: RequestHead): Millis;
   /** Current service time as a multiple of the usual one. */
   getSlowdown(): number;
   /** Time for which the request should not be started, in ms; 0 to start at once. */
   getStartDelayMs(entry: Entry): Millis;
   /** Time for which a request with the mean work should not be started, in ms; 0 to start at once. */
   getMeanStartDelayMs(): Millis;
-  /** Time within which most requests of this route end, in ms. */
+  /** Time within which most requests of this route end outside slow periods, in ms. */
   getWorkMs(head: RequestHead): Millis;
   /** Mean time of all requests, in ms. */
   getMeanMs(): Millis;
@@ -63,11 +79,13 @@
     getUsableSlots,
     getSlotsFor,
     getMaxSlots,
-    isShort,
+    getSlotsForLate: () => getUsableSlots() - getLateReserve(),
+    getUsefulWaitMs: (head) => getQueueWaitLimit(getWaiting(head)),
+    getMaxLateWaiting: getLateReserve,
     getSlowdown,
     getStartDelayMs,
     getMeanStartDelayMs: () => getDelayOf(getMeanMs()),
-    getWorkMs,
+    getWorkMs: getBaseWorkMs,
     getMeanMs,
     recordCompletion,
     decide,
@@ -88,7 +106,24 @@
    * capacity, so it may also use the slots kept free for the upstream's speed.
    */
   function getSlotsFor(head: RequestHead): number {
-    return isShort(head) ? getMaxSlots() : getUsableSlots();
+    if (isShort(head)) return getMaxSlots();
+    const reserve = isLate(getWaiting(head)) ? getLateReserve() : 0;
+    return getUsableSlots() - reserve;
+  }
+
+  function getLateReserve(): number {
+    const usable = getUsableSlots();
+    return Math.min(usable - 1, Math.ceil(usable * LATE_WORK_RESERVE));
+  }
+
+  function getWaiting(head: RequestHead): WaitingRequest {
+    const { objectiveMs, isReturned } = head;
+    return {
+      workMs: getBaseWorkMs(head),
+      isShort: isShort(head),
+      ...(objectiveMs !== undefined && { objectiveMs }),
+      ...(isReturned && { isReturned }),
+    };
   }
 
   function isShort({ route }: RequestHead): boolean {
@@ -136,6 +171,10 @@
       getDefaultWorkMs(head);
   }
 
+  function getBaseWorkMs(head: RequestHead): Millis {
+    return getWorkMs(head) * getBaseSlowdown();
+  }
+
   function getMeanMs(): Millis {
     return times.tryGetRecentMean() ?? INITIAL_SERVICE_TIME_MS;
   }
@@ -156,7 +195,7 @@
 
   function decide(entry: Entry, busySlots: number): AdmissionDecision {
     const refusesEarly = options.refusesEarly ?? true;
-    const { timeoutMs, objectiveMs, mayQueue, maxWaitMs } = entry.head;
+    const { timeoutMs, mayQueue, maxWaitMs } = entry.head;
     const startDelayMs = getStartDelayMs(entry);
     // Delayed work starts after the slow period, at the base speed.
     const factor = startDelayMs > 0
@@ -177,11 +216,10 @@
       startDelayMs,
       slowdown: getSlowdown(),
     }, {
+      ...getWaiting(entry.head),
       workMs: getWorkMs(entry.head) * factor,
       meanWorkMs: getMeanWorkMs(entry.head) * factor,
-      isShort: isShort(entry.head),
       timeoutMs: refusesEarly ? timeoutMs : Infinity,
-      ...(objectiveMs !== undefined && { objectiveMs }),
       mayQueue: mayQueue ?? true,
       ...(maxWaitMs !== undefined && { maxWaitMs }),
     });
--- a/src/core/refused_attempts.ts
+++ b/src/core/refused_attempts.ts
@@ -15,6 +15,7 @@
 const GUARD_REFUSALS = new Set([
   Diagnostics.no_room_now,
   Diagnostics.called_service_full,
+  Diagnostics.objective_missed,
   Diagnostics.over_upstream_limit,
   Diagnostics.upstream_leaving,
   Diagnostics.draining,
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -126,7 +126,8 @@
     replayable,
     retriesLeft: MAX_RETRIES,
     maxRuns: route.maxRuns,
-    objectiveMs: route.objectiveMs - spentMs,
+    // The objective counts from the caller's first try.
+    objectiveMs: route.objectiveMs - spentMs - waitedBeforeMs,
     priority: route.priority,
     route: route.name,
     bodyBytes,
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -105,6 +105,7 @@
 const REASON_BEFORE: ReadonlyMap<string, DiagnosticName> = new Map([
   ["domain_evacuated", "draining"],
   ["called_service_full", "no_room_now"],
+  ["objective_missed", "deadline_too_short"],
   ["upstream_ended", "upstream_lost"],
 ]);
 
