--- a/test/goodput_test.ts
+++ b/test/goodput_test.ts
@@ -176,6 +176,16 @@
   expect(answer("t/4/1")).toEqual(["started"]);
 });
 
+test("a caller that has come back too late for its work doesn't wait", () => {
+  const { host, submit, answer } = createFullGuard(8);
+  submit(300);
+  host.advance(120);
+  answer("t/1/1");
+  for (let i = 0; i < 8; i++) submit(300);
+  expect(submit(100)).toBe("queued");
+  expect(submit(100, true)).toBe(Diagnostics.objective_missed.reason);
+});
+
 test("a caller that comes back within its objective is treated like a first try", () => {
   const { submit } = createFullGuard(8);
   for (let i = 0; i < 8; i++) submit(300);
--- a/test/support/fleet_load.ts
+++ b/test/support/fleet_load.ts
@@ -222,6 +222,8 @@
   readonly arrivedAt: number;
   /** Time until which the response is in time, as far as the daemon knows, in ms. */
   objectiveBy?: number;
+  /** True if the daemon tells this try from a first one. */
+  isReturned?: boolean;
   /** Daemon that the caller uses for this try. */
   from?: FleetHost;
   readonly deadline: number;
@@ -568,6 +570,7 @@
       bodyBytes: 0,
     });
     call.objectiveBy = host.now() + arrival.objectiveMs!;
+    call.isReturned = arrival.isReturned === true;
     call.from = from;
     sendToGateway(from, {
       kind: GatewayMessageKind.Arrived,
@@ -604,7 +607,7 @@
   ): void {
     const { id, attempt, timeoutMs, mayQueue, maxWaitMs, instance } = action;
     const to = hosts.get(action.to)!;
-    const { service, route, objectiveBy } = calls.get(id)!;
+    const { service, route, objectiveBy, isReturned } = calls.get(id)!;
     const { runsAt, priority = 0 } = load.services[service]!;
     const ticket = from.gateway.getTicket(id, attempt);
     deliver(from, to, () =>
@@ -618,6 +621,7 @@
           fingerprint: "",
           timeoutMs,
           objectiveMs: objectiveBy! - host.now(),
+          ...(isReturned && { isReturned }),
           priority,
           route,
           ...(mayQueue !== undefined && { mayQueue }),
