Callers of odd patience don't change who counts as returning

Cause: the middle of a wide range of stated times was taken for a first try's time, so that a few callers which wait much longer would have made all returning ones late; some milliseconds' difference made a first try a returning one. Change: in a wide range the lower end counts; a wait of less than 20 ms is none; until calm has shown the range, the longest eighth counts as exceptions. Evidence: two new tests, which failed before.

--- a/src/core/caller_times.ts
+++ b/src/core/caller_times.ts
@@ -22,6 +22,10 @@
  * has shown it. On the users' days it is 0.85 on each of five routes.
  */
 const ASSUMED_SHORTEST_SHARE = 0.85;
+/** Shortest wait that shows a caller that has come back, in ms; the shortest retry-after. */
+const MIN_WAIT_MS = 20;
+/** Quantile of the stated times that is assumed to be the longest of first tries; fewer callers wait much longer. */
+const ASSUMED_QUANTILE = 7 / 8;
 /** Routes with a range of their own; all tries on others count as first ones. */
 const MAX_ROUTES = 256;
 
@@ -63,8 +67,10 @@
     it.untilEvaluation -= 1;
     if (it.untilEvaluation <= 0 || it.all.size() < SAMPLES) evaluate(it);
     const { shortestMs, longestMs } = it.range;
-    if (statedMs >= shortestMs) return 0;
-    return (shortestMs + longestMs) / 2 - statedMs;
+    // In a wide range most callers are taken for those at its lower end.
+    const usualMs = Math.min(longestMs, shortestMs / ASSUMED_SHORTEST_SHARE);
+    if (statedMs >= shortestMs - MIN_WAIT_MS) return 0;
+    return (shortestMs + usualMs) / 2 - statedMs;
   }
 
   function recordUnserved(route: string): void {
@@ -89,7 +95,10 @@
     it.untilEvaluation = EVALUATION_INTERVAL;
     const isKnown = it.calm.size() >= MIN_CALM_SAMPLES;
     const sorted = (isKnown ? it.calm : it.all).getSorted();
-    const longestMs = sorted[Math.max(0, sorted.length - 1 - EXCEPTIONS)]!;
+    const last = sorted.length - 1;
+    const longestMs = sorted[
+      isKnown ? last - EXCEPTIONS : Math.floor(last * ASSUMED_QUANTILE)
+    ]!;
     const shortestMs = isKnown
       ? sorted[EXCEPTIONS]!
       : longestMs * ASSUMED_SHORTEST_SHARE;
--- a/test/caller_times_test.ts
+++ b/test/caller_times_test.ts
@@ -59,6 +59,22 @@
   expect(state(0.5)).toBeGreaterThan(0.3 * TIMEOUT_MS);
 });
 
+test("callers that differ by some ms are first tries", () => {
+  const host = createTestHost();
+  const times = createCallerTimes(host);
+  host.advance(7_000);
+  for (let i = 0; i < 100; i++) times.recordArrival(ROUTE, 6_000);
+  expect(times.recordArrival(ROUTE, 5_985)).toBe(0);
+  expect(times.recordArrival(ROUTE, 5_800)).toBe(200);
+});
+
+test("where a few callers wait much longer, the others that come back count by their own times", () => {
+  const { state } = createCallers(1);
+  for (let i = 0; i < 2_000; i++) state(i % 10 === 0 ? 4 : 1);
+  expect(state(0.8)).toBeGreaterThanOrEqual(0.2 * TIMEOUT_MS);
+  expect(state(0.8)).toBeLessThan(0.3 * TIMEOUT_MS);
+});
+
 test("a single caller that waits much longer is an exception", () => {
   const { host, state, stateFirst } = createCallers(0.85);
   host.advance(TIMEOUT_MS);
