Late is what would more likely than not miss its objective

Cause: lateness was reckoned by the time within which most work of a route ends, so that requests with even odds lost their place; on sites with long work and few slots that cost as much as it gained. Change: the mean time of the route decides, at a cold upstream at its speed; how long a request may be expected to wait stays bounded by the longer time.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -58,7 +58,7 @@
 /** The properties that bound how long a request may wait. */
 export type WaitingRequest = Pick<
   AdmissionRequest,
-  "objectiveMs" | "workMs" | "isShort" | "isReturned"
+  "objectiveMs" | "workMs" | "meanWorkMs" | "isShort" | "isReturned"
 >;
 
 /** A decision with the expected time until the request's start, in ms. */
@@ -130,19 +130,27 @@
 }
 
 /**
- * True for a request that would probably miss its objective if it started now,
- * as its caller has come back too late.
+ * True for a request that would more likely than not miss its objective if it
+ * started now, as its caller has come back too late.
  */
 export function isLate(request: WaitingRequest): boolean {
-  return getQueueWaitLimit(request) < 0;
+  return getUsefulWait(request) < 0;
 }
 
-/**
- * Longest time that a request may wait in the queue, in ms; negative if it is
- * late. A first try may always wait a little.
- */
-export function getQueueWaitLimit(
-  { objectiveMs, workMs, isShort, isReturned }: WaitingRequest,
+/** Time after which a request that waits is late, in ms; negative if it is. */
+export function getUsefulWait(request: WaitingRequest): Millis {
+  return getWaitBefore(request.meanWorkMs, request);
+}
+
+/** Longest time that a request may be expected to wait in the queue, in ms. */
+function getQueueWaitLimit(request: WaitingRequest): Millis {
+  return getWaitBefore(request.workMs, request);
+}
+
+/** Time that a request may wait before work of that length, in ms; a first try may always wait a little. */
+function getWaitBefore(
+  workMs: Millis,
+  { objectiveMs, isShort, isReturned }: WaitingRequest,
 ): Millis {
   if (objectiveMs === undefined || isShort === true) return Infinity;
   const slackMs = objectiveMs - workMs;
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -3,7 +3,7 @@
 import {
   type AdmissionDecision,
   decideAdmission,
-  getQueueWaitLimit,
+  getUsefulWait,
   isLate,
   type WaitingRequest,
 } from "./admission.ts";
@@ -80,7 +80,7 @@
     getSlotsFor,
     getMaxSlots,
     getSlotsForLate: () => getUsableSlots() - getLateReserve(),
-    getUsefulWaitMs: (head) => getQueueWaitLimit(getWaiting(head)),
+    getUsefulWaitMs: (head) => getUsefulWait(getWaiting(head)),
     getMaxLateWaiting: getLateReserve,
     getSlowdown,
     getStartDelayMs,
@@ -120,6 +120,7 @@
     const { objectiveMs, isReturned } = head;
     return {
       workMs: getBaseWorkMs(head),
+      meanWorkMs: getMeanWorkMs(head) * getBaseSlowdown(),
       isShort: isShort(head),
       ...(objectiveMs !== undefined && { objectiveMs }),
       ...(isReturned && { isReturned }),
