--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -81,8 +81,8 @@
  * slow, its guard refuses non-queueing requests, which can still try another
  * host. Load pattern "overload": a queue longer than the objective makes every
  * response late, so work that would start too late is refused on arrival
- * instead of at its deadline. Load pattern "callers that come back": what can't
- * be in time any more starts at once or is refused. Load pattern "an upstream in
+ * instead of at its deadline. Load pattern "callers that come back": work that
+ * will miss its objective starts at once or is refused. Load pattern "an upstream in
  * need": the wait for a start that its limit allows counts like that for a slot.
  */
 export function decideAdmission(
--- a/src/core/guard_estimates.ts
+++ b/src/core/guard_estimates.ts
@@ -39,7 +39,7 @@
   getSlotsFor(head: RequestHead): number;
   /** Slots that any request may fill. */
   getMaxSlots(): number;
-  /** Slots that an entry may fill which can't meet its objective any more. */
+  /** Slots that an entry may fill which will miss its objective. */
   getSlotsForLate(): number;
   /** Requests that may wait before those that are late are refused. */
   getMaxLateWaiting(): number;
