review: case 7 with a shorter time between leaving and the store's entry

Cause: the script let each backend say that it leaves for 1.5 s before its entry was removed; now 1 s, less than a heartbeat. The stand-in of a backend states what it says of itself as it stands at the answer, not at the arrival.

--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -17,14 +17,15 @@
 } from "../support-2/two_routes.ts";
 
 const DRAIN_MS = 2_000;
-/** Time for which a leaving backend says so before its entry is removed. */
-const SAYS_SO_MS = 1_500;
+/** Time from then on until its entry is removed: less than a heartbeat of 1.5 s. */
+const SAYS_SO_MS = 1_000;
 const DOWN_MS = 1_500;
 /** Time between two backends. */
 const GAP_MS = 3_000;
 /** Longer than configS and stableS, and than what a new start needs. */
 const CALM_MS = 10_000;
-const EVERY_MS = 40;
+const EVERY_MS = 10;
+const WORK_MS = 100;
 
 void runCase("review/7", play);
 
@@ -32,6 +33,7 @@
   { fleet, hasTrouble, record }: CaseContext,
 ): Promise<string | undefined> {
   const { archive, sendAdded, sendBoth } = await startTwoRoutes(fleet);
+  for (const { backend } of archive) backend.workMs = WORK_MS;
   record(`before: ${describeBoth(await sendBoth("before"))}`);
   const reads: Promise<Answer>[] = [];
   const timer = setInterval(() => reads.push(sendAdded("during")), EVERY_MS);
--- a/review/support-2/backend.ts
+++ b/review/support-2/backend.ts
@@ -86,11 +86,9 @@
     server.closeAllConnections();
   }
 
-  async function serve(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const { instance, isLeaving, limitPerS } = backend;
+  /** What the backend says of itself in an answer, as it stands by then. */
+  function setNotices(res: ServerResponse): void {
+    const { isLeaving, limitPerS } = backend;
     res.setHeader(
       "X-Vanillarock-Server-Load",
       `${running},${queue.length},${slots}`,
@@ -99,9 +97,18 @@
     if (limitPerS !== undefined) {
       res.setHeader("Server-Limit", String(limitPerS));
     }
+  }
+
+  async function serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const { instance } = backend;
+    setNotices(res);
     if (req.url === "/healthz") {
+      const status = backend.isLeaving ? 503 : 200;
       res.setHeader("X-Vanillarock-Instance-Id", instance);
-      res.writeHead(isLeaving ? 503 : 200, { "content-length": "0" }).end();
+      res.writeHead(status, { "content-length": "0" }).end();
       return;
     }
     const id = String(req.headers["x-vanillarock-attempt-id"]);
@@ -154,6 +161,7 @@
       queue.shift()?.();
     }
     if (res.destroyed) return;
+    setNotices(res);
     const body = isInTime ? `done: ${id}` : "";
     res.setHeader("X-Vanillarock-Response-Signature", `${instance}.${id}`);
     res.writeHead(isInTime ? 200 : 504, {
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -69,6 +69,8 @@
   readonly id: string;
   readonly machine: string;
   readonly sentAt: number;
+  /** Time of its last byte, or of the end of its connection. */
+  readonly endedAt: number;
   readonly status: number;
   readonly headers: Record<string, string | string[] | undefined>;
   readonly body: string;
@@ -316,7 +318,19 @@
   ): Promise<Answer> {
     const sentAt = now();
     return new Promise((resolve) => {
-      const none = { id, machine: ip, sentAt, status: 0, headers: {} };
+      const end = (
+        { status, headers, body }: Pick<Answer, "status" | "headers" | "body">,
+      ) =>
+        resolve({
+          id,
+          machine: ip,
+          sentAt,
+          endedAt: now(),
+          status,
+          headers,
+          body,
+        });
+      const endWithout = () => end({ status: 0, headers: {}, body: "" });
       const req = httpRequest({
         agent,
         host: ip,
@@ -333,10 +347,9 @@
       }, (res) => {
         let text = "";
         res.on("data", (data) => text += String(data));
-        res.on("error", () => resolve({ ...none, body: "" }));
+        res.on("error", endWithout);
         res.on("end", () =>
-          resolve({
-            ...none,
+          end({
             status: res.statusCode ?? 0,
             headers: res.headers,
             body: text,
@@ -344,7 +357,7 @@
       });
       // A client gives up half a second after its time.
       req.setTimeout(timeoutMs + 500, () => req.destroy());
-      req.on("error", () => resolve({ ...none, body: "" }));
+      req.on("error", endWithout);
       req.end(body);
     });
   }
