review: the scripts end what they started also when they are ended

Cause: a script that got SIGTERM or ran out of time left its daemons, or its temporary folder, behind.

--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -125,8 +125,7 @@
   const net = await findNetwork();
   const { ports } = net;
   const host = "shop.example";
-  const killAll = () => children.forEach((it) => it.kill("SIGKILL"));
-  process.once("exit", killAll);
+  process.once("exit", endAll);
   return {
     store,
     machines,
@@ -362,6 +361,12 @@
     });
   }
 
+  /** Whatever ends the script, nothing that it started stays. */
+  function endAll(): void {
+    for (const child of children) child.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
+  }
+
   async function close(): Promise<void> {
     agent.destroy();
     await Promise.all([...children].map((child) => {
@@ -371,8 +376,8 @@
     }));
     for (const { backend } of machines) backend.end();
     await store.close();
-    rmSync(folder, { recursive: true, force: true });
-    process.off("exit", killAll);
+    endAll();
+    process.off("exit", endAll);
   }
 }
 
--- a/review/support-2/run_case.ts
+++ b/review/support-2/run_case.ts
@@ -29,6 +29,9 @@
   const hasTrouble = process.env["TROUBLE"] !== "0";
   const lines: string[] = [`disruption: ${hasTrouble ? "yes" : "no"}`];
   const record = (line: string) => void lines.push(line);
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(ExitCode.CannotRun));
+  }
   let fleet: Deployment | undefined;
   let code = ExitCode.CannotRun;
   const limit = setTimeout(() => {
