--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -32,8 +32,8 @@
 const FATAL_EVERY_MS = 900;
 const FATAL_FOR_MS = 25_000;
 const ORDER_EVERY_MS = 60;
-/** Machines of one planned removal: at most 0.15 of 13, twice. */
-const REMOVED_AT_ONCE = 2;
+/** Machines of each planned removal: of 14, 12 and 11, so 0.15 at most. */
+const REMOVALS = [2, 1, 1];
 /** Daemons that collect what others observe (`COLLECTOR_COUNT`). */
 const COLLECTORS = 3;
 const MAX_PATHS = 20_000;
@@ -43,7 +43,7 @@
 async function play(
   { fleet, hasTrouble, record }: CaseContext,
 ): Promise<string | undefined> {
-  for (const [service, count] of [["orders", 4], ["boards", 9]] as const) {
+  for (const [service, count] of [["orders", 4], ["boards", 10]] as const) {
     for (let i = 0; i < count; i++) await fleet.addMachine(service);
   }
   const orders = fleet.machines.filter((it) => it.service === "orders");
@@ -59,13 +59,15 @@
   await Promise.all(fleet.machines.map(fleet.waitUntilReady));
   await pause(1_000);
 
-  const removed = boards.splice(0, 2 * REMOVED_AT_ONCE);
-  for (const first of [0, REMOVED_AT_ONCE]) {
-    const leaving = removed.slice(first, first + REMOVED_AT_ONCE);
+  const total = fleet.machines.length;
+  const removed: Machine[] = [];
+  for (const count of REMOVALS) {
+    const leaving = boards.splice(0, count);
+    removed.push(...leaving);
     await Promise.all(leaving.map(scaleIn));
   }
   record(
-    `${formatTime(fleet.now())} ${removed.length} of 13 machines were ` +
+    `${formatTime(fleet.now())} ${removed.length} of ${total} machines were ` +
       "taken away",
   );
   // From here on, all machines are undisturbed for longer than stableS.
@@ -109,14 +111,11 @@
 
   const offset = performance.now() - fleet.now();
   const sentAt = new Map(answers.map((it) => [it.id, it.sentAt]));
-  const arrivals = orders.flatMap(({ backend, ip }) =>
+  const arrivals = orders.flatMap(({ backend }) =>
     backend.arrived
       .filter((it) => it.id.startsWith("fatal-") && !it.isMisdirected)
-      .map((it) => ({ ...it, at: it.at - offset, ip }))
+      .map((it) => ({ ...it, at: it.at - offset }))
   ).sort((a, b) => a.at - b.at);
-  for (const { at, id, instance, ip } of arrivals) {
-    record(`${formatTime(at)} ${id} runs at ${instance} (${ip})`);
-  }
   for (const { at, instance } of ends) {
     record(`${formatTime(at)} ${instance} ends`);
   }
--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -1,6 +1,6 @@
 /**
- * The backends of a service are replaced one after the other, and each starts
- * again under the id that it had. Each says in its answers that it leaves before.
+ * The backends of a service begin to leave, one after the other. Each crashes
+ * while it still serves, and starts again under the id that it had.
  */
 
 import { type Answer, type Machine, pause } from "../support-2/deployment.ts";
@@ -16,9 +16,10 @@
   startTwoRoutes,
 } from "../support-2/two_routes.ts";
 
-const DRAIN_MS = 2_000;
-/** Time from then on until its entry is removed: less than a heartbeat of 1.5 s. */
+/** From saying that it leaves until its entry is removed; less than a heartbeat of 1.5 s. */
 const SAYS_SO_MS = 1_000;
+/** From then until it crashes: while it still serves, as it does for `drainS` (2 s). */
+const SERVES_ON_MS = 1_000;
 const DOWN_MS = 1_500;
 /** Time between two backends. */
 const GAP_MS = 3_000;
@@ -38,30 +39,28 @@
   const reads: Promise<Answer>[] = [];
   const timer = setInterval(() => reads.push(sendAdded("during")), EVERY_MS);
   for (const machine of archive) {
-    await restart(machine);
+    await leaveAndCrash(machine);
     await pause(GAP_MS);
   }
   clearInterval(timer);
   const during = countStatuses(await Promise.all(reads));
-  record(`while they are replaced: added route ${during}`);
+  record(`meanwhile: added route ${during}`);
   await pause(CALM_MS);
   record(
     `${formatTime(fleet.now())} nothing was disturbed for ${CALM_MS / 1_000} s`,
   );
   const after = await sendBoth("after");
   record(`after: ${describeBoth(after)}`);
-  for (const { ip, backend, log } of archive) {
-    const last = log.findLast((line) => line.includes("event=guard_refused"));
-    const reason = /reason=(\S+)/.exec(last ?? "")?.[1] ?? "none";
-    record(
-      `${ip} ${backend.instance} is listed as ready; the last refusal of its ` +
-        `daemon: ${reason}`,
-    );
+  const served = after.added.filter((it) => it.status === 200);
+  const from = [...new Set(served.map((it) => it.machine))].sort();
+  record(`served on the added route: those of ${from.join(", ") || "none"}`);
+  for (const { ip, backend } of archive) {
+    record(`${ip} ${backend.instance} is listed as ready`);
   }
   return findUnservedRoute(after);
 
   /** The new start knows nothing of before, and its counts start anew. */
-  async function restart(machine: Machine): Promise<void> {
+  async function leaveAndCrash(machine: Machine): Promise<void> {
     const { backend } = machine;
     const { instance } = backend;
     backend.isLeaving = true;
@@ -69,8 +68,9 @@
     await pause(SAYS_SO_MS);
     fleet.store.remove(`servers/${instance}`);
     record(`${formatTime(fleet.now())} the entry of ${instance} is removed`);
-    await pause(DRAIN_MS + 500);
+    await pause(SERVES_ON_MS);
     backend.end();
+    record(`${formatTime(fleet.now())} ${instance} crashes`);
     await pause(DOWN_MS);
     backend.isLeaving = false;
     await backend.start(hasTrouble ? instance : `${instance}-new`);
--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -12,6 +12,8 @@
 const LIMIT_PER_S = 20 / 3;
 const STABLE_MS = 3_000;
 const WINDOW_MS = 4_000;
+/** "machines that had passed on such an answer half a second before or earlier". */
+const KNOWN_MS = 500;
 /** "more than one and a half times what that allows, + 5 requests". */
 const OVER = 1.5;
 const SLACK = 5;
@@ -42,7 +44,6 @@
   // With LIMIT, another number in the header, for comparison.
   const limit = Number(process.env["LIMIT"] ?? LIMIT_PER_S);
   if (hasTrouble) backend.limitPerS = limit;
-  const namedAt = fleet.now();
   const sent: Promise<Answer>[] = [];
   const timer = setInterval(() => {
     const id = `read-${sent.length + 1}`;
@@ -54,10 +55,22 @@
   const answers = await Promise.all(sent);
 
   const offset = performance.now() - fleet.now();
+  /** Time at which each machine first passed on an answer that names the limit. */
+  const toldAt = new Map<string, number>();
+  for (const { machine, endedAt, headers } of answers) {
+    if (headers["server-limit"] === undefined) continue;
+    const before = toldAt.get(machine) ?? Infinity;
+    toldAt.set(machine, Math.min(before, endedAt));
+  }
+  const namedAt = Math.min(...toldAt.values());
+  const machineOf = new Map(answers.map((it) => [it.id, it.machine]));
   const arrivals = backend.arrived
     .filter((it) => it.id.startsWith("read-") && !it.isMisdirected)
     .map(({ at, id }) => ({ at: at - offset, id }))
-    .filter(({ at }) => at >= namedAt + STABLE_MS);
+    .filter(({ at, id }) => {
+      const known = toldAt.get(machineOf.get(id)!) ?? Infinity;
+      return at >= namedAt + STABLE_MS && at >= known + KNOWN_MS;
+    });
   let most = 0;
   let mostFrom = 0;
   for (const { at: from } of arrivals) {
@@ -69,8 +82,10 @@
     mostFrom = from;
   }
   const allowed = OVER * limit * WINDOW_MS / 1_000 + SLACK;
-  for (const { at, id } of arrivals) record(`${formatTime(at)} ${id} arrives`);
   record(`answers by status: ${countStatuses(answers)}`);
+  for (const [ip, at] of toldAt) {
+    record(`${formatTime(at)} ${ip} has passed on the limit`);
+  }
   record(`header Server-Limit: ${hasTrouble ? limit : "none"}`);
   record(
     `most in 4 s: ${most}, from ${formatTime(mostFrom)}; with the limit ` +
--- a/review/support-2/backend.ts
+++ b/review/support-2/backend.ts
@@ -16,13 +16,16 @@
   readonly isMisdirected: boolean;
 }
 
+/** A request that a backend began to run. */
+export type Run = Omit<Arrival, "isMisdirected">;
+
 /** A running backend. */
 export interface Backend {
   readonly address: string;
   readonly slots: number;
   readonly arrived: Arrival[];
-  /** Ids of the requests that ran, in order of their start. */
-  readonly ran: string[];
+  /** Requests that it began to run, in order. */
+  readonly runs: Run[];
   instance: string;
   workMs: number;
   /** Named in its answers, if it is in need. */
@@ -55,7 +58,7 @@
     address: `${ip}:${port}`,
     slots,
     arrived: [],
-    ran: [],
+    runs: [],
     instance,
     workMs: 20,
     limitPerS: undefined,
@@ -141,7 +144,7 @@
     }
     if (res.destroyed) return queue.shift()?.();
     running += 1;
-    backend.ran.push(id);
+    backend.runs.push({ id, instance, at: performance.now() });
     if (backend.isFatal(req.url ?? "")) {
       setTimeout(() => {
         if (backend.instance !== instance || !server.listening) return;
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -67,6 +67,8 @@
 /** What a client got; status 0 if the connection ended without an answer. */
 export interface Answer {
   readonly id: string;
+  /** Method and path. */
+  readonly line: string;
   readonly machine: string;
   readonly sentAt: number;
   /** Time of its last byte, or of the end of its connection. */
@@ -88,6 +90,8 @@
 export interface Deployment {
   readonly store: StoreStandIn;
   readonly machines: Machine[];
+  /** All answers so far. */
+  readonly answers: Answer[];
   readonly ports: Ports;
   readonly host: string;
   /** Ms since the start of the script, by a steady clock. */
@@ -120,6 +124,7 @@
   const folder = mkdtempSync(join(tmpdir(), "review-2-"));
   const agent = new Agent({ keepAlive: true, maxSockets: 64 });
   const machines: Machine[] = [];
+  const answers: Answer[] = [];
   const children = new Set<ChildProcess>();
   const [program, ...args] = readRunCommand();
   const net = await findNetwork();
@@ -129,6 +134,7 @@
   return {
     store,
     machines,
+    answers,
     ports,
     host,
     now,
@@ -319,16 +325,20 @@
     return new Promise((resolve) => {
       const end = (
         { status, headers, body }: Pick<Answer, "status" | "headers" | "body">,
-      ) =>
-        resolve({
+      ) => {
+        const answer = {
           id,
+          line: `${method} ${path}`,
           machine: ip,
           sentAt,
           endedAt: now(),
           status,
           headers,
           body,
-        });
+        };
+        answers.push(answer);
+        resolve(answer);
+      };
       const endWithout = () => end({ status: 0, headers: {}, body: "" });
       const req = httpRequest({
         agent,
--- a/review/support-2/run_case.ts
+++ b/review/support-2/run_case.ts
@@ -42,6 +42,8 @@
     fleet = await startDeployment();
     const broken = await play({ fleet, hasTrouble, record });
     code = broken === undefined ? ExitCode.Held : ExitCode.Broken;
+    record("all that was sent, answered and run:");
+    for (const line of describeTraffic(fleet)) record(line);
     finish(broken === undefined ? "the rule held" : `broken: ${broken}`);
   } catch (error) {
     const text = error instanceof CannotRun ? error.message : String(error);
@@ -58,6 +60,33 @@
   }
 }
 
+/** What clients and backends saw, by time. */
+function describeTraffic(fleet: Deployment): string[] {
+  const offset = performance.now() - fleet.now();
+  const events: { at: number; text: string }[] = [];
+  for (const it of fleet.answers) {
+    const { id, line, machine, status } = it;
+    const answer = status === 0 ? "no answer" : `answered ${status}`;
+    events.push(
+      { at: it.sentAt, text: `${id} sent to ${machine}: ${line}` },
+      { at: it.endedAt, text: `${id} ${answer}` },
+    );
+  }
+  for (const { ip, backend } of fleet.machines) {
+    for (const { at, id, instance, isMisdirected } of backend.arrived) {
+      const end = isMisdirected ? ", answered 421" : "";
+      const text = `${id} arrives at ${instance} (${ip})${end}`;
+      events.push({ at: at - offset, text });
+    }
+    for (const { at, id, instance } of backend.runs) {
+      const text = `${id} runs at ${instance} (${ip})`;
+      events.push({ at: at - offset, text });
+    }
+  }
+  return events.sort((a, b) => a.at - b.at)
+    .map(({ at, text }) => `${formatTime(at)} ${text}`);
+}
+
 /** Time as it stands in a record, in s. */
 export function formatTime(ms: number): string {
   return (ms / 1_000).toFixed(3).padStart(7);
--- a/review/support-2/two_routes.ts
+++ b/review/support-2/two_routes.ts
@@ -8,7 +8,8 @@
 } from "./deployment.ts";
 import { countStatuses } from "./run_case.ts";
 
-const REQUESTS = 60;
+/** On each route, 14 of each machine. */
+const REQUESTS = 70;
 const EVERY_MS = 40;
 /** "20 or more requests on routes that were added later". */
 const MIN_REQUESTS = 20;
@@ -46,7 +47,7 @@
   sendBoth(label: string): Promise<BothAnswers>;
 }
 
-/** Starts the machines; the second route is added while they run. */
+/** Starts the machines, three of them for the second route, which is added while they run. */
 export async function startTwoRoutes(fleet: Deployment): Promise<TwoRoutes> {
   for (const service of ["boards", "archive", "boards", "archive", "archive"]) {
     await fleet.addMachine(service);
@@ -57,7 +58,8 @@
   await pause(1_000);
   fleet.publish(2, [FIRST, ADDED]);
   await pause(3_000);
-  let count = 0;
+  /** Requests so far, by route. */
+  const counts = new Map<string, number>();
   return {
     archive,
     sendAdded: (label) => read(label, ADDED.prefix),
@@ -79,10 +81,12 @@
   }
 
   function read(label: string, prefix: string): Promise<Answer> {
-    count += 1;
+    const count = (counts.get(prefix) ?? 0) + 1;
+    counts.set(prefix, count);
     const machine = fleet.machines[count % fleet.machines.length]!;
     const path = `${prefix}${count}`;
-    return fleet.call(machine, { id: `${label}-${count}`, path });
+    const id = `${label}${path.replaceAll("/", "-")}`;
+    return fleet.call(machine, { id, path });
   }
 }
 
