Log which hosts an observed suspect is reported to

Two explanations of a fatal request that is never refused could not be told apart: reports that are lost, and reports that go to hosts which have left. suspects_untold names the peer, not the suspect; suspect_reported now names the signature and the hosts that are to collect it.

--- a/src/daemon/suspect_exchange.ts
+++ b/src/daemon/suspect_exchange.ts
@@ -50,7 +50,10 @@
   const timers = new Set<NodeJS.Timeout>();
   return {
     report: (suspect) => {
-      for (const host of getCollectors(suspect)) tell(host, [suspect]);
+      const collectors = getCollectors(suspect);
+      const { signature } = suspect;
+      logger.info("suspect_reported", { signature, to: collectors.join() });
+      for (const host of collectors) tell(host, [suspect]);
     },
     announce: (suspect) => {
       if (!getCollectors(suspect).includes(self)) return;
