Collectors of suspects are chosen among hosts that are listed and reply

Cause: the collectors of a suspect were the first three by hash of all hosts that a daemon had seen listed in the last fifteen minutes. Hosts that had left collected; a report that could not be delivered changed nothing.

Change: collectors come from the store's list (ready) and from who replies, so that all daemons choose alike; whoever holds a suspect keeps its collectors told as the list or reachability changes (held_suspects.ts). A report names its collectors, so that a receiver with another list collects and passes on. Listed hosts are tried until they are told; a start asks until three have replied.

Why it works: nothing of a daemon's own past is left in the choice, and what was gathered moves with the set.

--- a/src/core/crash_suspects.ts
+++ b/src/core/crash_suspects.ts
@@ -48,8 +48,11 @@
   recordEnd(arrival: Arrival, end: string): void;
   /** Records that the request succeeded. */
   recordSuccess(arrival: Arrival): void;
-  /** Adds what another daemon knows. */
-  merge(suspects: readonly Suspect[]): void;
+  /** Adds what another daemon knows; returns the signatures of which it told something new. */
+  merge(suspects: readonly Suspect[]): ReadonlySet<string>;
+  isKnown(signature: string): boolean;
+  /** True if requests with this signature are refused now. */
+  isQuarantined(signature: string): boolean;
   /** The suspects with these signatures, as far as known. */
   find(signatures: readonly string[]): Suspect[];
   /** The suspects that are refused now. */
@@ -87,7 +90,12 @@
     tryGetQuarantineMs,
     recordEnd,
     recordSuccess,
-    merge: (suspects) => suspects.forEach((it) => add(it)),
+    merge,
+    isKnown: (signature) => entries.has(signature),
+    isQuarantined: (signature) => {
+      const entry = entries.get(signature);
+      return entry !== undefined && isQuarantined(entry);
+    },
     find: (signatures) =>
       signatures.flatMap((it) => entries.get(it) ?? []).map(toSuspect),
     getQuarantined: () =>
@@ -139,6 +147,17 @@
     return host.now() - at < SUCCESS_MEMORY_MS;
   }
 
+  function merge(suspects: readonly Suspect[]): ReadonlySet<string> {
+    const news = suspects.filter(({ signature, ends, cleared }) => {
+      const entry = entries.get(signature);
+      return entry === undefined ||
+        ends.some((end) => !entry.ends.has(end)) ||
+        cleared.some((end) => !entry.cleared.has(end));
+    });
+    for (const suspect of news) add(suspect);
+    return new Set(news.map((it) => it.signature));
+  }
+
   function add({ signature, ends, cleared }: Suspect): Entry {
     dropOld();
     const entry = entries.get(signature) ?? createEntry(signature, host.now());
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -73,6 +73,8 @@
   tryGetLeavingSince(instance: string): Millis | undefined;
   /** Number of hosts with an upstream. */
   countHosts(): number;
+  /** True if any upstream of the host is listed. */
+  isHostListed(host: HostId): boolean;
   /** Hosts with a ready upstream, each once. */
   getReadyHosts(): DomainHost[];
   size(): number;
@@ -115,6 +117,7 @@
     wasListed: (instance) => entries.has(instance) || departures.has(instance),
     tryGetLeavingSince: departures.tryGetSince,
     countHosts,
+    isHostListed,
     getReadyHosts,
     size: () => entries.size,
   };
@@ -304,6 +307,13 @@
     return hosts.size;
   }
 
+  function isHostListed(id: HostId): boolean {
+    for (const { upstream } of entries.values()) {
+      if (options.getHost(upstream.address) === id) return true;
+    }
+    return false;
+  }
+
   function getReadyHosts(): DomainHost[] {
     const hosts = new Map<HostId, DomainHost>();
     for (const { upstream } of entries.values()) {
--- a/src/daemon/crash_protection.ts
+++ b/src/daemon/crash_protection.ts
@@ -17,12 +17,19 @@
 /** Time for which a host is told of suspects after its upstream has gone, in ms; far longer than upstreams are replaced. */
 const HOST_RETENTION_MS = 900_000;
 
+/** A change of the upstreams listed for a host. */
+export interface HostChange {
+  readonly isListed: boolean;
+  /** True if an upstream has started: its daemon may have started with it. */
+  readonly isNew: boolean;
+}
+
 /** The protection of one daemon. */
 export interface CrashProtection
   extends Pick<SuspectExchange, "ask" | "receive" | "close"> {
   readonly suspects: CrashSuspects;
-  /** Records whether a host has a listed upstream. */
-  recordHost(host: HostId, isListed: boolean): void;
+  /** Records that an upstream of a host was listed or removed, and whether any of its upstreams is listed now. */
+  recordHost(host: HostId, change: HostChange): void;
 }
 
 /** Settings of the protection. */
@@ -33,6 +40,8 @@
   readonly getLink: GetLink;
   readonly counters: Counters;
   readonly logger: Logger;
+  /** Hosts with a ready upstream in the list. */
+  getReadyHosts(): readonly HostId[];
 }
 
 /** Creates the protection; it knows no suspects. */
@@ -51,14 +60,20 @@
     },
     onChanged: (suspect, isQuarantined) => {
       log(isQuarantined ? "request_quarantined" : "request_released", suspect);
-      exchange.announce(suspect);
     },
   });
-  const exchange = createSuspectExchange({ ...options, suspects, getHosts });
+  const exchange = createSuspectExchange({
+    ...options,
+    suspects,
+    getListed: options.getReadyHosts,
+    getHosts,
+  });
   return {
     suspects,
-    recordHost: (id, isListed) =>
-      void hosts.set(id, isListed ? undefined : host.now()),
+    recordHost: (id, { isListed, isNew }) => {
+      hosts.set(id, isListed ? undefined : host.now());
+      exchange.recordHost(id, isNew);
+    },
     ask: exchange.ask,
     receive: exchange.receive,
     close: exchange.close,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -282,6 +282,7 @@
     self: settings.host,
     origin: settings.service,
     getLink: links.get,
+    getReadyHosts: () => upstreams.getReadyHosts().map((it) => it.host),
     counters,
     logger,
   });
@@ -650,7 +651,12 @@
       inTouch: store.isReachable(),
     });
     const id = splitAddress(it.address).host;
-    protection.recordHost(id, change !== UpstreamChange.Gone);
+    protection.recordHost(id, {
+      isListed: change !== UpstreamChange.Gone ||
+        upstreams.isHostListed(id),
+      isNew: change === UpstreamChange.Listed ||
+        change === UpstreamChange.Restarted,
+    });
     const isGone = change === UpstreamChange.Gone ||
       change === UpstreamChange.Restarted;
     if (isGone) gatewayTask.gateway.forgetHost(id);
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -44,6 +44,7 @@
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
+const SUSPECT_EXCHANGE_TEST = "test/suspect_exchange_test.ts";
 const CRASH_SUSPECTS_TEST = "test/crash_suspects_test.ts";
 const WORST_LOAD_TEST = "test/worst_load_test.ts";
 const PEER_STATE_TEST = "test/peer_state_test.ts";
@@ -1133,10 +1134,11 @@
   {
     name: "collectors_tell_all_hosts",
     guarantee: "fatal requests end few upstreams",
-    file: "src/daemon/suspect_exchange.ts",
+    file: "src/core/held_suspects.ts",
     edits: [{
-      find: "if (!getCollectors(suspect).includes(self)) return;",
-      replace: "return;",
+      find:
+        "if (it.collects && suspects.isQuarantined(signature)) it.isForAll = true;",
+      replace: "",
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
@@ -1145,11 +1147,48 @@
     guarantee: "fatal requests end few upstreams",
     file: "src/daemon/suspect_exchange.ts",
     edits: [{
-      find: "const MAX_TRIES = 5;",
-      replace: "const MAX_TRIES = 1;",
+      find: "later(waitMs, () => void send(host, outbox));",
+      replace: "",
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
+  {
+    name: "collectors_can_be_reached",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/core/held_suspects.ts",
+    edits: [{
+      find: "host === self || options.canReach(host)",
+      replace: "host !== undefined",
+    }],
+    testFile: SUSPECT_EXCHANGE_TEST,
+  },
+  {
+    name: "later_collectors_are_told",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/suspect_exchange.ts",
+    edits: [{ find: "      held.recordHostsChanged();\n", replace: "" }],
+    testFile: SUSPECT_EXCHANGE_TEST,
+  },
+  {
+    name: "hosts_listed_anew_are_told",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/suspect_exchange.ts",
+    edits: [{
+      find: "if (isNew) held.forgetHost(host);",
+      replace: "",
+    }],
+    testFile: SUSPECT_EXCHANGE_TEST,
+  },
+  {
+    name: "starting_daemons_ask_until_replies_come",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/suspect_exchange.ts",
+    edits: [{
+      find: "later(waitMs, () => void askNext(next, replied + received));",
+      replace: "",
+    }],
+    testFile: SUSPECT_EXCHANGE_TEST,
+  },
   {
     name: "lost_responses_are_no_ends",
     guarantee: "fatal requests end few upstreams",
--- a/test/crash_suspects_test.ts
+++ b/test/crash_suspects_test.ts
@@ -284,13 +284,14 @@
     const suspects = createCrashSuspects(createTestHost(), {
       origin: "front",
       onObserved: (suspect) => exchange.report(suspect),
-      onChanged: (suspect) => exchange.announce(suspect),
+      onChanged: () => {},
     });
     const exchange = createSuspectExchange({
       self,
       suspects,
       counters: createCounters(),
       logger: { debug() {}, info() {}, warn() {}, error() {} },
+      getListed: () => ids,
       getHosts: () => ids,
       getLink: (to) =>
         ({
