What is known of an upstream belongs to one start of it

Cause: statements were filed under the id and forgotten on upstream_restarted, which comes only for an entry that is still listed. Removed before, the next start is upstream_listed: the guard went on saying that its upstream leaves, and the gateways believed it.

Change: a start is an id and a start time; statements name it between daemons and apply to that start only. The list reports the newest start at a host, and what is filed by host or learned of the local upstream (load, slots, slow periods, failures, connection limits, coldness) is forgotten with it. Responses to requests of before a start count for none. The list of events at which to forget is gone.

Why it works: no path by which an id ends and comes back has to be known.

Changed test: an explanation names what a decision forgets of a host; it forgets only if the newest start there changes, so the test lets that one lapse.

--- a/src/core/attempts.ts
+++ b/src/core/attempts.ts
@@ -179,8 +179,8 @@
 /** Adds an attempt at a host to a request. */
 export function addAttempt(
   request: PendingRequest,
-  { host, failureDomain, instance }:
-    & Pick<Candidate, "host" | "instance">
+  { host, failureDomain, instance, bornAt }:
+    & Pick<Candidate, "host" | "instance" | "bornAt">
     & Partial<Pick<Candidate, "failureDomain">>,
   how: {
     now: Millis;
@@ -197,6 +197,7 @@
     host,
     ...(failureDomain !== undefined && { failureDomain }),
     ...(instance !== undefined && { instance }),
+    ...(bornAt !== undefined && { bornAt }),
     sentAt: how.now,
     isHedge: how.isHedge,
     mayQueue: how.mayQueue,
--- a/src/core/departures.ts
+++ b/src/core/departures.ts
@@ -24,6 +24,8 @@
   forget(instance: string): void;
   /** True if an upstream has left. */
   has(instance: string): boolean;
+  /** Start time of an upstream that has left, if it was stated. */
+  tryGetBornAt(instance: string): number | undefined;
   /** Time since which an upstream has been leaving, in ms; undefined if it is not. */
   tryGetSince(instance: string): Millis | undefined;
   /** Records that the list came back from an older copy. */
@@ -61,6 +63,7 @@
     record,
     forget: (instance) => void departures.delete(instance),
     has: (instance) => departures.has(instance),
+    tryGetBornAt: (instance) => departures.get(instance)?.bornAt,
     tryGetSince: (instance) => departures.get(instance)?.since,
     markRolledBack,
     isOutdated,
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -88,6 +88,7 @@
   const notices = createKnownNotices(host, {
     leavingMs: options.leavingMs ?? 0,
     onNotice: options.onNotice,
+    ...(options.tryGetBornAt && { tryGetBornAt: options.tryGetBornAt }),
   });
   const responseSizes = createResponseSizes();
   const usableHosts = createUsableHosts(host, { ...options, counters });
@@ -156,7 +157,6 @@
       loads.forget(id);
       usableHosts.forget(id);
     },
-    forgetNotices: notices.forget,
     getExtraWorkShare: () => extras?.getMeasuredShare() ?? 0,
     counters,
   };
@@ -253,6 +253,8 @@
       ...(candidate.instance !== undefined &&
         { instance: candidate.instance }),
       ...(limitPerS !== undefined && { limitPerS }),
+      ...(limitPerS !== undefined && candidate.bornAt !== undefined &&
+        { bornAt: candidate.bornAt }),
     };
   }
 
--- a/src/core/gateway_types.ts
+++ b/src/core/gateway_types.ts
@@ -86,6 +86,8 @@
   readonly onDomainRefused?: (failureDomain: FailureDomainName) => void;
   /** True if the list has named an incarnation, also if it has left since; by default, if none is listed. */
   wasListed?(instance: string): boolean;
+  /** Start time of an incarnation as the list states it or last stated it. */
+  tryGetBornAt?(instance: string): number | undefined;
   /** Requests that ended upstreams; absent if they are served like others. */
   readonly suspects?: Pick<
     CrashSuspects,
@@ -141,8 +143,6 @@
   /** Load of a host as known to this gateway. */
   getLoad(host: HostId): LoadEntry;
   forgetHost(host: HostId): void;
-  /** Forgets what an upstream stated before it started again under the same instance. */
-  forgetNotices(instance: string): void;
   /** Extra work as a share of the work of own requests in the last window. */
   getExtraWorkShare(): number;
   readonly counters: Counters;
@@ -176,6 +176,8 @@
   readonly failureDomain?: FailureDomainName;
   /** Incarnation of the upstream that the attempt is meant for. */
   readonly instance?: string;
+  /** Its start time as Unix time in ms, if the list states it. */
+  readonly bornAt?: number;
   readonly sentAt: Millis;
   readonly isHedge: boolean;
   /** False for a non-queueing attempt. */
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -14,7 +14,11 @@
   type DiagnosticName,
   Diagnostics,
 } from "./diagnostics.ts";
-import { createFailureShare, REPORTED_HALF_LIFE_MS } from "./failure_share.ts";
+import {
+  createFailureShare,
+  type FailureShare,
+  REPORTED_HALF_LIFE_MS,
+} from "./failure_share.ts";
 import { createFairQueue } from "./fair_queue.ts";
 import {
   type Entry,
@@ -122,10 +126,7 @@
   });
   const wakes = createWakeQueue<Ticket>(isWakeNeeded);
   const startedAt = host.now();
-  const failures = createFailureShare(host, {
-    smoothing: FAILURE_SMOOTHING,
-    halfLifeMs: REPORTED_HALF_LIFE_MS,
-  });
+  let failures = createFailures();
   let busySlots = 0;
   let runningCount = 0;
   let draining = false;
@@ -153,8 +154,13 @@
       notices.record(notice, source);
       return applyLimit();
     },
-    [GuardMessageKind.UpstreamRestarted]: () => {
-      notices.forget();
+    [GuardMessageKind.UpstreamListed]: ({ start }) => {
+      notices.recordListed(start);
+      failures = createFailures();
+      return applyLimit();
+    },
+    [GuardMessageKind.UpstreamEnded]: () => {
+      notices.recordEnded();
       return applyLimit();
     },
     [GuardMessageKind.Tick]: tick,
@@ -183,6 +189,13 @@
     return actions;
   }
 
+  function createFailures(): FailureShare {
+    return createFailureShare(host, {
+      smoothing: FAILURE_SMOOTHING,
+      halfLifeMs: REPORTED_HALF_LIFE_MS,
+    });
+  }
+
   function mayStart(head: RequestHead): boolean {
     return tryGetClosedReason() === undefined &&
       (!draining || head.isLastChoice === true) &&
@@ -337,9 +350,9 @@
     return head.timeoutMs - minWorkMs;
   }
 
-  function adoptLimit({ limitPerS, instance }: RequestHead): void {
+  function adoptLimit({ limitPerS, instance, bornAt }: RequestHead): void {
     if (limitPerS === undefined || instance === undefined) return;
-    notices.adoptLimit(limitPerS, instance);
+    notices.adoptLimit(limitPerS, { instance, bornAt });
     applyLimit();
   }
 
--- a/src/core/replaced_instances.ts
+++ b/src/core/replaced_instances.ts
@@ -7,6 +7,7 @@
 import { Diagnostics } from "./diagnostics.ts";
 import { type DecisionTrace, Exclusion } from "./exclusions.ts";
 import type { Candidate, CoreHost, Millis, Verdict } from "./types.ts";
+import { getStartKey, type UpstreamStart } from "./upstream_start.ts";
 
 /** Time for which a replaced incarnation is excluded, in ms; the list drops an entry after three heartbeats of 1.5 s. */
 const EXCLUSION_MS = 5_000;
@@ -20,8 +21,8 @@
 
 /** Replaced incarnations. */
 export interface ReplacedInstances {
-  /** Records the verdict on an attempt for an incarnation; true if the replacement was not known. */
-  recordVerdict(instance: string, verdict: Verdict): boolean;
+  /** Records the verdict on an attempt for a start of an upstream; true if the replacement was not known. */
+  recordVerdict(start: UpstreamStart, verdict: Verdict): boolean;
   /** Candidates whose incarnation was not replaced. */
   filter(candidates: readonly Candidate[]): readonly Candidate[];
   /** What `filter` returns, without a change of the set. */
@@ -33,20 +34,25 @@
 
 /** Creates an empty set. */
 export function createReplacedInstances(host: CoreHost): ReplacedInstances {
+  /** By key of the start. */
   const until = new Map<string, Millis>();
   return { recordVerdict, filter, preview };
 
-  function recordVerdict(instance: string, { diagnostic }: Verdict): boolean {
+  function recordVerdict(
+    start: UpstreamStart,
+    { diagnostic }: Verdict,
+  ): boolean {
     if (!REPLACED.has(diagnostic)) return false;
-    const isNew = !until.has(instance);
-    until.set(instance, host.now() + EXCLUSION_MS);
+    const key = getStartKey(start);
+    const isNew = !until.has(key);
+    until.set(key, host.now() + EXCLUSION_MS);
     return isNew;
   }
 
   function filter(candidates: readonly Candidate[]): readonly Candidate[] {
     const now = host.now();
-    for (const [instance, at] of until) {
-      if (at <= now) until.delete(instance);
+    for (const [key, at] of until) {
+      if (at <= now) until.delete(key);
     }
     if (until.size === 0) return candidates;
     return candidates.filter((c) => getRemainingMs(c) <= 0);
@@ -64,7 +70,8 @@
     });
   }
 
-  function getRemainingMs({ instance = "" }: Candidate): Millis {
-    return (until.get(instance) ?? -Infinity) - host.now();
+  function getRemainingMs({ instance = "", bornAt }: Candidate): Millis {
+    const key = getStartKey({ instance, bornAt });
+    return (until.get(key) ?? -Infinity) - host.now();
   }
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Diagnostic } from "./diagnostics.ts";
+import type { UpstreamStart } from "./upstream_start.ts";
 
 /** Milliseconds; monotonic when used as a point in time. */
 export type Millis = number;
@@ -88,6 +89,8 @@
   readonly instance?: string;
   /** Limit of that incarnation as the gateway knows it, in requests per second. */
   readonly limitPerS?: number;
+  /** Start time of the incarnation that stated the limit as Unix time in ms, if known. */
+  readonly bornAt?: number;
 }
 
 /** A response small enough to be stored with its key. */
@@ -104,6 +107,8 @@
 export interface UpstreamNotice {
   /** Incarnation that states it. */
   readonly instance: string;
+  /** Its start time as Unix time in ms, if its guard knows it. */
+  readonly bornAt?: number;
   /** True if it is about to leave and must get no more requests. */
   readonly isLeaving: boolean;
   /** Requests per second that it accepts from all hosts together, if it states a limit. */
@@ -158,6 +163,8 @@
   readonly failureDomain: FailureDomainName;
   /** Incarnation of its upstream, if the list names one. */
   readonly instance?: string;
+  /** Start time of that incarnation as Unix time in ms, if the list states it. */
+  readonly bornAt?: number;
 }
 
 /** The members of a message union that carry a kind. */
@@ -181,8 +188,10 @@
   Drain = "drain",
   /** A response of the upstream states something about the upstream, or nothing. */
   Noticed = "noticed",
-  /** The upstream started again under the same instance. */
-  UpstreamRestarted = "upstream-restarted",
+  /** The list names another start of the upstream. */
+  UpstreamListed = "upstream-listed",
+  /** The upstream refuses connections: it has ended. */
+  UpstreamEnded = "upstream-ended",
   Tick = "tick",
 }
 
@@ -228,7 +237,8 @@
     notice: ResponseNotice;
     source: NoticeSource;
   }
-  | { kind: GuardMessageKind.UpstreamRestarted }
+  | { kind: GuardMessageKind.UpstreamListed; start: UpstreamStart }
+  | { kind: GuardMessageKind.UpstreamEnded }
   | { kind: GuardMessageKind.Tick };
 
 /** Kinds of actions that a guard requests from its driver. */
@@ -389,6 +399,8 @@
     instance?: string;
     /** Limit that the upstream has stated, in requests per second. */
     limitPerS?: number;
+    /** Start time of the instance that stated it as Unix time in ms, if known. */
+    bornAt?: number;
   }
   | {
     kind: GatewayActionKind.Run;
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -13,6 +13,7 @@
 import type { DomainHost } from "./reading_plan.ts";
 import { type ListedUpstream, ListedUpstreamState } from "./routing_types.ts";
 import type { Candidate, CoreHost, HostId, Millis } from "./types.ts";
+import { getStartKey } from "./upstream_start.ts";
 
 /** Changes of an upstream in the list. */
 export enum UpstreamChange {
@@ -42,6 +43,8 @@
   /** Host of an address, by which daemons are identified. */
   getHost(address: string): HostId;
   onChange(change: UpstreamChange, upstream: ListedUpstream): void;
+  /** Called when the newest upstream of a host is another start than before, or none is left. */
+  onStart?(host: HostId, newest: ListedUpstream | undefined): void;
 }
 
 /** Known upstreams. */
@@ -71,6 +74,8 @@
   wasListed(instance: string): boolean;
   /** Time since which an incarnation is listed as draining or has left the list, in ms; undefined if it is not. */
   tryGetLeavingSince(instance: string): Millis | undefined;
+  /** Start time of an incarnation as the list states it or last stated it; undefined if it doesn't. */
+  tryGetBornAt(instance: string): number | undefined;
   /** Number of hosts with an upstream. */
   countHosts(): number;
   /** True if any upstream of the host is listed. */
@@ -82,6 +87,7 @@
 
 interface Entry {
   upstream: ListedUpstream;
+  host: HostId;
   /** Order of first listing; of entries with the same address the latest counts. */
   readonly order: number;
   /** Time at which a lapsed entry is dropped, in ms. */
@@ -94,9 +100,11 @@
   options: UpstreamListOptions,
 ): UpstreamList {
   const entries = new Map<string, Entry>();
+  /** The same by host. */
+  const byHost = new Map<HostId, Set<Entry>>();
+  /** Key of the newest start of each host with an upstream. */
+  const starts = new Map<HostId, string>();
   const candidates = new Map<string, Candidate[]>();
-  /** Undefined after a change until it is next needed. */
-  let hostCount: number | undefined;
   const departures = createDepartures(host);
   /** Outdated entries by instance. */
   const withheld = new Map<string, ListedUpstream>();
@@ -116,8 +124,11 @@
     tryGetAt,
     wasListed: (instance) => entries.has(instance) || departures.has(instance),
     tryGetLeavingSince: departures.tryGetSince,
-    countHosts,
-    isHostListed,
+    tryGetBornAt: (instance) =>
+      entries.get(instance)?.upstream.bornAt ??
+        departures.tryGetBornAt(instance),
+    countHosts: () => byHost.size,
+    isHostListed: (id) => byHost.has(id),
     getReadyHosts,
     size: () => entries.size,
   };
@@ -133,16 +144,20 @@
     if (isReady) departures.forget(upstream.instance);
     else departures.record(upstream);
     withheld.delete(upstream.instance);
-    forgetDerived();
+    candidates.clear();
     const known = entries.get(upstream.instance);
+    const id = options.getHost(upstream.address);
     if (known === undefined) {
       lastOrder += 1;
-      entries.set(upstream.instance, { upstream, order: lastOrder });
+      const entry = { upstream, host: id, order: lastOrder };
+      entries.set(upstream.instance, entry);
+      addToHost(entry);
       options.onChange(UpstreamChange.Listed, upstream);
     } else {
       const before = known.upstream;
       known.upstream = upstream;
       delete known.goneAt;
+      if (known.host !== id) move(known, id);
       if (before.bornAt !== upstream.bornAt) {
         options.onChange(UpstreamChange.Restarted, upstream);
       }
@@ -150,6 +165,36 @@
         options.onChange(UpstreamChange.Draining, upstream);
       }
     }
+    updateStart(id);
+  }
+
+  function move(entry: Entry, to: HostId): void {
+    const from = entry.host;
+    removeFromHost(entry);
+    entry.host = to;
+    addToHost(entry);
+    updateStart(from);
+  }
+
+  function addToHost(entry: Entry): void {
+    const own = byHost.get(entry.host);
+    if (own === undefined) byHost.set(entry.host, new Set([entry]));
+    else own.add(entry);
+  }
+
+  function removeFromHost(entry: Entry): void {
+    const own = byHost.get(entry.host)!;
+    own.delete(entry);
+    if (own.size === 0) byHost.delete(entry.host);
+  }
+
+  function updateStart(id: HostId): void {
+    const newest = findNewest(byHost.get(id) ?? [])?.upstream;
+    const key = newest && getStartKey(newest);
+    if (key === starts.get(id)) return;
+    if (key === undefined) starts.delete(id);
+    else starts.set(id, key);
+    options.onStart?.(id, newest);
   }
 
   /** Keeps what is known of the upstream; if it was removed, it stays so. */
@@ -172,7 +217,7 @@
     }
     const entry = entries.get(instance);
     if (entry === undefined) return;
-    forgetDerived();
+    candidates.clear();
     const mayReturn = removal === UpstreamRemoval.Missing && isWithinGrace() &&
       entry.upstream.state === ListedUpstreamState.Ready;
     if (!mayReturn) return drop(entry);
@@ -229,10 +274,11 @@
   ): readonly Candidate[] {
     const now = host.now();
     const view = new Map(entries);
+    const changed = new Set<HostId>();
     for (const [instance, entry] of view) {
       if (now < nextGoneAt || !isGone(entry, now)) continue;
       view.delete(instance);
-      trace.forget(options.getHost(entry.upstream.address));
+      changed.add(entry.host);
       exclude(entry.upstream, Exclusion.NotListed);
     }
     let order = lastOrder;
@@ -241,12 +287,20 @@
         exclude(upstream, Exclusion.OutdatedEntry);
       } else {
         order += 1;
+        const id = options.getHost(upstream.address);
         view.set(instance, {
           upstream,
+          host: id,
           order: view.get(instance)?.order ?? order,
         });
+        changed.add(id);
       }
     }
+    for (const id of changed) {
+      const own = [...view.values()].filter((it) => it.host === id);
+      const newest = findNewest(own)?.upstream;
+      if ((newest && getStartKey(newest)) !== starts.get(id)) trace.forget(id);
+    }
     return findCandidates(service, view.values(), exclude);
 
     function exclude(upstream: ListedUpstream, reason: Exclusion): void {
@@ -260,17 +314,16 @@
     from: Iterable<Entry>,
     onExcluded?: (upstream: ListedUpstream, reason: Exclusion) => void,
   ): Candidate[] {
-    const byHost = new Map<HostId, Entry>();
+    const newest = new Map<HostId, Entry>();
     for (const entry of from) {
-      const id = options.getHost(entry.upstream.address);
-      const other = byHost.get(id);
+      const other = newest.get(entry.host);
       const isNewest = other === undefined || other.order < entry.order;
-      if (isNewest) byHost.set(id, entry);
+      if (isNewest) newest.set(entry.host, entry);
       const older = isNewest ? other : entry;
       if (older) onExcluded?.(older.upstream, Exclusion.Superseded);
     }
     const found: Candidate[] = [];
-    for (const { upstream } of byHost.values()) {
+    for (const { upstream } of newest.values()) {
       if (upstream.service !== service) continue;
       if (upstream.state === ListedUpstreamState.Ready) {
         found.push(toCandidate(upstream));
@@ -280,45 +333,26 @@
   }
 
   function toCandidate(
-    { address, failureDomain, instance }: ListedUpstream,
+    { address, failureDomain, instance, bornAt }: ListedUpstream,
   ): Candidate {
-    return { host: options.getHost(address), failureDomain, instance };
+    return {
+      host: options.getHost(address),
+      failureDomain,
+      instance,
+      ...(bornAt !== undefined && { bornAt }),
+    };
   }
 
   function tryGetAt(address: string): ListedUpstream | undefined {
-    let newest: Entry | undefined;
-    for (const entry of entries.values()) {
-      if (entry.upstream.address !== address) continue;
-      if (newest === undefined || newest.order < entry.order) newest = entry;
-    }
-    return newest?.upstream;
-  }
-
-  /** Each placement asks for it, a change of the list is rare. */
-  function countHosts(): number {
-    return hostCount ??= countEntries();
-  }
-
-  function countEntries(): number {
-    const hosts = new Set<HostId>();
-    for (const { upstream } of entries.values()) {
-      hosts.add(options.getHost(upstream.address));
-    }
-    return hosts.size;
-  }
-
-  function isHostListed(id: HostId): boolean {
-    for (const { upstream } of entries.values()) {
-      if (options.getHost(upstream.address) === id) return true;
-    }
-    return false;
+    const own = byHost.get(options.getHost(address)) ?? [];
+    return findNewest([...own].filter((it) => it.upstream.address === address))
+      ?.upstream;
   }
 
   function getReadyHosts(): DomainHost[] {
     const hosts = new Map<HostId, DomainHost>();
-    for (const { upstream } of entries.values()) {
+    for (const { upstream, host: id } of entries.values()) {
       if (upstream.state !== ListedUpstreamState.Ready) continue;
-      const id = options.getHost(upstream.address);
       hosts.set(id, { host: id, failureDomain: upstream.failureDomain });
     }
     return [...hosts.values()];
@@ -327,7 +361,7 @@
   function dropLapsed(): void {
     const now = host.now();
     nextGoneAt = Infinity;
-    forgetDerived();
+    candidates.clear();
     for (const entry of [...entries.values()]) {
       if (entry.goneAt === undefined) continue;
       if (isGone(entry, now)) drop(entry);
@@ -339,18 +373,24 @@
     return goneAt <= now && !isLost;
   }
 
-  function forgetDerived(): void {
-    candidates.clear();
-    hostCount = undefined;
-  }
-
   function drop(entry: Entry): void {
     entries.delete(entry.upstream.instance);
+    removeFromHost(entry);
     departures.record(entry.upstream);
     options.onChange(UpstreamChange.Gone, entry.upstream);
+    updateStart(entry.host);
   }
 
   function isWithinGrace(): boolean {
     return isLost || host.now() < regainedAt + options.lapseGraceMs;
   }
 }
+
+/** Of entries of one host, the one that was listed last. */
+function findNewest(from: Iterable<Entry>): Entry | undefined {
+  let newest: Entry | undefined;
+  for (const entry of from) {
+    if (newest === undefined || newest.order < entry.order) newest = entry;
+  }
+  return newest;
+}
--- a/src/core/usable_hosts.ts
+++ b/src/core/usable_hosts.ts
@@ -64,7 +64,7 @@
   };
 
   function recordRefusal(
-    { host: id, instance }: Attempt,
+    { host: id, instance, bornAt }: Attempt,
     verdict: Verdict,
   ): void {
     if (instance === undefined) return;
@@ -72,7 +72,7 @@
     if (current !== undefined && instances.mayUse(current)) {
       const isNew = instances.record(id, { asked: instance, current });
       if (isNew) emit(HostStatus.Replaced, { host: id, instance, current });
-    } else if (replaced.recordVerdict(instance, verdict)) {
+    } else if (replaced.recordVerdict({ instance, bornAt }, verdict)) {
       emit(HostStatus.Replaced, { host: id, instance });
     }
   }
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -552,8 +552,8 @@
 function createHead(request: GatewayRequest, action: SendAction): RequestHead {
   const { account, service, repeatability, key, priority, route, isReturned } =
     request.arrival;
-  const { timeoutMs, mayQueue, maxWaitMs, isLastChoice, instance, limitPerS } =
-    action;
+  const { timeoutMs, mayQueue, maxWaitMs, isLastChoice } = action;
+  const { instance, limitPerS, bornAt } = action;
   const spentMs = request.arrival.timeoutMs - timeoutMs;
   const objectiveMs = request.arrival.objectiveMs;
   return {
@@ -574,6 +574,7 @@
     ...(isReturned && { isReturned }),
     ...(instance !== undefined && { instance }),
     ...(limitPerS !== undefined && { limitPerS }),
+    ...(bornAt !== undefined && { bornAt }),
   };
 }
 
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -41,6 +41,7 @@
   UpstreamClient,
   UpstreamFailure,
 } from "../upstream/upstream_client.ts";
+import type { UpstreamStart } from "../core/upstream_start.ts";
 import type { Clock } from "./clock.ts";
 import { OpenPhase, type OpenRequest } from "./graceful_stop.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
@@ -104,8 +105,10 @@
   wake(): void;
   /** Records what a response states about the upstream itself. */
   recordNotice(notice: ResponseNotice, source: NoticeSource): void;
-  /** Forgets what the upstream stated before it started again under the same instance. */
-  forgetNotices(): void;
+  /** Records that the list names another start of the upstream. */
+  recordListed(start: UpstreamStart): void;
+  /** Records that the upstream refuses connections. */
+  recordEnded(): void;
   /** Requests that wait for the upstream or its response, or whose response isn't passed on whole. */
   getOpen(): readonly OpenRequest[];
   /**
@@ -183,7 +186,9 @@
     probe: () => Promise.resolve(0),
     wake: () => dispatch({ kind: GuardMessageKind.Tick }),
     recordNotice,
-    forgetNotices: () => dispatch({ kind: GuardMessageKind.UpstreamRestarted }),
+    recordListed: (start) =>
+      dispatch({ kind: GuardMessageKind.UpstreamListed, start }),
+    recordEnded: () => dispatch({ kind: GuardMessageKind.UpstreamEnded }),
     getOpen,
     drain,
     close,
@@ -455,6 +460,7 @@
       ? await options.ends?.tryGetEnd()
       : undefined;
     if (end === undefined) return onUpstreamFailure(ticket, failure);
+    dispatch({ kind: GuardMessageKind.UpstreamEnded });
     const diagnostic = Diagnostics.upstream_ended;
     onUpstreamFailure(ticket, { ...failure, diagnostic }, end);
   }
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -14,6 +14,7 @@
 import { streamBody } from "../link/stream_body.ts";
 import {
   decodeHead,
+  encodeBornAt,
   encodeNotice,
   encodeReport,
   encodeStartsIn,
@@ -303,10 +304,12 @@
 ): Record<string, string> {
   const report = guard.getReport();
   const notice = encodeNotice(report);
+  const bornAt = encodeBornAt(report);
   const startsIn = encodeStartsIn(report);
   return {
     [Header.Report]: encodeReport(report),
     ...(notice !== undefined && { [Header.Notice]: notice }),
+    ...(bornAt !== undefined && { [Header.NoticeBornAt]: bornAt }),
     ...(startsIn !== undefined && { [Header.StartsInMs]: startsIn }),
   };
 }
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -28,6 +28,7 @@
   RoutingConfig,
 } from "../core/routing_types.ts";
 import { createStopPlan } from "../core/stop_plan.ts";
+import { getStartKey } from "../core/upstream_start.ts";
 import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
 import { planReading, type ReadingPlan } from "../core/reading_plan.ts";
 import type { FailureDomainName, HostId } from "../core/types.ts";
@@ -157,8 +158,8 @@
   const peerPort = splitAddress(settings.listen.peers).port;
   const activeConfig = createActiveConfig();
   let routes: RouteTable | undefined;
-  /** Start of the local upstream as last listed. */
-  let listedStart: string | undefined;
+  /** Key of the local upstream's start as last listed. */
+  let ownStart: string | undefined;
   /** True once the content of the store is known. */
   let hasSnapshot = false;
   /** Requests of peers whose response is not fully sent. */
@@ -170,6 +171,7 @@
     lapseGraceMs: LAPSE_GRACE_MS,
     getHost: (address) => splitAddress(address).host,
     onChange: handleUpstreamChange,
+    onStart: handleStart,
   });
   const evacuations = createEvacuations(host, {
     graceMs: EVACUATION_GRACE_MS,
@@ -211,28 +213,30 @@
     onCold: coldStarts.recordHealth,
     needsReadings: () => coldStarts.getState() !== ColdState.Unlimited,
     isReadingDue: coldStarts.isReadingDue,
+    onRefused: () => guardTask.recordEnded(),
+    onNotice: (notice, source) => guardTask.recordNotice(notice, source),
+  });
+  const client = createUpstreamClient({
+    address: settings.upstreamAddress,
+    clock,
+    connections: MAX_UPSTREAM_CONNECTIONS,
+    protocol: deployment.upstreams,
+    memory,
+    pieces,
+    tryGetMaxConnections: () =>
+      routes?.config.maxConnections?.get(settings.service),
+    getSlots: getListedSlots,
+    onMadeRoom: () => counters.add("upstream_connection_gave_way"),
+    onConnectionRefused: () => counters.add("upstream_connection_refused"),
+    onEndless: () => counters.add("response_cut_endless"),
+    onLoad: watch.recordLoad,
     onNotice: (notice, source) => guardTask.recordNotice(notice, source),
   });
   const guardTask: GuardTask = createGuardTask(clock, {
     onLate,
     host,
     logger,
-    upstream: createUpstreamClient({
-      address: settings.upstreamAddress,
-      clock,
-      connections: MAX_UPSTREAM_CONNECTIONS,
-      protocol: deployment.upstreams,
-      memory,
-      pieces,
-      tryGetMaxConnections: () =>
-        routes?.config.maxConnections?.get(settings.service),
-      getSlots: getListedSlots,
-      onMadeRoom: () => counters.add("upstream_connection_gave_way"),
-      onConnectionRefused: () => counters.add("upstream_connection_refused"),
-      onEndless: () => counters.add("response_cut_endless"),
-      onLoad: watch.recordLoad,
-      onNotice: (notice, source) => guardTask.recordNotice(notice, source),
-    }),
+    upstream: client,
     beforeAdmission: watch.refresh,
     waitForSockets,
     ends: createUpstreamEnds(settings.upstreamAddress, incarnation),
@@ -334,6 +338,7 @@
       onUnserved: ({ service }, arrivedAt) =>
         calledServices.recordRefusal(service, arrivedAt),
       wasListed: upstreams.wasListed,
+      tryGetBornAt: upstreams.tryGetBornAt,
       leavingMs: bounds.drainMs,
       extraWork: { share: extraWorkShare },
       onHostStatus: (status, { host: peer, ...about }) =>
@@ -552,7 +557,6 @@
     const others: StoreChange[] = [];
     for (const change of changes) {
       if (change.kind === StoreChangeKind.UpstreamListed) {
-        recordOwnUpstream(change.upstream);
         listed.push(change.upstream);
       } else if (change.kind === StoreChangeKind.DomainEvacuated) {
         evacuated.push(change.failureDomain);
@@ -562,6 +566,7 @@
     evacuations.replaceAll(evacuated);
     for (const change of others) applyChange(change);
     upstreams.replaceAll(listed);
+    for (const upstream of listed) recordOwnColdness(upstream);
     if (!hasSnapshot) protection.ask();
     hasSnapshot = true;
     guardTask.wake();
@@ -570,8 +575,8 @@
   function applyChange(change: StoreChange): void {
     switch (change.kind) {
       case StoreChangeKind.UpstreamListed:
-        recordOwnUpstream(change.upstream);
         upstreams.put(change.upstream);
+        recordOwnColdness(change.upstream);
         if (change.upstream.address === settings.upstreamAddress) {
           guardTask.wake();
         }
@@ -593,15 +598,27 @@
     }
   }
 
-  /** An upstream that started since the last reading, or that is listed as cold, is cold until a reading shows otherwise. */
-  function recordOwnUpstream(
-    { address, instance, bornAt, coldMs = 0 }: ListedUpstream,
-  ): void {
-    if (address !== settings.upstreamAddress) return;
-    const start = `${instance} ${bornAt}`;
-    if (start !== listedStart) coldStarts.forget();
-    listedStart = start;
-    coldStarts.recordListed(coldMs);
+  /** An upstream that is listed as cold is cold until a reading shows otherwise. */
+  function recordOwnColdness(upstream: ListedUpstream): void {
+    const own = upstreams.tryGetAt(settings.upstreamAddress);
+    if (own === upstream) coldStarts.recordListed(upstream.coldMs ?? 0);
+  }
+
+  /** Whatever is known of an upstream belongs to one start of it. */
+  function handleStart(id: HostId, newest: ListedUpstream | undefined): void {
+    gatewayTask.gateway.forgetHost(id);
+    if (newest?.address !== settings.upstreamAddress) return;
+    const start = getStartKey(newest);
+    if (start === ownStart) return;
+    ownStart = start;
+    logger.info("own_upstream_started", {
+      instance: newest.instance,
+      bornAt: newest.bornAt,
+    });
+    coldStarts.forget();
+    watch.forgetStart();
+    client.forgetStart();
+    guardTask.recordListed(newest);
   }
 
   /** Applies a configuration if its version is newer than the active one. */
@@ -657,10 +674,6 @@
       isNew: change === UpstreamChange.Listed ||
         change === UpstreamChange.Restarted,
     });
-    const isGone = change === UpstreamChange.Gone ||
-      change === UpstreamChange.Restarted;
-    if (isGone) gatewayTask.gateway.forgetHost(id);
-    if (change === UpstreamChange.Restarted) forgetNotices(it);
   }
 
   function handleEvacuation(
@@ -689,11 +702,6 @@
     return isKnown ? undefined : "not_ready";
   }
 
-  function forgetNotices({ instance, address }: ListedUpstream): void {
-    gatewayTask.gateway.forgetNotices(instance);
-    if (address === settings.upstreamAddress) guardTask.forgetNotices();
-  }
-
   function handleReadiness(...[req, res]: Parameters<RequestListener>): void {
     const isKnown = req.url === deployment.readinessPath;
     const isReady = routes !== undefined && upstreams.size() > 0 &&
--- a/src/daemon/upstream_watch.ts
+++ b/src/daemon/upstream_watch.ts
@@ -66,6 +66,8 @@
   needsReadings(): boolean;
   /** True if a reading is due before a start, whatever the age of the load. */
   isReadingDue(): boolean;
+  /** Called when the upstream refuses the connection of a health check. */
+  onRefused(): void;
   /** Receives what a health check states about the upstream itself. */
   onNotice(notice: ResponseNotice, source: NoticeSource): void;
 }
@@ -78,6 +80,8 @@
   recordLoad(load: UpstreamLoad): void;
   /** Keeps the reading recent while requests wait, if they need that to start. */
   pollWhileWaiting(): void;
+  /** Forgets an earlier start of the upstream; a health check under way is one of it. */
+  forgetStart(): void;
   close(): Promise<void>;
 }
 
@@ -87,8 +91,10 @@
   options: UpstreamWatchOptions,
 ): UpstreamWatch {
   const { counters } = options;
-  const slowPeriods = createSlowPeriods();
-  const slotLimit = createSlotLimit(clock);
+  let slowPeriods = createSlowPeriods();
+  let slotLimit = createSlotLimit(clock);
+  /** Health checks sent before this time, in ms, are of an earlier start. */
+  let validFrom: Millis = -Infinity;
   /** Bytes of the health check that is being read. */
   let readBytes = 0;
   /** Ends the health check that is being read as endless. */
@@ -113,15 +119,26 @@
     getUsableSlots,
     getShortWorkSlots: () => slotLimit.getUsableForShortWork(getSlots()),
     getKnownGoodSlots: () => slotLimit.getKnownGood(getSlots()),
-    recordStart: slotLimit.recordStart,
-    recordServiceTime: slotLimit.recordTime,
+    recordStart: (running) => slotLimit.recordStart(running),
+    recordServiceTime: (running, ratio) => slotLimit.recordTime(running, ratio),
     getSlowdown,
-    getBaseSlowdown: slowPeriods.getBase,
+    getBaseSlowdown: () => slowPeriods.getBase(),
     getStartDelayMs,
     getInstance,
+    forgetStart,
     close,
   };
 
+  function forgetStart(): void {
+    slowPeriods = createSlowPeriods();
+    slotLimit = createSlotLimit(clock);
+    instance = undefined;
+    instanceReadAt = -Infinity;
+    load = undefined;
+    readAt = -Infinity;
+    validFrom = clock.now();
+  }
+
   async function refresh(): Promise<void> {
     const isFresh = clock.now() - readAt < FRESH_MS;
     if (isFresh && !options.isReadingDue()) return;
@@ -141,6 +158,7 @@
     const sentAt = clock.now();
     try {
       const headers = await requestHealth(path);
+      if (sentAt < validFrom) return options.onReading();
       instance = options.protocol.readInstance(headers);
       instanceReadAt = clock.now();
       reportCold(headers, sentAt);
@@ -154,6 +172,7 @@
       const code = (error as { code?: string }).code ??
         (isEndless ? "endless" : "unknown");
       counters.add(`upstream_probe_failed_${code}`);
+      if (code === "ECONNREFUSED") options.onRefused();
     }
   }
 
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -44,6 +44,7 @@
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
+const UPSTREAM_STARTS_TEST = "test/upstream_starts_test.ts";
 const SUSPECT_EXCHANGE_TEST = "test/suspect_exchange_test.ts";
 const CRASH_SUSPECTS_TEST = "test/crash_suspects_test.ts";
 const WORST_LOAD_TEST = "test/worst_load_test.ts";
@@ -371,7 +372,7 @@
     guarantee: "goodput under overload",
     file: "src/core/replaced_instances.ts",
     edits: [{
-      find: "until.set(instance, host.now() + EXCLUSION_MS);",
+      find: "until.set(key, host.now() + EXCLUSION_MS);",
       replace: "",
     }],
     testFile: OVERLOAD_TEST,
@@ -625,7 +626,7 @@
     guarantee: "an upstream gets no more than its limit",
     file: "src/core/guard.ts",
     edits: [{
-      find: "    notices.adoptLimit(limitPerS, instance);\n",
+      find: "    notices.adoptLimit(limitPerS, { instance, bornAt });\n",
       replace: "",
     }],
     testFile: NOTICES_TEST,
@@ -645,8 +646,8 @@
     guarantee: "a leaving upstream gets no new work",
     file: "src/core/known_notices.ts",
     edits: [{
-      find: "return instance !== undefined && leavingSince.has(instance);",
-      replace: "return instance === '' && leavingSince.has(instance);",
+      find: "return tryGetLeavingSince(candidate) !== undefined;",
+      replace: "return tryGetLeavingSince(candidate) === 0.5;",
     }],
     testFile: NOTICES_TEST,
   },
@@ -1131,6 +1132,33 @@
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
+  {
+    name: "statements_belong_to_one_start",
+    guarantee: "a new start is used",
+    file: "src/core/upstream_notices.ts",
+    edits: [{
+      find: "      begin(current);\n",
+      replace: "      start = current;\n",
+    }],
+    testFile: UPSTREAM_STARTS_TEST,
+  },
+  {
+    name: "late_responses_are_of_an_earlier_start",
+    guarantee: "a new start is used",
+    file: "src/core/upstream_notices.ts",
+    edits: [{ find: "if (source.sentAt < validFrom) return;", replace: "" }],
+    testFile: UPSTREAM_STARTS_TEST,
+  },
+  {
+    name: "gateways_file_statements_by_start",
+    guarantee: "a new start is used",
+    file: "src/core/upstream_start.ts",
+    edits: [{
+      find: "bornAt === undefined ? instance : `${instance} ${bornAt}`",
+      replace: "bornAt === undefined ? instance : `${instance}`",
+    }],
+    testFile: UPSTREAM_STARTS_TEST,
+  },
   {
     name: "collectors_tell_all_hosts",
     guarantee: "fatal requests end few upstreams",
@@ -1825,7 +1853,8 @@
     guarantee: "an explanation is what is decided next",
     file: "src/core/upstream_list.ts",
     edits: [{
-      find: "      trace.forget(options.getHost(entry.upstream.address));\n",
+      find:
+        "if ((newest && getStartKey(newest)) !== starts.get(id)) trace.forget(id);",
       replace: "",
     }],
     testFile: EXPLAIN_TEST,
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -77,6 +77,7 @@
   isReturned: isOptional(isFlag),
   instance: isOptional(isText),
   limitPerS: isOptional(isTime),
+  bornAt: isOptional(isNumber),
 });
 
 const checkRequest = createCheck<RequestFrameHead>({
--- a/src/link/http_headers.ts
+++ b/src/link/http_headers.ts
@@ -24,6 +24,7 @@
   Header.Grant,
   Header.Report,
   Header.Notice,
+  Header.NoticeBornAt,
   Header.VerdictJson,
   Header.Revisions,
   Header.From,
--- a/src/link/reply_metadata.ts
+++ b/src/link/reply_metadata.ts
@@ -14,6 +14,7 @@
 import { getHeader } from "./http_headers.ts";
 import { type GuardReply, ReplyKind } from "./types.ts";
 import {
+  decodeBornAt,
   decodeNotice,
   decodeReport,
   decodeStartsIn,
@@ -108,6 +109,15 @@
     if (noticeText === undefined) return report;
     const notice = decodeNotice(noticeText);
     if (notice.err) options.onLinkError(`malformed notice: ${notice.val}`);
-    return notice.ok ? { ...report, ...notice.val } : report;
+    if (notice.err) return report;
+    const { notice: stated, ...rest } = notice.val;
+    const bornAt = decodeBornAt(getHeader(headers, Header.NoticeBornAt) ?? "");
+    return {
+      ...report,
+      ...rest,
+      ...(stated && {
+        notice: { ...stated, ...(bornAt !== undefined && { bornAt }) },
+      }),
+    };
   }
 }
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -26,6 +26,8 @@
   Report = "vanillarock-report",
   /** What the sender's upstream states about itself; absent if it states nothing. */
   Notice = "vanillarock-notice",
+  /** Start time of the upstream that states a notice, as Unix time in ms, if known; earlier versions don't read it. */
+  NoticeBornAt = "vanillarock-notice-born-at",
   /** Time until the sender's upstream may start a request, in ms; absent if it may now. */
   StartsInMs = "vanillarock-starts-in-ms",
   VerdictJson = "vanillarock-verdict-json",
@@ -86,6 +88,7 @@
   isReturned: z.boolean().optional(),
   instance: z.string().optional(),
   limitPerS: z.number().min(0).optional(),
+  bornAt: z.number().optional(),
 });
 
 const verdictSchema = z.object({
@@ -260,6 +263,16 @@
   });
 }
 
+/** Encodes the start time of the upstream that states a notice; undefined if it is not known. */
+export function encodeBornAt({ notice }: LoadReport): string | undefined {
+  return notice?.bornAt === undefined ? undefined : String(notice.bornAt);
+}
+
+/** Decodes such a time; undefined if it can't be read. */
+export function decodeBornAt(text: string): number | undefined {
+  return /^-?\d{1,16}$/.test(text) ? Number(text) : undefined;
+}
+
 /** Encodes the time until the upstream of a report may start a request; undefined if it may now, or a notice states it. */
 export function encodeStartsIn(
   { notice, startsInMs = 0 }: LoadReport,
--- a/src/upstream/connection_limit.ts
+++ b/src/upstream/connection_limit.ts
@@ -32,6 +32,8 @@
   recordRefused(open: number, kept: number): boolean;
   /** Records that the upstream keeps the given number of connections. */
   recordKept(kept: number): void;
+  /** Forgets what an earlier start of the upstream has shown. */
+  forgetStart(): void;
 }
 
 /** Creates the limit of an upstream that has shown none. */
@@ -45,6 +47,7 @@
     isReached: (open) => open >= Math.min(getStated(), getShown()),
     recordRefused,
     recordKept: (kept) => shown = Math.max(shown, kept),
+    forgetStart: () => forgetsAt = -Infinity,
   };
 
   function getStated(): number {
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -87,6 +87,8 @@
 /** Sends requests to one upstream. */
 export interface UpstreamClient {
   send(request: ForwardRequest, call: UpstreamCall): Promise<UpstreamResult>;
+  /** Forgets what an earlier start of the upstream has shown of its limits. */
+  forgetStart(): void;
   close(): Promise<void>;
 }
 
@@ -107,7 +109,11 @@
   });
   const reader = createResponseReader(options);
   const pieces = options.pieces ?? createPieceLimits(options.clock);
-  return { send, close: () => Promise.resolve(connections.close()) };
+  return {
+    send,
+    forgetStart: connections.forgetStart,
+    close: () => Promise.resolve(connections.close()),
+  };
 
   async function send(
     request: ForwardRequest,
--- a/src/upstream/upstream_connections.ts
+++ b/src/upstream/upstream_connections.ts
@@ -44,6 +44,8 @@
    * have been beyond the upstream's limit.
    */
   recordReset(socket: Socket): void;
+  /** Forgets what an earlier start of the upstream has shown of its limits. */
+  forgetStart(): void;
   close(): void;
 }
 
@@ -74,6 +76,10 @@
   return {
     getPool: (isAtMostOnce) => isAtMostOnce ? atMostOncePool : idempotentPool,
     recordReset,
+    forgetStart: () => {
+      maxIdleMs = MAX_IDLE_MS;
+      limit.forgetStart();
+    },
     close: () => {
       idempotentPool.destroy();
       atMostOncePool.destroy();
--- a/test/cold_starts_test.ts
+++ b/test/cold_starts_test.ts
@@ -557,6 +557,7 @@
     getListedSlots: () => 8,
     hasWaiting: () => isWaiting,
     onReading: () => {},
+    onRefused: () => {},
     onNotice: () => {},
     onCold: starts.recordHealth,
     needsReadings: () => starts.getState() !== ColdState.Unlimited,
--- a/test/explain_test.ts
+++ b/test/explain_test.ts
@@ -19,10 +19,7 @@
   GatewayMessageKind,
   type LoadReport,
 } from "../src/core/types.ts";
-import {
-  createUpstreamList,
-  UpstreamChange,
-} from "../src/core/upstream_list.ts";
+import { createUpstreamList } from "../src/core/upstream_list.ts";
 import {
   createArrival,
   createTestGateway,
@@ -279,15 +276,14 @@
 });
 
 test("what the decision forgets of a host is not in its explanation", () => {
-  // The entry of the incarnation before ends by time. Dropping it, at the next
-  // decision, also drops the load report of its host.
+  // The newest entry ends by time. Dropping it, at the next decision, leaves
+  // another upstream at its host, to which the load report doesn't belong.
   const host = createTestHost();
   const list = createUpstreamList(host, {
     lapseGraceMs: 100,
     getHost: (address) => address,
-    onChange: (change, { address }) => {
-      if (change === UpstreamChange.Gone) gateway.forgetHost(address);
-    },
+    onChange: () => {},
+    onStart: (id) => gateway.forgetHost(id),
   });
   const gateway = createTestGateway(host, {
     getCandidates: list.getCandidates,
@@ -303,9 +299,9 @@
       state: ListedUpstreamState.Ready,
     });
   put("h0#0");
-  list.markLost();
-  list.remove("h0#0");
   put("h0#1");
+  list.markLost();
+  list.remove("h0#1");
   list.markRegained();
   gateway.receiveReport({
     host: "h0",
@@ -323,7 +319,7 @@
   expect(gateway.explain(createArrival("r")).attempts[0]?.mayQueue).toBe(true);
   host.advance(1);
   const { attempts, candidates } = gateway.explain(createArrival("r"));
-  expect(attempts[0]).toMatchObject({ instance: "h0#1", mayQueue: false });
+  expect(attempts[0]).toMatchObject({ instance: "h0#0", mayQueue: false });
   expect(candidates[0]).toMatchObject({ reportAgeMs: null, reasons: [] });
   expect(gateway.getLoad("h0").report).toBeDefined();
   expect(sendArrival(gateway, "r")).toMatchObject([{ mayQueue: false }]);
--- a/test/large_responses_test.ts
+++ b/test/large_responses_test.ts
@@ -367,6 +367,7 @@
       getListedSlots: () => 4,
       hasWaiting: () => false,
       onReading: () => {},
+      onRefused: () => {},
       onNotice: () => {},
       onCold: () => {},
       needsReadings: () => false,
--- a/test/notices_test.ts
+++ b/test/notices_test.ts
@@ -6,6 +6,7 @@
 import type { GuardOptions } from "../src/core/guard_types.ts";
 import { createKnownNotices } from "../src/core/known_notices.ts";
 import {
+  type Candidate,
   Execution,
   type GatewayAction,
   GatewayActionKind,
@@ -66,17 +67,18 @@
   expect(notices.get()?.isLeaving).toBe(true);
   notices.record(NOTHING, { instance: "j", sentAt: 2 });
   expect(notices.get()).toBeUndefined();
+  notices.recordListed({ instance: "j", bornAt: 1 });
   notices.record(leaving, { instance: "j", sentAt: 3 });
-  notices.forget();
+  notices.recordListed({ instance: "j", bornAt: 2 });
   expect(notices.get()).toBeUndefined();
 });
 
 test("a guard that restarted adopts a limit that gateways know, until its upstream responds", () => {
   const notices = createUpstreamNotices(createTestHost());
-  notices.adoptLimit(5, "i");
+  notices.adoptLimit(5, { instance: "i" });
   expect(notices.get()?.limitPerS).toBe(5);
   notices.record(NOTHING, { instance: "i", sentAt: 1 });
-  notices.adoptLimit(5, "i");
+  notices.adoptLimit(5, { instance: "i" });
   expect(notices.get()).toBeUndefined();
 });
 
@@ -311,7 +313,7 @@
 test("a gateway sends nothing to a leaving upstream, whatever its guard reports later", () => {
   const host = createTestHost();
   const other = { host: "b", failureDomain: "west", instance: "j" };
-  const candidates = [CANDIDATE, other];
+  const candidates: Candidate[] = [CANDIDATE, other];
   const gateway = createTestGateway(host, {
     leavingMs: 2_000,
     getCandidates: () => candidates,
@@ -332,7 +334,7 @@
     kind: GatewayActionKind.Finish,
     verdict: { diagnostic: Diagnostics.no_upstream },
   });
-  gateway.forgetNotices("i");
+  candidates.splice(0, 1, { ...CANDIDATE, bornAt: 2 });
   expect(getTarget("again")).toMatchObject({ to: "a" });
 });
 
--- a/test/support/explained_replay.ts
+++ b/test/support/explained_replay.ts
@@ -88,10 +88,8 @@
   const list = createUpstreamList(host, {
     lapseGraceMs: 500,
     getHost: (address) => address,
-    onChange: (change, { instance, address }) => {
-      events.push(`${change} ${instance}`);
-      if (change === "gone") gateway.forgetHost(address);
-    },
+    onChange: (change, { instance }) => events.push(`${change} ${instance}`),
+    onStart: (id) => gateway.forgetHost(id),
   });
   const evacuations = createEvacuations(host, {
     graceMs: 300,
