An entry of a service that isn't named is in no view of the list

Cause: of several entries with one host the one listed last counted, whatever its service; every view took every entry that could be read.

Change: the list asks whether the configuration names an entry's service; candidates, the upstream at an address, ready hosts (reading plan, peers, collectors) and starts take only such entries, and are derived anew when the named services change. Names come from the table of services and from routes; where the table can't be read, those of before stay.

Why it works: an odd entry is kept and nothing is derived from it.

--- a/src/core/degraded_config.ts
+++ b/src/core/degraded_config.ts
@@ -130,9 +130,19 @@
   if (rows === undefined) return undefined;
   const problems = [...published.problems];
   const services = mergeServices(published.services, active);
+  const { routes, unreadable } = mergeRoutes(rows, {
+    active,
+    isKnown: services.isKnown,
+    problems,
+  });
   return {
     version: published.version ?? UNREADABLE_VERSION,
-    ...mergeRoutes(rows, { active, isKnown: services.isKnown, problems }),
+    routes,
+    unreadable,
+    services: new Set([
+      ...services.names,
+      ...routes.flatMap(({ parts }) => parts.map(({ service }) => service)),
+    ]),
     healthPaths: services.healthPaths,
     coldRatePerS: services.coldRatePerS,
     maxConnections: services.maxConnections,
@@ -150,6 +160,7 @@
 }
 
 interface MergedServices {
+  readonly names: ReadonlySet<ServiceName>;
   readonly healthPaths: ReadonlyMap<ServiceName, string>;
   readonly coldRatePerS: ReadonlyMap<ServiceName, number>;
   readonly maxConnections: ReadonlyMap<ServiceName, number>;
@@ -164,6 +175,7 @@
   const isComplete = rows !== undefined &&
     rows.every(({ name }) => name !== undefined);
   const names = new Set<ServiceName>();
+  const namedBefore = isComplete ? [] : active?.services ?? [];
   const healthPaths = new Map<ServiceName, string>(
     isComplete ? [] : active?.healthPaths,
   );
@@ -191,6 +203,7 @@
     if (path !== undefined) healthPaths.set(name, path);
   }
   return {
+    names: new Set([...names, ...namedBefore]),
     healthPaths,
     coldRatePerS,
     maxConnections,
--- a/src/core/held_suspects.ts
+++ b/src/core/held_suspects.ts
@@ -2,7 +2,8 @@
  * Whom a daemon tells of the suspects that it holds: those it observed, and those
  * it was asked to collect. The collectors of a suspect are the first hosts by a
  * hash among those that are listed and can be reached, so that daemons with the
- * same list choose the same ones. Whoever holds a suspect keeps its collectors
+ * same list choose the same ones; hosts without an upstream to use, at which
+ * there may be no daemon, come last. Whoever holds a suspect keeps its collectors
  * told, also as the list changes; a collector keeps all hosts told of a suspect
  * that is refused.
  */
@@ -43,7 +44,9 @@
 export interface HeldSuspectsOptions {
   readonly self: HostId;
   readonly suspects: Pick<CrashSuspects, "isKnown" | "isQuarantined">;
-  /** Hosts that may collect: with a ready upstream in the list. */
+  /** Hosts with a ready upstream to use. */
+  getReady(): readonly HostId[];
+  /** Hosts with any upstream in the list. */
   getListed(): readonly HostId[];
   /** All hosts whose daemons may pass on requests. */
   getHosts(): readonly HostId[];
@@ -67,7 +70,7 @@
   const held = new Map<string, Held>();
   /** Signatures whose recipients are to be determined. */
   const changed = new Set<string>();
-  /** Hosts from which collectors were chosen last. */
+  /** Ready hosts from which collectors were chosen last. */
   let reachable: ReadonlySet<HostId> = new Set();
   return {
     recordObserved: (signature) => {
@@ -104,13 +107,12 @@
   function takeTellings(): Telling[] {
     if (changed.size === 0) return [];
     const before = reachable;
-    reachable = new Set(
-      options.getListed().filter((host) =>
-        host === self || options.canReach(host)
-      ),
-    );
+    reachable = new Set(options.getReady().filter(canReach));
     const added = [...reachable].filter((host) => !before.has(host));
     if (added.length > 0 || before.size > reachable.size) recordHostsChanged();
+    const others = options.getListed().filter((host) =>
+      !reachable.has(host) && canReach(host)
+    );
     const all = options.getHosts();
     const tellings: Telling[] = [];
     for (const signature of changed) {
@@ -119,7 +121,11 @@
         held.delete(signature);
         continue;
       }
-      const collectors = chooseCollectors(signature, it.collectors, added);
+      const ready = chooseReady(signature, it.collectors, added);
+      const collectors = ready.length === COLLECTOR_COUNT
+        ? ready
+        : [...ready, ...orderByHash(others, signature)]
+          .slice(0, COLLECTOR_COUNT);
       it.collectors = collectors;
       if (collectors.includes(self)) it.collects = true;
       if (it.collects && suspects.isQuarantined(signature)) it.isForAll = true;
@@ -136,8 +142,12 @@
     return tellings;
   }
 
-  /** As long as all collectors are there, only hosts that were added can precede them. */
-  function chooseCollectors(
+  function canReach(host: HostId): boolean {
+    return host === self || options.canReach(host);
+  }
+
+  /** As long as all collectors are ready, only hosts that were added can precede them. */
+  function chooseReady(
     signature: string,
     before: readonly HostId[] | undefined,
     added: readonly HostId[],
--- a/src/core/routing_types.ts
+++ b/src/core/routing_types.ts
@@ -94,6 +94,8 @@
   readonly version: number;
   readonly routes: readonly PrefixRoute[];
   readonly unreadable: readonly UnreadableRoute[];
+  /** Services that it names; an upstream of any other one gets no requests. */
+  readonly services: ReadonlySet<ServiceName>;
   /** Path of each service's health check; a service without one gets no health checks. */
   readonly healthPaths: ReadonlyMap<ServiceName, string>;
   readonly limits: CallerLimits;
--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -5,14 +5,21 @@
  * after it may return until the grace period ends. The same holds after the list
  * came back from an older copy, which lacks the newest upstreams and may still
  * contain some that have left. An entry that can't be read names no upstream; it
- * is not missing.
+ * is not missing. One of a service that isn't named is kept, in case that the
+ * configuration names it later, and is in no view until then.
  */
 
 import { createDepartures } from "./departures.ts";
 import { type DecisionTrace, Exclusion } from "./exclusions.ts";
 import type { DomainHost } from "./reading_plan.ts";
 import { type ListedUpstream, ListedUpstreamState } from "./routing_types.ts";
-import type { Candidate, CoreHost, HostId, Millis } from "./types.ts";
+import type {
+  Candidate,
+  CoreHost,
+  HostId,
+  Millis,
+  ServiceName,
+} from "./types.ts";
 import { getStartKey } from "./upstream_start.ts";
 
 /** Changes of an upstream in the list. */
@@ -42,6 +49,11 @@
   readonly lapseGraceMs: Millis;
   /** Host of an address, by which daemons are identified. */
   getHost(address: string): HostId;
+  /**
+   * True for a service that the configuration names; by default, for all. An
+   * entry of any other service names no upstream to use.
+   */
+  isNamed?(service: ServiceName): boolean;
   onChange(change: UpstreamChange, upstream: ListedUpstream): void;
   /** Called when the newest upstream of a host is another start than before, or none is left. */
   onStart?(host: HostId, newest: ListedUpstream | undefined): void;
@@ -59,6 +71,8 @@
   markRegained(): void;
   /** Records that the list came back from an older copy; `replaceAll` with it follows. */
   markRolledBack(): void;
+  /** Records that other services are named than before. */
+  recordServicesChanged(): void;
   getCandidates(service: string): readonly Candidate[];
   /**
    * What `getCandidates` returns, without a change of the list; tells the trace
@@ -76,7 +90,10 @@
   tryGetLeavingSince(instance: string): Millis | undefined;
   /** Start time of an incarnation as the list states it or last stated it; undefined if it doesn't. */
   tryGetBornAt(instance: string): number | undefined;
-  /** Number of hosts with an upstream. */
+  /**
+   * Number of hosts with an upstream of any service: each has a daemon, and its
+   * callers, also where no route names the service.
+   */
   countHosts(): number;
   /** True if any upstream of the host is listed. */
   isHostListed(host: HostId): boolean;
@@ -119,6 +136,7 @@
     markLost,
     markRegained,
     markRolledBack,
+    recordServicesChanged,
     getCandidates,
     previewCandidates,
     tryGetAt,
@@ -188,8 +206,21 @@
     if (own.size === 0) byHost.delete(entry.host);
   }
 
+  function recordServicesChanged(): void {
+    candidates.clear();
+    for (const id of byHost.keys()) updateStart(id);
+  }
+
+  function isUsable({ upstream }: Entry): boolean {
+    return options.isNamed?.(upstream.service) ?? true;
+  }
+
+  function getUsableAt(id: HostId): Entry[] {
+    return [...byHost.get(id) ?? []].filter(isUsable);
+  }
+
   function updateStart(id: HostId): void {
-    const newest = findNewest(byHost.get(id) ?? [])?.upstream;
+    const newest = findNewest(getUsableAt(id))?.upstream;
     const key = newest && getStartKey(newest);
     if (key === starts.get(id)) return;
     if (key === undefined) starts.delete(id);
@@ -297,7 +328,9 @@
       }
     }
     for (const id of changed) {
-      const own = [...view.values()].filter((it) => it.host === id);
+      const own = [...view.values()].filter((it) =>
+        it.host === id && isUsable(it)
+      );
       const newest = findNewest(own)?.upstream;
       if ((newest && getStartKey(newest)) !== starts.get(id)) trace.forget(id);
     }
@@ -316,6 +349,7 @@
   ): Candidate[] {
     const newest = new Map<HostId, Entry>();
     for (const entry of from) {
+      if (!isUsable(entry)) continue;
       const other = newest.get(entry.host);
       const isNewest = other === undefined || other.order < entry.order;
       if (isNewest) newest.set(entry.host, entry);
@@ -344,15 +378,17 @@
   }
 
   function tryGetAt(address: string): ListedUpstream | undefined {
-    const own = byHost.get(options.getHost(address)) ?? [];
-    return findNewest([...own].filter((it) => it.upstream.address === address))
+    const own = getUsableAt(options.getHost(address));
+    return findNewest(own.filter((it) => it.upstream.address === address))
       ?.upstream;
   }
 
   function getReadyHosts(): DomainHost[] {
     const hosts = new Map<HostId, DomainHost>();
-    for (const { upstream, host: id } of entries.values()) {
+    for (const entry of entries.values()) {
+      const { upstream, host: id } = entry;
       if (upstream.state !== ListedUpstreamState.Ready) continue;
+      if (!isUsable(entry)) continue;
       hosts.set(id, { host: id, failureDomain: upstream.failureDomain });
     }
     return [...hosts.values()];
--- a/src/daemon/crash_protection.ts
+++ b/src/daemon/crash_protection.ts
@@ -17,19 +17,16 @@
 /** Time for which a host is told of suspects after its upstream has gone, in ms; far longer than upstreams are replaced. */
 const HOST_RETENTION_MS = 900_000;
 
-/** A change of the upstreams listed for a host. */
-export interface HostChange {
-  readonly isListed: boolean;
-  /** True if an upstream has started: its daemon may have started with it. */
-  readonly isNew: boolean;
-}
-
 /** The protection of one daemon. */
 export interface CrashProtection
   extends Pick<SuspectExchange, "ask" | "receive" | "close"> {
   readonly suspects: CrashSuspects;
-  /** Records that an upstream of a host was listed or removed, and whether any of its upstreams is listed now. */
-  recordHost(host: HostId, change: HostChange): void;
+  /** Records that another upstream of a host is listed, also of a service that isn't named: its daemon may have started with it. */
+  recordListed(host: HostId): void;
+  /** Records that no upstream of a host is listed any more. */
+  recordUnlisted(host: HostId): void;
+  /** Records that other hosts may be ready than before. */
+  recordListChange(): void;
 }
 
 /** Settings of the protection. */
@@ -40,8 +37,8 @@
   readonly getLink: GetLink;
   readonly counters: Counters;
   readonly logger: Logger;
-  /** Hosts with a ready upstream in the list. */
-  getReadyHosts(): readonly HostId[];
+  /** Hosts with a ready upstream to use. */
+  getReady(): readonly HostId[];
 }
 
 /** Creates the protection; it knows no suspects. */
@@ -65,15 +62,17 @@
   const exchange = createSuspectExchange({
     ...options,
     suspects,
-    getListed: options.getReadyHosts,
+    getListed: () => getHosts().filter((id) => hosts.get(id) === undefined),
     getHosts,
   });
   return {
     suspects,
-    recordHost: (id, { isListed, isNew }) => {
-      hosts.set(id, isListed ? undefined : host.now());
-      exchange.recordHost(id, isNew);
+    recordListed: (id) => {
+      hosts.set(id, undefined);
+      exchange.forgetHost(id);
     },
+    recordUnlisted: (id) => void hosts.set(id, host.now()),
+    recordListChange: exchange.recordListChange,
     ask: exchange.ask,
     receive: exchange.receive,
     close: exchange.close,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -31,7 +31,7 @@
 import { getStartKey } from "../core/upstream_start.ts";
 import { createUpstreamList, UpstreamChange } from "../core/upstream_list.ts";
 import { planReading, type ReadingPlan } from "../core/reading_plan.ts";
-import type { FailureDomainName, HostId } from "../core/types.ts";
+import type { FailureDomainName, HostId, ServiceName } from "../core/types.ts";
 import type { StoreDaemonSettings } from "../settings/store_daemon_settings.ts";
 import { createUpstreamClient } from "../upstream/upstream_client.ts";
 import type { UpstreamProtocol } from "../upstream/upstream_protocol.ts";
@@ -170,6 +170,7 @@
   const upstreams = createUpstreamList(host, {
     lapseGraceMs: LAPSE_GRACE_MS,
     getHost: (address) => splitAddress(address).host,
+    isNamed,
     onChange: handleUpstreamChange,
     onStart: handleStart,
   });
@@ -286,7 +287,7 @@
     self: settings.host,
     origin: settings.service,
     getLink: links.get,
-    getReadyHosts: () => upstreams.getReadyHosts().map((it) => it.host),
+    getReady: () => upstreams.getReadyHosts().map((it) => it.host),
     counters,
     logger,
   });
@@ -630,6 +631,7 @@
     const config = activeConfig.tryGet();
     if (outcome !== ConfigOutcome.Applied || config === undefined) return;
     routes = createRouteTable(config);
+    recordServices();
     applyLimits(config);
     logger.info("config_in_force", {
       version: config.version,
@@ -649,6 +651,16 @@
     }
   }
 
+  function isNamed(service: ServiceName): boolean {
+    return routes?.config.services.has(service) ?? true;
+  }
+
+  function recordServices(): void {
+    plan = undefined;
+    upstreams.recordServicesChanged();
+    protection.recordListChange();
+  }
+
   function applyLimits({ limits }: RoutingConfig): void {
     ingress.setLimits(limits);
   }
@@ -665,15 +677,19 @@
       address: it.address,
       failureDomain: it.failureDomain,
       bornAt: it.bornAt,
+      isNamed: isNamed(it.service),
       inTouch: store.isReachable(),
     });
-    const id = splitAddress(it.address).host;
-    protection.recordHost(id, {
-      isListed: change !== UpstreamChange.Gone ||
-        upstreams.isHostListed(id),
-      isNew: change === UpstreamChange.Listed ||
-        change === UpstreamChange.Restarted,
-    });
+    recordDaemon(change, splitAddress(it.address).host);
+  }
+
+  /** A daemon runs beside each upstream, also of a service that isn't named, and may have started with it. */
+  function recordDaemon(change: UpstreamChange, id: HostId): void {
+    const hasStarted = change === UpstreamChange.Listed ||
+      change === UpstreamChange.Restarted;
+    if (hasStarted) protection.recordListed(id);
+    else if (!upstreams.isHostListed(id)) protection.recordUnlisted(id);
+    protection.recordListChange();
   }
 
   function handleEvacuation(
--- a/src/daemon/suspect_exchange.ts
+++ b/src/daemon/suspect_exchange.ts
@@ -35,8 +35,10 @@
   ask(): void;
   /** Handles another daemon's message; returns the reply, or undefined if it is malformed. */
   receive(text: string): string | undefined;
-  /** Records a change of the hosts; one that was listed anew may know nothing. */
-  recordHost(host: HostId, isNew: boolean): void;
+  /** Records that a host may know nothing any more. */
+  forgetHost(host: HostId): void;
+  /** Records that other hosts may be listed than before. */
+  recordListChange(): void;
   close(): void;
 }
 
@@ -47,7 +49,9 @@
   readonly getLink: GetLink;
   readonly counters: Counters;
   readonly logger: Logger;
-  /** Hosts with a ready upstream in the list. */
+  /** Hosts with a ready upstream to use. */
+  getReady(): readonly HostId[];
+  /** Hosts with any upstream in the list. */
   getListed(): readonly HostId[];
   /** All hosts, also those whose upstream is gone: their daemons may still pass on requests. */
   getHosts(): readonly HostId[];
@@ -74,6 +78,7 @@
   const held = createHeldSuspects({
     self,
     suspects,
+    getReady: options.getReady,
     getListed: options.getListed,
     getHosts: options.getHosts,
     canReach: (host) => (outboxes.get(host)?.failures ?? 0) === 0,
@@ -87,10 +92,8 @@
     },
     ask: () => void askNext(0, 0),
     receive,
-    recordHost: (host, isNew) => {
-      if (isNew) held.forgetHost(host);
-      gatherChange();
-    },
+    forgetHost: held.forgetHost,
+    recordListChange: gatherChange,
     close: () => {
       isClosed = true;
       timers.forEach((timer) => clearTimeout(timer));
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -44,6 +44,7 @@
 const MEMORY_BUDGET_TEST = "test/memory_budget_test.ts";
 const LARGE_RESPONSES_TEST = "test/large_responses_test.ts";
 const GUARD_TASK_TEST = "test/guard_task_test.ts";
+const UNNAMED_SERVICES_TEST = "test/unnamed_services_test.ts";
 const UPSTREAM_STARTS_TEST = "test/upstream_starts_test.ts";
 const SUSPECT_EXCHANGE_TEST = "test/suspect_exchange_test.ts";
 const CRASH_SUSPECTS_TEST = "test/crash_suspects_test.ts";
@@ -1132,6 +1133,36 @@
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
+  {
+    name: "unnamed_services_hide_nothing",
+    guarantee: "odd entries name no upstream",
+    file: "src/core/upstream_list.ts",
+    edits: [{
+      find: "if (!isUsable(entry)) continue;\n      const other",
+      replace: "const other",
+    }],
+    testFile: UNNAMED_SERVICES_TEST,
+  },
+  {
+    name: "unnamed_services_are_in_no_view",
+    guarantee: "odd entries name no upstream",
+    file: "src/core/upstream_list.ts",
+    edits: [{
+      find: "return options.isNamed?.(upstream.service) ?? true;",
+      replace: "return upstream.service !== '';",
+    }],
+    testFile: UNNAMED_SERVICES_TEST,
+  },
+  {
+    name: "services_named_later_are_used",
+    guarantee: "odd entries name no upstream",
+    file: "src/core/upstream_list.ts",
+    edits: [{
+      find: "for (const id of byHost.keys()) updateStart(id);",
+      replace: "",
+    }],
+    testFile: UNNAMED_SERVICES_TEST,
+  },
   {
     name: "statements_belong_to_one_start",
     guarantee: "a new start is used",
@@ -1185,8 +1216,8 @@
     guarantee: "fatal requests end few upstreams",
     file: "src/core/held_suspects.ts",
     edits: [{
-      find: "host === self || options.canReach(host)",
-      replace: "host !== undefined",
+      find: "return host === self || options.canReach(host);",
+      replace: "return host !== undefined;",
     }],
     testFile: SUSPECT_EXCHANGE_TEST,
   },
@@ -1202,8 +1233,8 @@
     guarantee: "fatal requests end few upstreams",
     file: "src/daemon/suspect_exchange.ts",
     edits: [{
-      find: "if (isNew) held.forgetHost(host);",
-      replace: "",
+      find: "forgetHost: held.forgetHost,",
+      replace: "forgetHost: () => {},",
     }],
     testFile: SUSPECT_EXCHANGE_TEST,
   },
--- a/test/crash_suspects_test.ts
+++ b/test/crash_suspects_test.ts
@@ -291,6 +291,7 @@
       suspects,
       counters: createCounters(),
       logger: { debug() {}, info() {}, warn() {}, error() {} },
+      getReady: () => ids,
       getListed: () => ids,
       getHosts: () => ids,
       getLink: (to) =>
--- a/test/explain_command_test.ts
+++ b/test/explain_command_test.ts
@@ -49,6 +49,7 @@
   routes: [ROUTE],
   unreadable: [{ hostname: "shop", prefix: "/read/old/" }],
   problems: [],
+  services: new Set(),
   healthPaths: new Map(),
   limits: {
     maxHeaderBytes: 16_384,
--- a/test/handler_failure_test.ts
+++ b/test/handler_failure_test.ts
@@ -121,6 +121,7 @@
       }],
       unreadable: [],
       problems: [],
+      services: new Set(),
       healthPaths: new Map(),
       limits: {
         maxHeaderBytes: 16_384,
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -41,6 +41,7 @@
   }],
   unreadable: [{ hostname: "shop", prefix: "/order/old/" }],
   problems: [],
+  services: new Set(),
   healthPaths: new Map(),
   limits: {
     maxHeaderBytes: 16_384,
--- a/test/routing_test.ts
+++ b/test/routing_test.ts
@@ -41,6 +41,7 @@
   ],
   unreadable: [],
   problems: [],
+  services: new Set(),
   healthPaths: new Map(),
   limits: {
     maxHeaderBytes: 1,
--- a/test/suspect_exchange_test.ts
+++ b/test/suspect_exchange_test.ts
@@ -51,6 +51,7 @@
       suspects,
       counters: createCounters(),
       logger: { debug() {}, info() {}, warn() {}, error() {} },
+      getReady: getListed,
       getListed,
       getHosts: getListed,
       getLink: (to) =>
@@ -73,8 +74,8 @@
       const added = listed.filter((it) => !before.includes(it));
       const removed = before.filter((it) => !listed.includes(it));
       before.splice(0, before.length, ...listed);
-      for (const it of added) exchange.recordHost(it, true);
-      for (const it of removed) exchange.recordHost(it, false);
+      added.forEach(exchange.forgetHost);
+      if (added.length + removed.length > 0) exchange.recordListChange();
     }
   }
 
@@ -223,6 +224,7 @@
   const held = createHeldSuspects({
     self: "10.1.0.0",
     suspects: { isKnown: () => true, isQuarantined: () => false },
+    getReady: () => hosts,
     getListed: () => hosts,
     getHosts: () => hosts,
     canReach: () => true,
