Decimal numbers of headers are read however they are written

Cause: LIMIT_PATTERN took nine digits behind the point at most; what it refused left the limit of before in force, which was none.

Evidence: upstream_noticed comes for 6.67 and not for the long value.

What is no decimal number is refused as before and is logged once (upstream_header_unreadable).

Why it works: no bound on digits is left; the bounds on the value keep all that follows finite and written without an exponent between daemons.

--- a/test/cold_starts_test.ts
+++ b/test/cold_starts_test.ts
@@ -27,10 +27,12 @@
 import { decodeStartsIn, encodeStartsIn } from "../src/link/wire.ts";
 import { decodeSettings } from "../platform/settings.ts";
 import { decodeRouting, decodeUpstream } from "../platform/store_entries.ts";
-import { platformUpstreams } from "../platform/upstreams.ts";
+import { createPlatformUpstreams } from "../platform/upstreams.ts";
 import { startUpstream } from "./platform/upstream_stand_in.ts";
 import { createTestHost } from "./support/core_host.ts";
 
+const platformUpstreams = createPlatformUpstreams();
+
 const BOUNDS = { over: 1.5, slack: 8 };
 const COLD_PER_S = 20;
 const MAX_PER_SECOND = COLD_PER_S * BOUNDS.over + BOUNDS.slack;
--- a/test/guard_task_test.ts
+++ b/test/guard_task_test.ts
@@ -2,7 +2,7 @@
 
 import { EventEmitter } from "node:events";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { platformUpstreams } from "../platform/upstreams.ts";
+import { createPlatformUpstreams } from "../platform/upstreams.ts";
 import { createGuard } from "../src/core/guard.ts";
 import type { GuardOptions } from "../src/core/guard_types.ts";
 import { createMemoryBudget } from "../src/core/memory_budget.ts";
@@ -28,6 +28,8 @@
 } from "./platform/upstream_stand_in.ts";
 import { createTestHost } from "./support/core_host.ts";
 
+const platformUpstreams = createPlatformUpstreams();
+
 const SLOTS = 1;
 const TICKET = "caller#1/1:r-1/1";
 const HEAD: RequestHead = {
--- a/test/large_responses_test.ts
+++ b/test/large_responses_test.ts
@@ -7,7 +7,7 @@
 import { EventEmitter } from "node:events";
 import type { Readable } from "node:stream";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { platformUpstreams } from "../platform/upstreams.ts";
+import { createPlatformUpstreams } from "../platform/upstreams.ts";
 import { createCounters } from "../src/core/counters.ts";
 import { Diagnostics } from "../src/core/diagnostics.ts";
 import {
@@ -37,6 +37,8 @@
   type UpstreamStandIn,
 } from "./platform/upstream_stand_in.ts";
 
+const platformUpstreams = createPlatformUpstreams();
+
 const LIMIT_BYTES = 8_000_000;
 /** What sockets of both ends, the parser and streams hold of a response that nobody reads, in bytes. */
 const SOCKET_BYTES = 8_000_000;
--- a/test/notices_mesh_test.ts
+++ b/test/notices_mesh_test.ts
@@ -75,21 +75,26 @@
   ).length;
 }
 
-test(
-  "an upstream that states a limit gets no more from all daemons together",
-  async () => {
+test.each([5, "6.666666666666667", "5E+00"])(
+  "an upstream that states a limit gets no more from all daemons together: %s",
+  async (stated) => {
     const [host] = fleet.hosts as [DeploymentHost];
-    host.upstream.limitPerS = 5;
+    // A value that can't be read would leave the limit of the case before in force.
+    await sendLoad("lifting", { perSecond: 90, ms: 1_500 });
+    host.upstream.limitPerS = stated;
+    const limit = Number(stated);
     const probesBefore = host.upstream.probes;
     const statedAt = performance.now();
     await sendLoad("limited", { perSecond: 90, ms: LOAD_MS });
     const arrived = countArrivals(host, statedAt + STABLE_MS);
-    expect(arrived).toBeLessThanOrEqual(getAllowed(5));
-    // It accepts 5 a second, and the others have room for all that is left.
-    expect(arrived).toBeGreaterThan(5 * LIMIT_SPAN_MS / 1_000 / 2);
+    expect(arrived).toBeLessThanOrEqual(getAllowed(limit));
+    // It accepts that many a second, and the others have room for all that is left.
+    expect(arrived).toBeGreaterThan(limit * LIMIT_SPAN_MS / 1_000 / 2);
     // It is spared health checks for requests that it doesn't take.
     const probes = host.upstream.probes - probesBefore;
-    expect(probes).toBeLessThanOrEqual(getAllowed(5) * LOAD_MS / LIMIT_SPAN_MS);
+    expect(probes).toBeLessThanOrEqual(
+      getAllowed(limit) * LOAD_MS / LIMIT_SPAN_MS,
+    );
   },
   20_000,
 );
--- a/test/platform/upstream_stand_in.ts
+++ b/test/platform/upstream_stand_in.ts
@@ -141,8 +141,8 @@
   bodyMs: number;
   slowdownPercent: number;
   slots: number;
-  /** Requests per second that its responses state as its limit; none by default. */
-  limitPerS?: number | undefined;
+  /** Requests per second that its responses state as its limit, a text as it is; none by default. */
+  limitPerS?: number | string | undefined;
   /** Monotonic time in ms until which its health responses state that it is cold. */
   coldUntil: number;
   /** False never responds to health checks. */
--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -3,19 +3,33 @@
  * upstreams.
  */
 
+import fc from "fast-check";
 import { expect, test } from "vitest";
 import { decodeArguments } from "../platform/arguments.ts";
 import { platformCallers } from "../platform/callers.ts";
 import { decodeSettings } from "../platform/settings.ts";
 import { decodeRouting, decodeUpstream } from "../platform/store_entries.ts";
-import { platformUpstreams } from "../platform/upstreams.ts";
+import { createPlatformUpstreams } from "../platform/upstreams.ts";
 import { Diagnostics } from "../src/core/diagnostics.ts";
 import { ListedUpstreamState } from "../src/core/routing_types.ts";
-import { Execution, Repeatability } from "../src/core/types.ts";
+import {
+  Execution,
+  type LoadReport,
+  Repeatability,
+  type RequestHead,
+} from "../src/core/types.ts";
+import {
+  decodeHead,
+  decodeNotice,
+  encodeHead,
+  encodeNotice,
+} from "../src/link/wire.ts";
 import { EventEmitter } from "node:events";
 import { ROUTE_COLUMNS } from "./platform/mesh.ts";
 import { ResponseClass } from "../src/upstream/upstream_protocol.ts";
 
+const platformUpstreams = createPlatformUpstreams();
+
 const SETTINGS = `
 self: { ip: 10.1.0.8, zone: kadikoy, app: "10.1.0.8:8301", service: shop, node: n1 }
 network:
@@ -49,6 +63,121 @@
   expect(platformUpstreams.readNotice(headers)).toEqual(expected);
 });
 
+/** Ways to write a number. */
+const NOTATIONS: ((value: number) => string)[] = [
+  String,
+  (value) => value.toExponential(),
+  (value) => value.toExponential().toUpperCase(),
+  (value) => value.toFixed(20),
+  (value) => value.toPrecision(30),
+  (value) => `+${value}`,
+  (value) => `000${value.toFixed(20)}000`,
+];
+
+test("a decimal number has its value however it is written, also between daemons", () => {
+  const values = fc.oneof(
+    fc.double({ min: 1e-6, max: 999_999_999, noNaN: true }),
+    fc.integer({ min: 0, max: 100_000 }),
+  );
+  fc.assert(fc.property(
+    values,
+    fc.constantFrom(...NOTATIONS),
+    (value, write) => {
+      const text = write(value);
+      const { limitPerS } = platformUpstreams.readNotice({
+        "server-limit": text,
+      });
+      expect(limitPerS).toBeCloseTo(value, 10);
+      const cold = { "x-vanillarock-cold-ms": text };
+      expect(platformUpstreams.readColdMs(cold)).toBe(limitPerS);
+      const load = { "x-vanillarock-server-load": `0,0,1,${text}` };
+      expect(platformUpstreams.readLoad(load)!.slowdown * 100)
+        .toBeCloseTo(limitPerS!, 5);
+      const caller = { "x-vanillarock-timeout-ms": text };
+      expect(platformCallers.read(caller).timeoutMs ?? 0).toBe(limitPerS);
+      const notice = { instance: "i", isLeaving: false, limitPerS: limitPerS! };
+      expect(decodeNotice(encodeNotice({ ...REPORT, notice })!).unwrap().notice)
+        .toEqual(notice);
+      const head = { ...HEAD, limitPerS: limitPerS! };
+      expect(decodeHead(encodeHead(head)).unwrap()).toEqual(head);
+    },
+  ));
+});
+
+test.each([
+  ["5.", 5],
+  [".5", 0.5],
+  ["0.000000000000000000000000000000000001", 0],
+  ["5e-324", 0],
+  ["1e400", 999_999_999],
+  ["9".repeat(5_000), 999_999_999],
+  [`0.${"0".repeat(5_000)}1`, 0],
+  ["-0.0", -0],
+])("the decimal number %s is read", (text, limitPerS) => {
+  expect(platformUpstreams.readNotice({ "server-limit": text })).toEqual({
+    isLeaving: false,
+    isComplete: true,
+    limitPerS: limitPerS === 0 ? expect.closeTo(0) : limitPerS,
+  });
+});
+
+test.each([
+  "",
+  "many",
+  "-2",
+  "1;5",
+  "1 5",
+  "0x10",
+  "NaN",
+  "Infinity",
+  "1e",
+  "e5",
+  ".",
+])(
+  "%j is no decimal number: it changes nothing, and is reported",
+  (text) => {
+    const found: string[] = [];
+    const upstreams = createPlatformUpstreams((header, value) =>
+      found.push(`${header} ${value}`)
+    );
+    expect(upstreams.readNotice({ "server-limit": text })).toEqual({
+      isLeaving: false,
+      isComplete: false,
+    });
+    expect(upstreams.readColdMs({ "x-vanillarock-cold-ms": text }))
+      .toBeUndefined();
+    const load = `0,0,${text}`;
+    expect(upstreams.readLoad({ "x-vanillarock-server-load": load }))
+      .toBeUndefined();
+    expect(found).toEqual([
+      `server-limit ${text}`,
+      `x-vanillarock-cold-ms ${text}`,
+      `x-vanillarock-server-load ${load}`,
+    ]);
+    expect(platformCallers.read({ "x-vanillarock-timeout-ms": text }))
+      .toEqual({});
+  },
+);
+
+const REPORT: LoadReport = {
+  host: "a",
+  incarnation: "a#1",
+  sequence: 1,
+  slots: 4,
+  inFlight: 0,
+  queued: 0,
+  serviceMs: 10,
+  draining: false,
+  ageMs: 1,
+};
+const HEAD: RequestHead = {
+  account: "all",
+  service: "shop",
+  repeatability: Repeatability.Idempotent,
+  fingerprint: "",
+  timeoutMs: 1,
+};
+
 test("values that are nested deeply are shown in part", () => {
   const nested = "[".repeat(100_000) + "]".repeat(100_000);
   const { problems } = decodeRouting(`{"version":${nested},"routes":{}}`)
--- a/test/refusal_copies_test.ts
+++ b/test/refusal_copies_test.ts
@@ -8,7 +8,7 @@
   type Socket,
 } from "node:net";
 import { afterEach, expect, test } from "vitest";
-import { platformUpstreams } from "../platform/upstreams.ts";
+import { createPlatformUpstreams } from "../platform/upstreams.ts";
 import { createMemoryBudget } from "../src/core/memory_budget.ts";
 import { Execution } from "../src/core/types.ts";
 import { createClock } from "../src/daemon/clock.ts";
@@ -18,6 +18,8 @@
   type UpstreamResult,
 } from "../src/upstream/upstream_client.ts";
 
+const platformUpstreams = createPlatformUpstreams();
+
 const ROUNDS = 5;
 const WORK_MS = 20;
 const IDLE_AFTER_MS = 3;
