An end of an upstream that interrupts a request sent after the last end is another one

Cause: an end got another name only if the upstream had answered a request since the last one. Where the fatal request is the first that each start gets, all ends of an upstream had one name, and two upstreams two names; three count.

Change: the name counts on if the interrupted request was sent after the upstream was last seen to have ended; answers are not asked any more.

Why it works: what is sent on a connection after an end has reached a later start.

--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -364,6 +364,7 @@
       const isCancelled = state.isAborted || forward.isSenderGone?.();
       if (isCancelled || isOverdue) return endUnsent(ticket, { isOverdue });
     }
+    const sentAt = clock.now();
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(state.deadline! - clock.now())),
       isAtMostOnce,
@@ -371,9 +372,8 @@
     });
     if ("failure" in result) {
       const tookMs = clock.now() - startedAt;
-      return await onLoss(ticket, { ...result.failure, tookMs });
+      return await onLoss(ticket, { ...result.failure, tookMs }, sentAt);
     }
-    options.ends?.recordResponse();
     const { response } = result;
     const tookMs = clock.now() - startedAt;
     const waitedMs = startedAt - state.receivedAt!;
@@ -455,9 +455,10 @@
   async function onLoss(
     ticket: Ticket,
     failure: AttemptFailure,
+    sentAt: Millis,
   ): Promise<void> {
     const end = failure.diagnostic === Diagnostics.upstream_lost
-      ? await options.ends?.tryGetEnd()
+      ? await options.ends?.tryGetEnd(sentAt)
       : undefined;
     if (end === undefined) return onUpstreamFailure(ticket, failure);
     dispatch({ kind: GuardMessageKind.UpstreamEnded });
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -240,7 +240,7 @@
     upstream: client,
     beforeAdmission: watch.refresh,
     waitForSockets,
-    ends: createUpstreamEnds(settings.upstreamAddress, incarnation),
+    ends: createUpstreamEnds(settings.upstreamAddress, { clock, incarnation }),
     beforeRun: () => coldStarts.isReadingDue() ? watch.refresh() : undefined,
     afterMessage: watch.pollWhileWaiting,
     onUpstreamResponse: ({ route = "", isReturned, use, waitedMs, tookMs }) => {
--- a/src/daemon/upstream_ends.ts
+++ b/src/daemon/upstream_ends.ts
@@ -1,8 +1,9 @@
 /** Recognizes that the local upstream has ended, as against a response that was lost. */
 
 import { connect } from "node:net";
-import type { Incarnation } from "../core/types.ts";
+import type { Incarnation, Millis } from "../core/types.ts";
 import { splitAddress } from "../link/address.ts";
+import type { Clock } from "./clock.ts";
 
 /** Longest wait for a connection, in ms; a local one is established or refused at once. */
 const CONNECT_TIMEOUT_MS = 100;
@@ -12,33 +13,32 @@
 /** The ends of one upstream. */
 export interface UpstreamEnds {
   /**
-   * Resolves to the name of the upstream's present end, alike for all requests
-   * that it interrupted; undefined if the upstream accepts connections.
+   * Resolves to the name of the end that interrupted a request sent at a time in
+   * ms, alike for all requests that it interrupted; undefined if the upstream
+   * accepts connections.
    */
-  tryGetEnd(): Promise<string | undefined>;
-  /** Records a response of the upstream; a later end is another one. */
-  recordResponse(): void;
+  tryGetEnd(sentAt: Millis): Promise<string | undefined>;
 }
 
 /** Observes the upstream at an IP address and port, for one run of the daemon. */
 export function createUpstreamEnds(
   address: string,
-  incarnation: Incarnation,
+  { clock, incarnation }: { clock: Clock; incarnation: Incarnation },
 ): UpstreamEnds {
   let count = 0;
-  let isEnded = false;
+  /** Time at which the upstream was last found to have ended, in ms. */
+  let endedAt: Millis = -Infinity;
   let checking: Promise<boolean> | undefined;
-  return {
-    tryGetEnd,
-    recordResponse: () => void (isEnded = false),
-  };
+  return { tryGetEnd };
 
-  async function tryGetEnd(): Promise<string | undefined> {
+  async function tryGetEnd(sentAt: Millis): Promise<string | undefined> {
     checking ??= acceptsConnections(address)
       .finally(() => checking = undefined);
     if (await checking) return undefined;
-    if (!isEnded) count += 1;
-    isEnded = true;
+    // What was sent after an end was taken by the next start, which has ended too.
+    // A connection that the end closes may still be used at that moment.
+    if (sentAt > endedAt + SETTLE_MS) count += 1;
+    endedAt = clock.now();
     return `${incarnation}-${count}`;
   }
 }
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -1248,6 +1248,16 @@
     }],
     testFile: SUSPECT_EXCHANGE_TEST,
   },
+  {
+    name: "ends_are_told_apart",
+    guarantee: "fatal requests end few upstreams",
+    file: "src/daemon/upstream_ends.ts",
+    edits: [{
+      find: "if (sentAt > endedAt + SETTLE_MS) count += 1;",
+      replace: "if (count === 0) count += 1;",
+    }],
+    testFile: CRASH_SUSPECTS_TEST,
+  },
   {
     name: "lost_responses_are_no_ends",
     guarantee: "fatal requests end few upstreams",
--- a/test/collectors_mesh_test.ts
+++ b/test/collectors_mesh_test.ts
@@ -1,4 +1,4 @@
-/** Daemons that collect what is observed of a request that ends upstreams; processes, without the bench. */
+/** Requests that end upstreams, where few hosts, or others than before, learn of it; daemons as processes. */
 
 import { Buffer } from "node:buffer";
 import { afterEach, expect, test } from "vitest";
@@ -24,8 +24,12 @@
 let fleet: Deployment;
 afterEach(() => fleet.close());
 
-async function startFleet(base: number): Promise<DeploymentHost[]> {
-  fleet = await startDeployment(base, ["shop", "shop", "shop", ...FRONTS]);
+async function startFleet(
+  base: number,
+  shops = 3,
+): Promise<DeploymentHost[]> {
+  const services = Array.from({ length: shops }, () => "shop");
+  fleet = await startDeployment(base, [...services, ...FRONTS]);
   for (const host of fleet.hosts) {
     host.upstream.workMs = 30;
     host.upstream.downMs = 600;
@@ -83,6 +87,15 @@
   expect(answers.at(-1), lines).toBe(503);
 }
 
+test.each([{ shops: 1 }, { shops: 2 }])(
+  "a fatal request is known though it is the first that each start of $shops upstreams gets",
+  async ({ shops }) => {
+    const fronts = await startFleet(240 + shops, shops);
+    expectKnown(await playFatal("/order/1", fronts));
+  },
+  60_000,
+);
+
 async function remove(host: DeploymentHost): Promise<void> {
   const { upstream, process } = host;
   fleet.list(host, { state: "draining" });
--- a/test/crash_suspects_test.ts
+++ b/test/crash_suspects_test.ts
@@ -345,22 +345,34 @@
   const server = createServer((socket) => void sockets.add(socket));
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const ends = createUpstreamEnds(`127.0.0.1:${port}`, "d#1");
-  expect(await ends.tryGetEnd()).toBeUndefined();
+  const clock = createTestHost();
+  const ends = createUpstreamEnds(`127.0.0.1:${port}`, {
+    clock,
+    incarnation: "d#1",
+  });
+  expect(await ends.tryGetEnd(0)).toBeUndefined();
   for (const socket of sockets) socket.destroy();
   await new Promise((resolve) => server.close(resolve));
-  const [one, other] = await Promise.all([ends.tryGetEnd(), ends.tryGetEnd()]);
+  clock.advance(100);
+  const [one, other] = await Promise.all([10, 90].map(ends.tryGetEnd));
   expect([one, other]).toEqual(["d#1-1", "d#1-1"]);
-  expect(await ends.tryGetEnd()).toBe("d#1-1");
-  ends.recordResponse();
-  expect(await ends.tryGetEnd()).toBe("d#1-2");
+  clock.advance(5);
+  // On a connection that was about to close.
+  expect(await ends.tryGetEnd(103)).toBe("d#1-1");
+  // Whatever came in between, a request sent after an end was taken by another start.
+  clock.advance(500);
+  expect(await ends.tryGetEnd(400)).toBe("d#1-2");
+  expect(await ends.tryGetEnd(410)).toBe("d#1-2");
 });
 
 test("an upstream that closes new connections at once is ending", async () => {
   const server = createServer((socket) => socket.destroy());
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const ends = createUpstreamEnds(`127.0.0.1:${port}`, "d#1");
-  expect(await ends.tryGetEnd()).toBe("d#1-1");
+  const ends = createUpstreamEnds(`127.0.0.1:${port}`, {
+    clock: createTestHost(),
+    incarnation: "d#1",
+  });
+  expect(await ends.tryGetEnd(0)).toBe("d#1-1");
   await new Promise((resolve) => server.close(resolve));
 });
