A route without a name keeps the name of its place

What was seen: two half-written configurations in a row left no route (property in degraded_config_test, known red and not traced).

Cause: the first lacks the column of names, so that each route was named after its place; the second lacks the prefixes, which are taken from the active route of the same name, and there was none.

Change: a row that states no name is completed from the active row in its place, also if it is unreadable; a table in which no row tells its place is as good as none, and the active routes stay.

Why it works: what a row is found by later is never replaced by a substitute.

--- a/src/core/degraded_config.ts
+++ b/src/core/degraded_config.ts
@@ -125,8 +125,7 @@
   published: PublishedConfig,
   active: RoutingConfig | undefined,
 ): RoutingConfig | undefined {
-  const rows = published.routes ??
-    (active === undefined ? undefined : toPublishedRoutes(active));
+  const rows = findRows(published, active);
   if (rows === undefined) return undefined;
   const problems = [...published.problems];
   const services = mergeServices(published.services, active);
@@ -151,6 +150,20 @@
   };
 }
 
+/** The rows to serve: the active ones if the table can't be read, or no row of it tells its place. */
+function findRows(
+  { routes }: PublishedConfig,
+  active: RoutingConfig | undefined,
+): readonly PublishedRoute[] | undefined {
+  if (active === undefined) return routes;
+  const activeRows = indexRows(active);
+  const isPlaced = (row: PublishedRoute) =>
+    statesPlace(row) || findKnown(row.fields, activeRows) !== undefined;
+  const isUsable = routes !== undefined &&
+    (routes.length === 0 || routes.some(isPlaced));
+  return isUsable ? routes : toPublishedRoutes(active);
+}
+
 /** The active routes as rows, for a version whose table can't be read. */
 function toPublishedRoutes(active: RoutingConfig): PublishedRoute[] {
   return [
@@ -227,21 +240,22 @@
   rows: readonly PublishedRoute[],
   context: RouteContext,
 ): Pick<RoutingConfig, "routes" | "unreadable"> {
-  const activeRows = indexByName(context.active);
+  const activeRows = indexRows(context.active);
   const routes: PrefixRoute[] = [];
   const failed: FailedRow[] = [];
   for (const row of rows) {
-    const { name } = row.fields;
-    const known = name === undefined ? undefined : activeRows.get(name);
+    const known = findKnown(row.fields, activeRows);
+    const name = row.fields.name ?? known?.name;
     const hostname = row.fields.hostname ?? known?.hostname;
     const prefix = row.fields.prefix ?? known?.prefix;
     if (hostname === undefined || prefix === undefined) continue;
     const route = tryComplete(row, { hostname, prefix, known, context });
+    const routesBefore = routes.length;
     if (route !== undefined) routes.push(route);
-    else failed.push({ row, hostname, prefix, routesBefore: routes.length });
+    else failed.push({ row, name, hostname, prefix, routesBefore });
   }
   const unreadable = failed.filter(createTakenFilter(rows, routes))
-    .map(({ row: { fields: { name } }, hostname, prefix }) => ({
+    .map(({ name, hostname, prefix }) => ({
       ...(name !== undefined && { name }),
       hostname,
       prefix,
@@ -251,6 +265,7 @@
 
 interface FailedRow {
   readonly row: PublishedRoute;
+  readonly name: string | undefined;
   readonly hostname: string;
   readonly prefix: string;
   /** Number of routes whose rows come before it. */
@@ -274,21 +289,40 @@
     stated ??= new Set(
       rows.filter(statesPlace).map(({ fields }) => getPlace(fields)),
     );
-    const place = getPlace(failed);
+    const { hostname, prefix } = failed;
+    const place = getPlace({ hostname, prefix });
     const firstRoute = firstRoutes.get(place) ?? Infinity;
     if (firstRoute < failed.routesBefore) return false;
     return statesPlace(failed.row) || !stated.has(place);
   };
 }
 
-function indexByName(
-  active: RoutingConfig | undefined,
-): Map<string, PrefixRoute | UnreadableRoute> {
-  const rows = new Map<string, PrefixRoute | UnreadableRoute>();
+type ActiveRow = PrefixRoute | UnreadableRoute;
+
+/** Active rows by name, and by place for rows that state no name. */
+interface ActiveRows {
+  readonly byName: ReadonlyMap<string, ActiveRow>;
+  readonly byPlace: ReadonlyMap<string, ActiveRow>;
+}
+
+function indexRows(active: RoutingConfig | undefined): ActiveRows {
+  const byName = new Map<string, ActiveRow>();
+  const byPlace = new Map<string, ActiveRow>();
   for (const row of [...active?.unreadable ?? [], ...active?.routes ?? []]) {
-    if (row.name !== undefined) rows.set(row.name, row);
+    if (row.name !== undefined) byName.set(row.name, row);
+    byPlace.set(getPlace(row), row);
   }
-  return rows;
+  return { byName, byPlace };
+}
+
+/** A row that states no name keeps that of its place, by which a later version may tell its place. */
+function findKnown(
+  fields: Partial<PrefixRoute>,
+  { byName, byPlace }: ActiveRows,
+): ActiveRow | undefined {
+  return fields.name === undefined
+    ? byPlace.get(getPlace(fields))
+    : byName.get(fields.name);
 }
 
 function statesPlace({ fields }: PublishedRoute): boolean {
--- a/test/degraded_config_test.ts
+++ b/test/degraded_config_test.ts
@@ -376,6 +376,45 @@
   }));
 });
 
+function withoutColumn(column: string, version: string): Published {
+  const columns = ROUTE_COLUMNS.map((it) => it === column ? `${it}?` : it);
+  return createPublished({ version, routes: { columns, rows: ROWS } });
+}
+
+test.each(
+  ["name", "host", "prefix"].flatMap((first) =>
+    ROUTE_COLUMNS.map((second) => ({ first, second }))
+  ),
+)(
+  "versions that lack $first and then $second keep the routes in their places",
+  ({ first, second }) => {
+    // Guards against routes that the version between has left without the name by which they are found.
+    const state = createActiveConfig();
+    state.apply(decode(createPublished({ version: "00000001" })));
+    state.apply(decode(withoutColumn(first, "00000002")));
+    state.apply(decode(withoutColumn(second, "00000003")));
+    const config = state.tryGet()!;
+    expect(find(config, "shop", "/read/photo/1")).toBe("photos");
+    expect(find(config, "shop", "/read/1")).toBe("reads");
+    expect(config.version).toBe(3);
+  },
+);
+
+test("a table in which no row tells its place leaves the active routes in force", () => {
+  const active = merge(withoutColumn("name", "00000001"));
+  const config = merge(withoutColumn("prefix", "00000002"), active);
+  expect(config.routes.map((it) => it.prefix)).toEqual(
+    active.routes.map((it) => it.prefix),
+  );
+  expect(config.routes.length).toBeGreaterThan(0);
+});
+
+test("an unreadable row without a name keeps the name of its place", () => {
+  const first = merge(withRows(READS, PHOTOS.with(0, 7), DATA), GOOD);
+  const config = merge(withRows(READS, PHOTOS.with(2, 7), DATA), first);
+  expect(find(config, "shop", "/read/photo/1")).toBe(RouteMatch.Unreadable);
+});
+
 test("active versions never go back, and routes stay, whatever byte is changed", () => {
   const texts = ["00000002", "00000003", "00000001"]
     .map((version) => JSON.stringify(createPublished({ version })));
