A start that is listed later counts as newer than others at its host

An id that was listed before another one of the same host, and starts again under it, stayed hidden by the other's entry until that lapsed: order was that of ids, not of starts.

Test: upstream_starts_test, the last case; it fails without the change.

--- a/src/core/upstream_list.ts
+++ b/src/core/upstream_list.ts
@@ -105,8 +105,8 @@
 interface Entry {
   upstream: ListedUpstream;
   host: HostId;
-  /** Order of first listing; of entries with the same address the latest counts. */
-  readonly order: number;
+  /** Order in which starts were listed; of entries with the same host the latest counts. */
+  order: number;
   /** Time at which a lapsed entry is dropped, in ms. */
   goneAt?: Millis;
 }
@@ -177,6 +177,8 @@
       delete known.goneAt;
       if (known.host !== id) move(known, id);
       if (before.bornAt !== upstream.bornAt) {
+        lastOrder += 1;
+        known.order = lastOrder;
         options.onChange(UpstreamChange.Restarted, upstream);
       }
       if (!isReady && before.state !== upstream.state) {
@@ -319,10 +321,12 @@
       } else {
         order += 1;
         const id = options.getHost(upstream.address);
+        const known = view.get(instance);
+        const isSameStart = known?.upstream.bornAt === upstream.bornAt;
         view.set(instance, {
           upstream,
           host: id,
-          order: view.get(instance)?.order ?? order,
+          order: isSameStart ? known?.order ?? order : order,
         });
         changed.add(id);
       }
--- a/test/upstream_starts_test.ts
+++ b/test/upstream_starts_test.ts
@@ -222,3 +222,17 @@
   expect(starts).toEqual(["i", "j", undefined]);
   expect(list.countHosts()).toBe(0);
 });
+
+test("a start that is listed later is used, though its id was listed before the other one's", () => {
+  const list = createUpstreamList(createTestHost(), {
+    lapseGraceMs: 2_000,
+    getHost: (address) => address.split(":")[0]!,
+    onChange: () => {},
+  });
+  list.put(UPSTREAM);
+  list.put({ ...UPSTREAM, instance: "j" });
+  expect(list.getCandidates("shop")).toMatchObject([{ instance: "j" }]);
+  list.put({ ...UPSTREAM, ...SECOND });
+  expect(list.getCandidates("shop")).toMatchObject([SECOND]);
+  expect(list.tryGetAt(UPSTREAM.address)).toMatchObject(SECOND);
+});
