--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -612,6 +612,7 @@
     const start = getStartKey(newest);
     if (start === ownStart) return;
     ownStart = start;
+    counters.add("own_upstream_started");
     logger.info("own_upstream_started", {
       instance: newest.instance,
       bornAt: newest.bornAt,
--- a/src/daemon/suspect_exchange.ts
+++ b/src/daemon/suspect_exchange.ts
@@ -104,6 +104,7 @@
     for (const { signature, collectors, to } of held.takeTellings()) {
       const reported = to.filter((host) => collectors.includes(host));
       if (reported.length > 0) {
+        counters.add("suspect_reported");
         logger.info("suspect_reported", { signature, to: reported.join() });
       }
       for (const host of to) {
