--- a/test/collectors_mesh_test.ts
+++ b/test/collectors_mesh_test.ts
@@ -158,6 +158,45 @@
   60_000,
 );
 
+test(
+  "a fatal request is known to all though its collectors are removed between its ends",
+  async () => {
+    const fronts = await startFleet(243);
+    const hosts = fleet.hosts.map(getIp);
+    const removed = fronts.splice(0, COLLECTORS);
+    const path = findPath(hosts, removed.map(getIp));
+    const playing = playFatal(path, fronts);
+    // Two ends by then; the third one is reported to others.
+    await pause(1.5 * FATAL_EVERY_MS);
+    await Promise.all(removed.map(remove));
+    expectKnown(await playing);
+  },
+  60_000,
+);
+
+test(
+  "a fatal request is known to all though some daemons have started after hosts left",
+  async () => {
+    const fronts = await startFleet(244);
+    const hosts = fleet.hosts.map(getIp);
+    const removed = fronts.splice(0, COLLECTORS);
+    await Promise.all(removed.map(remove));
+    for (const host of fronts.slice(0, 2)) {
+      const exited = new Promise((resolve) =>
+        host.process.once("exit", resolve)
+      );
+      host.process.kill("SIGKILL");
+      await exited;
+      fleet.startDaemon(host);
+      await fleet.waitUntilReady(host);
+    }
+    await pause(STABLE_MS);
+    const path = findPath(hosts, removed.map(getIp));
+    expectKnown(await playFatal(path, fronts));
+  },
+  60_000,
+);
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
