--- a/src/core/held_suspects.ts
+++ b/src/core/held_suspects.ts
@@ -31,7 +31,7 @@
   recordAsked(signature: string): void;
   /** Records that other daemons told something new, which the hosts in `knownBy` know. */
   recordLearned(signature: string, knownBy: readonly HostId[]): void;
-  /** Records that a host may know nothing any more. */
+  /** Records that the daemon of a host may have started, and so know no suspects. */
   forgetHost(host: HostId): void;
   /** Records that the list has changed, or which hosts can be reached. */
   recordHostsChanged(): void;
@@ -60,7 +60,7 @@
   isForAll: boolean;
   /** Hosts that know what this daemon knows, or are being told. */
   readonly told: Set<HostId>;
-  /** Collectors among the hosts of before; undefined if they were never determined. */
+  /** Its current collectors; undefined until they are determined. */
   collectors: readonly HostId[] | undefined;
 }
 
@@ -70,7 +70,7 @@
   const held = new Map<string, Held>();
   /** Signatures whose recipients are to be determined. */
   const changed = new Set<string>();
-  /** Ready hosts from which collectors were chosen last. */
+  /** Ready hosts that can be reached, as of the current collectors. */
   let reachable: ReadonlySet<HostId> = new Set();
   return {
     recordObserved: (signature) => {
--- a/src/daemon/crash_protection.ts
+++ b/src/daemon/crash_protection.ts
@@ -23,7 +23,7 @@
   readonly suspects: CrashSuspects;
   /** Records that another upstream of a host is listed, also of a service that isn't named: its daemon may have started with it. */
   recordListed(host: HostId): void;
-  /** Records that no upstream of a host is listed any more. */
+  /** Records that no upstream of a host is listed. */
   recordUnlisted(host: HostId): void;
   /** Records that other hosts may be ready than before. */
   recordListChange(): void;
--- a/src/daemon/suspect_exchange.ts
+++ b/src/daemon/suspect_exchange.ts
@@ -35,7 +35,7 @@
   ask(): void;
   /** Handles another daemon's message; returns the reply, or undefined if it is malformed. */
   receive(text: string): string | undefined;
-  /** Records that a host may know nothing any more. */
+  /** Records that the daemon of a host may have started, and so know no suspects. */
   forgetHost(host: HostId): void;
   /** Records that other hosts may be listed than before. */
   recordListChange(): void;
