Review case 13: a fatal request whose caller has left is never refused

Cause: once its caller has left, the request ends as cancelled, and the end of its backend is not counted for it.

--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -271,12 +271,17 @@
     throw new Error(`${host.name} isn't ready`);
   }
 
-  /** Sends a request; resolves to its answer, or to an error. */
-  function call(
-    { ip, port = ports.outbound, path, method = "GET", headers = {}, body },
-  ) {
+  /** Sends a request; resolves to its answer, or to an error. Its caller may leave after a time, in ms. */
+  function call({ ip, port = ports.outbound, path, body, ...options }) {
+    const { method = "GET", headers = {}, leavesAfterMs } = options;
     return new Promise((resolve) => {
       const req = request({ host: ip, port, path, method, headers });
+      if (leavesAfterMs !== undefined) {
+        setTimeout(() => {
+          req.destroy();
+          resolve({ error: "the caller has left" });
+        }, leavesAfterMs);
+      }
       req.on("error", (error) => resolve({ error: error.code ?? "error" }));
       req.once("response", (res) => {
         const chunks = [];
--- a/review/support-3/server.mjs
+++ b/review/support-3/server.mjs
@@ -11,7 +11,8 @@
 
 /**
  * Starts a backend. `options` has `ip`, `port`, `slots`, `workMs` and optional
- * listeners: `onArrival(request)`, `onRun(request)`, which may return "crash",
+ * listeners: `onArrival(request)`, `onRun(request)`, which may return "crash"
+ * or "work until the crash",
  * `onEnd(request, how)`, `onCrash()`, `onBack()` and `createAnswer(request)`, which
  * returns the `body` and whether it `isUnframed`: without a length, ended by the
  * end of its connection.
@@ -94,7 +95,9 @@
   }
 
   async function run(request, res, deadline) {
-    if (options.onRun?.(request) === "crash") return crash();
+    const how = options.onRun?.(request);
+    if (how === "crash") return crash();
+    if (how === "work until the crash") return;
     const leftMs = Math.max(0, deadline - performance.now());
     const isInTime = it.workMs <= leftMs;
     await sleep(Math.min(it.workMs, leftMs));
