--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -17,6 +17,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import { startRelay } from "./relay.mjs";
 import { startServer } from "./server.mjs";
 import { startStore } from "./store.mjs";
 
@@ -75,7 +76,8 @@
 /**
  * Starts the deployment. `options` has `record`, `hosts` (each with `zone`,
  * `service` and optional settings of its backend) and `createConfig(version)`.
- * Backends get `serverOptions(host)` beside these.
+ * Backends get `serverOptions(host)` beside these. With `relayMbps`, other daemons
+ * reach a host through a relay of that bandwidth.
  */
 export async function startDeployment(options) {
   const { record } = options;
@@ -115,6 +117,14 @@
       workMs: 20,
       ...options.serverOptions?.(host, deployment),
     });
+    if (options.relayMbps !== undefined) {
+      host.peerIp = `${network}.${index + 101}`;
+      host.relay = await startRelay({
+        from: { ip: host.ip, port: ports.inbound },
+        to: { ip: host.peerIp, port: ports.inbound },
+        mbps: options.relayMbps,
+      });
+    }
     host.bornAt = Date.now();
     host.seq = 0;
     hosts.push(host);
@@ -205,7 +215,7 @@
           cpus: 1,
           memoryMb: 350,
           maxFds: 4_100,
-          linkMbps: 1_000,
+          linkMbps: options.relayMbps ?? 1_000,
           diskMb: 0,
         },
         app: host.server.address,
@@ -213,7 +223,7 @@
       },
       network: {
         listen: {
-          inbound: `${host.ip}:${ports.inbound}`,
+          inbound: `${host.peerIp ?? host.ip}:${ports.inbound}`,
           outbound: `${host.ip}:${ports.outbound}`,
           ready: `${host.ip}:${ports.ready}`,
           admin: `${host.ip}:${ports.admin}`,
@@ -308,7 +318,10 @@
     isClosing = true;
     for (const timer of timers) clearInterval(timer);
     await Promise.all(hosts.map((host) => stopDaemon(host, "SIGKILL")));
-    for (const { server } of hosts) server.close();
+    for (const { server, relay } of hosts) {
+      server.close();
+      relay?.close();
+    }
     store.close();
     if (process.env.KEEP === undefined) rmSync(folder, { recursive: true });
   }
