--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,9 +1,11 @@
 /**
- * A request with a chunked body ends each backend that begins to run it, and
- * comes again. FRAMING=length sends the same bodies with a Content-Length.
+ * Answers without a length, which end with their connection, are passed on to
+ * clients that read slowly. The clients' daemon is killed meanwhile.
  */
 
+import { Buffer } from "node:buffer";
 import { randomBytes } from "node:crypto";
+import { connect } from "node:net";
 import process from "node:process";
 import {
   createRecord,
@@ -14,131 +16,136 @@
 } from "../support-3/deployment.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const IS_CHUNKED = process.env.FRAMING !== "length";
-const RUN_MS = 55_000;
-const CALM_MS = 5_000;
-/** Time between two orders at one machine, in ms. */
-const ORDER_GAP_MS = 250;
-/** Time between two tries of the fatal order, in ms. */
-const FATAL_GAP_MS = 2_500;
-/** `stableS` of the settings. */
-const STABLE_S = 3;
-/** What the rule allows: ends, and retries that reach backends later than `stableS` after the last of these. */
-const MAX_ENDS = 3;
-const MAX_RETRIES = 3;
-const FATAL_BODY = JSON.stringify({ order: "the fatal one" });
+/**
+ * A loopback connection takes some megabytes at once, on other networks a
+ * hundred kilobytes. The n-th client has n answers of this size, with a length,
+ * before the one without, so that some daemon's socket is full within that one.
+ */
+const STEP_BYTES = 240_000;
+const CLIENTS = 22;
+/** Time between the starts of two clients, in ms: the backends shall have room. */
+const START_GAP_MS = 40;
+const UNFRAMED_BYTES = 540_000;
+/** Time after which the daemon is killed, and the clients begin to read, in ms. */
+const KILL_AFTER_MS = 1_200;
+const READ_AFTER_MS = 2_700;
 
 const record = createRecord("review/11/record.txt");
 
 await runCase(async () => {
-  const crashes = [];
-  const fatalArrivals = [];
-  const answers = new Map();
   const deployment = await startDeployment({
     record,
-    hosts: ["kadikoy", "besiktas", "uskudar"].flatMap((zone) => [
-      { zone, service: "orders" },
-      { zone, service: "boards" },
-    ]),
+    hosts: ["kadikoy", "besiktas", "uskudar"].map((zone) => ({
+      zone,
+      service: "archive",
+    })),
     createConfig,
-    serverOptions: (host, it) => ({
-      workMs: 60,
-      downMs: 2_500,
-      onRun(request) {
-        const isFatal = request.body === FATAL_BODY;
-        if (!isFatal) return;
-        fatalArrivals.push({ id: request.id, at: record.now() });
-        record.write(
-          `backend ${request.instance} runs the fatal order ${request.id}`,
-        );
-        return "crash";
-      },
-      onCrash(ended) {
-        crashes.push(record.now());
-        record.write(`backend ${ended} has crashed (${crashes.length})`);
-        setTimeout(() => it.store.remove(`servers/${ended}`), 4_500);
-      },
-      onBack() {
-        host.bornAt = Date.now();
-        host.seq = 0;
-        it.list(host);
-        record.write(`backend ${host.server.instance} is up`);
-      },
-    }),
+    serverOptions: () => ({ workMs: 5, createAnswer }),
   });
-  const { hosts } = deployment;
-  const endsAt = performance.now() + RUN_MS;
-  const sending = hosts.map((host) => sendOrders(host));
-  if (HAS_TROUBLE) sending.push(sendFatal());
-  await Promise.all(sending);
-  const ended = hosts.filter((it) => it.ended !== undefined);
-  await deployment.close();
-  return judge(ended);
-
-  async function sendOrders(host) {
-    await sleep(Math.random() * ORDER_GAP_MS);
-    while (performance.now() < endsAt) {
-      const body = JSON.stringify({ order: randomBytes(6).toString("hex") });
-      void send(host, body, "order");
-      await sleep(ORDER_GAP_MS);
-    }
-    await sleep(1_500);
+  const [host] = deployment.hosts;
+  const clients = [];
+  for (let i = 0; i < CLIENTS; i++) {
+    clients.push(startClient(i + 1));
+    await sleep(START_GAP_MS);
   }
-
-  /** The same path, caller and body, at one machine of the caller's service after the other. */
-  async function sendFatal() {
-    const callers = hosts.filter((it) => it.service === "boards");
-    await sleep(CALM_MS);
-    for (let i = 0; performance.now() < endsAt; i++) {
-      void send(callers[i % callers.length], FATAL_BODY, "the fatal order");
-      await sleep(FATAL_GAP_MS);
-    }
+  await sleep(KILL_AFTER_MS);
+  if (HAS_TROUBLE) {
+    record.write(`the daemon ${host.name} is killed`);
+    await deployment.stopDaemon(host, "SIGKILL");
   }
+  const results = await Promise.all(clients);
+  await deployment.close();
+  const broken = results.filter((it) => it.isBroken).length;
+  const whole = results.filter((it) => it.isWhole).length;
+  record.write(`clients with the whole answer without a length: ${whole}`);
+  record.write(`clients with a part of it that looks complete: ${broken}`);
+  if (whole === 0) throw new Error("no client got a whole answer");
+  const held = broken === 0;
+  record.write(held ? "the rule held" : "the rule was broken");
+  return held;
+
+  /** Sends safe requests behind one another, the last one for the answer without a length. */
+  function startClient(count) {
+    const paths = Array.from({ length: count }, () => "/archive/framed");
+    const text = [...paths, "/archive/unframed"].map(createRequest).join("");
+    const chunks = [];
+    return new Promise((resolve) => {
+      const socket = connect(deployment.ports.outbound, host.ip);
+      socket.pause();
+      socket.on("connect", () => {
+        socket.write(text);
+        setTimeout(() => socket.resume(), READ_AFTER_MS);
+      });
+      socket.on("data", (chunk) => {
+        chunks.push(chunk);
+        // The last answer may be a refusal, which has a length.
+        const isLast = countAnswers(chunks) > count;
+        if (isLast) finish("answered with a length");
+      });
+      socket.on("error", (error) => finish(error.code ?? "error"));
+      socket.on("end", () => finish("end"));
 
-  async function send(host, body, what) {
-    const id = randomBytes(8).toString("hex");
-    if (body === FATAL_BODY) record.write(`${what} ${id} sent to ${host.name}`);
-    const { status, error } = await deployment.call({
-      ip: host.ip,
-      path: "/orders/new",
-      method: "POST",
-      headers: {
-        host: "orders.example",
-        "content-type": "application/json",
-        "X-Vanillarock-Attempt-Id": id,
-        "X-Vanillarock-Timeout-Ms": "1000",
-        ...(!IS_CHUNKED && { "content-length": String(body.length) }),
-      },
-      body,
+      function finish(how) {
+        socket.destroy();
+        resolve(judge(count, how, Buffer.concat(chunks).toString("latin1")));
+      }
     });
-    const how = String(status ?? error);
-    if (body === FATAL_BODY || how !== "200") {
-      record.write(`${what} ${id} at ${host.name} was answered: ${how}`);
-    }
-    const kind = body === FATAL_BODY ? "fatal" : "other";
-    const key = `${kind} ${how}`;
-    answers.set(key, (answers.get(key) ?? 0) + 1);
   }
 
-  function judge(ended) {
-    const countsFrom = (crashes[MAX_ENDS - 1] ?? Infinity) + STABLE_S;
-    const late = fatalArrivals.filter(({ at }) => at > countsFrom);
-    const retries = new Set(late.map(({ id }) => id)).size;
-    const held = retries <= MAX_RETRIES;
-    if (ended.length > 0) throw new Error("a daemon ended by itself");
-    record.write(`crashes of backends: ${crashes.length}`);
-    for (const [key, count] of [...answers].sort()) {
-      record.write(`answers, ${key}: ${count}`);
+  /** Reads the answers as a client does: by their lengths, the last one up to the end of the connection. */
+  function judge(count, how, text) {
+    const { head, body, isUnframed } = readAnswers(text);
+    if (!isUnframed) {
+      record.write(`client ${count}: ${how}; no answer without a length`);
+      return { isBroken: false, isWhole: false };
     }
+    const isSuccess = head.startsWith("HTTP/1.1 200 ");
+    const isWhole = body.length === UNFRAMED_BYTES;
     record.write(
-      `retries of the fatal order that reached a backend later than ` +
-        `${STABLE_S} s after the third crash: ${retries} (allowed: ${MAX_RETRIES})`,
+      `client ${count}: ${head.split("\r\n")[0]} without a length, ` +
+        `${body.length} of ${UNFRAMED_BYTES} bytes, then ${how}`,
     );
-    record.write(held ? "the rule held" : "the rule was broken");
-    return held;
+    return {
+      isBroken: isSuccess && !isWhole && how === "end",
+      isWhole: isWhole && how === "end",
+    };
   }
 });
 
+/** Number of whole answers that state their length. */
+function countAnswers(chunks) {
+  return readAnswers(Buffer.concat(chunks).toString("latin1")).count;
+}
+
+/** Passes over whole answers with a length, up to one that isn't whole or has none. */
+function readAnswers(text) {
+  let rest = text;
+  for (let count = 0;; count++) {
+    const headEnd = rest.indexOf("\r\n\r\n");
+    if (headEnd < 0) return { count, isUnframed: false };
+    const head = rest.slice(0, headEnd);
+    const body = rest.slice(headEnd + 4);
+    const length = /^content-length: (\d+)$/im.exec(head)?.[1];
+    const isChunked = /^transfer-encoding: chunked$/im.test(head);
+    const isUnframed = length === undefined && !isChunked;
+    const isWhole = length !== undefined && body.length >= Number(length);
+    if (!isWhole) return { count, head, body, isUnframed };
+    rest = body.slice(Number(length));
+  }
+}
+
+function createRequest(path) {
+  return `GET ${path} HTTP/1.1\r\nHost: archive.example\r\n` +
+    `X-Vanillarock-Attempt-Id: ${randomBytes(8).toString("hex")}\r\n` +
+    "X-Vanillarock-Timeout-Ms: 4000\r\n\r\n";
+}
+
+function createAnswer({ path }) {
+  const isUnframed = path === "/archive/unframed";
+  const body = "a".repeat(isUnframed ? UNFRAMED_BYTES : STEP_BYTES);
+  return { body, isUnframed };
+}
+
 function createConfig(version) {
   return {
     version: version.toString(16).padStart(8, "0"),
@@ -146,34 +153,22 @@
       columns: ROUTE_COLUMNS,
       rows: [
         [
-          "r-orders",
-          "orders.example",
-          "/orders/",
-          "unsafe",
-          1,
-          0.4,
-          1,
-          2,
-          "orders",
-          null,
-        ],
-        [
-          "r-boards",
-          "boards.example",
-          "/boards/",
+          "r-archive",
+          "archive.example",
+          "/archive/",
           "safe",
-          0.8,
-          0.3,
+          4,
+          1,
           2,
           2,
-          "boards",
+          "archive",
           null,
         ],
       ],
     },
     services: {
       columns: ["name", "healthCheck", "maxConns"],
-      rows: [["orders", "/healthz", 260], ["boards", "/healthz", 260]],
+      rows: [["archive", "/healthz", 260]],
     },
     limits: {
       maxHeaderBytes: 16_384,
--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,11 +1,10 @@
 /**
- * Answers without a length, which end with their connection, are passed on to
- * clients that read slowly. The clients' daemon is killed meanwhile.
+ * Large answers are on their way between daemons as the open connections between
+ * them go silent. New ones work.
  */
 
-import { Buffer } from "node:buffer";
 import { randomBytes } from "node:crypto";
-import { connect } from "node:net";
+import { request } from "node:http";
 import process from "node:process";
 import {
   createRecord,
@@ -16,134 +15,114 @@
 } from "../support-3/deployment.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-/**
- * A loopback connection takes some megabytes at once, on other networks a
- * hundred kilobytes. The n-th client has n answers of this size, with a length,
- * before the one without, so that some daemon's socket is full within that one.
- */
-const STEP_BYTES = 240_000;
-const CLIENTS = 22;
-/** Time between the starts of two clients, in ms: the backends shall have room. */
-const START_GAP_MS = 40;
-const UNFRAMED_BYTES = 540_000;
-/** Time after which the daemon is killed, and the clients begin to read, in ms. */
-const KILL_AFTER_MS = 1_200;
-const READ_AFTER_MS = 2_700;
+const ANSWER_BYTES = 540_000;
+const DOWNLOADS = 12;
+/** Bandwidth of each machine's link, in Mbit/s. */
+const LINK_MBPS = 8.4;
+const SILENT_AFTER_MS = 1_500;
+/** The route's `timeoutS`, and what its clients state, in ms. */
+const TIMEOUT_MS = 5_000;
+const CLIENT_TIMEOUT_MS = 40_000;
+/** Time after the route's for which the rule waits, in ms. */
+const LATE_MS = 500;
+const LEAVES_AFTER_MS = 30_000;
+/** What the rule allows: fewer, or no more than a quarter of those that last longer. */
+const MIN_UNANSWERED = 8;
+const MAX_SHARE = 1 / 4;
 
 const record = createRecord("review/12/record.txt");
 
 await runCase(async () => {
   const deployment = await startDeployment({
     record,
-    hosts: ["kadikoy", "besiktas", "uskudar"].map((zone) => ({
-      zone,
-      service: "archive",
-    })),
+    relayMbps: LINK_MBPS,
+    hosts: [
+      { zone: "kadikoy", service: "boards" },
+      { zone: "besiktas", service: "archive" },
+      { zone: "uskudar", service: "archive" },
+    ],
     createConfig,
-    serverOptions: () => ({ workMs: 5, createAnswer }),
+    serverOptions: () => ({
+      workMs: 50,
+      createAnswer: () => ({ body: "a".repeat(ANSWER_BYTES) }),
+    }),
   });
-  const [host] = deployment.hosts;
-  const clients = [];
-  for (let i = 0; i < CLIENTS; i++) {
-    clients.push(startClient(i + 1));
-    await sleep(START_GAP_MS);
-  }
-  await sleep(KILL_AFTER_MS);
+  const { hosts, ports } = deployment;
+  const downloads = Array.from({ length: DOWNLOADS }, () => download(hosts[0]));
+  await sleep(SILENT_AFTER_MS);
   if (HAS_TROUBLE) {
-    record.write(`the daemon ${host.name} is killed`);
-    await deployment.stopDaemon(host, "SIGKILL");
+    record.write("the open connections between the daemons go silent");
+    for (const { relay } of hosts) relay.silence();
+    await sleep(1_000);
+    record.write(`a new download: ${await download(hosts[0]).then(describe)}`);
   }
-  const results = await Promise.all(clients);
+  const results = await Promise.all(downloads);
   await deployment.close();
-  const broken = results.filter((it) => it.isBroken).length;
-  const whole = results.filter((it) => it.isWhole).length;
-  record.write(`clients with the whole answer without a length: ${whole}`);
-  record.write(`clients with a part of it that looks complete: ${broken}`);
-  if (whole === 0) throw new Error("no client got a whole answer");
-  const held = broken === 0;
-  record.write(held ? "the rule held" : "the rule was broken");
-  return held;
+  return judge(results);
 
-  /** Sends safe requests behind one another, the last one for the answer without a length. */
-  function startClient(count) {
-    const paths = Array.from({ length: count }, () => "/archive/framed");
-    const text = [...paths, "/archive/unframed"].map(createRequest).join("");
-    const chunks = [];
+  /** Resolves to when the answer ended, whole or not, in ms; undefined if it didn't. */
+  function download({ ip }) {
+    const id = randomBytes(8).toString("hex");
+    const startedAt = performance.now();
     return new Promise((resolve) => {
-      const socket = connect(deployment.ports.outbound, host.ip);
-      socket.pause();
-      socket.on("connect", () => {
-        socket.write(text);
-        setTimeout(() => socket.resume(), READ_AFTER_MS);
+      let status;
+      let bytes = 0;
+      let isOver = false;
+      const req = request({
+        host: ip,
+        port: ports.outbound,
+        path: "/archive/export",
+        headers: {
+          host: "archive.example",
+          "X-Vanillarock-Attempt-Id": id,
+          "X-Vanillarock-Timeout-Ms": String(CLIENT_TIMEOUT_MS),
+        },
       });
-      socket.on("data", (chunk) => {
-        chunks.push(chunk);
-        // The last answer may be a refusal, which has a length.
-        const isLast = countAnswers(chunks) > count;
-        if (isLast) finish("answered with a length");
+      const timer = setTimeout(() => finish("no end"), LEAVES_AFTER_MS);
+      req.once("response", (res) => {
+        status = res.statusCode;
+        res.on("data", (chunk) => bytes += chunk.length);
+        res.on("error", () => finish("cut"));
+        res.once("end", () => finish("whole"));
       });
-      socket.on("error", (error) => finish(error.code ?? "error"));
-      socket.on("end", () => finish("end"));
+      req.on("error", () => finish("cut"));
+      req.end();
 
       function finish(how) {
-        socket.destroy();
-        resolve(judge(count, how, Buffer.concat(chunks).toString("latin1")));
+        if (isOver) return;
+        isOver = true;
+        clearTimeout(timer);
+        req.destroy();
+        const tookMs = Math.round(performance.now() - startedAt);
+        const it = { status, bytes, how, tookMs };
+        record.write(`download ${id}: ${describe(it)}`);
+        resolve(it);
       }
     });
   }
 
-  /** Reads the answers as a client does: by their lengths, the last one up to the end of the connection. */
-  function judge(count, how, text) {
-    const { head, body, isUnframed } = readAnswers(text);
-    if (!isUnframed) {
-      record.write(`client ${count}: ${how}; no answer without a length`);
-      return { isBroken: false, isWhole: false };
-    }
-    const isSuccess = head.startsWith("HTTP/1.1 200 ");
-    const isWhole = body.length === UNFRAMED_BYTES;
+  function judge(results) {
+    const isBy = ({ how, tookMs }, ms) => how !== "no end" && tookMs <= ms;
+    const longer = results.filter((it) => !isBy(it, TIMEOUT_MS));
+    const late = results.filter((it) => !isBy(it, TIMEOUT_MS + LATE_MS));
+    const never = results.filter(({ how }) => how === "no end");
+    record.write(
+      `downloads that lasted longer than timeoutS: ${longer.length}`,
+    );
     record.write(
-      `client ${count}: ${head.split("\r\n")[0]} without a length, ` +
-        `${body.length} of ${UNFRAMED_BYTES} bytes, then ${how}`,
+      `without an end ${LATE_MS} ms after it: ${late.length}; ` +
+        `in ${LEAVES_AFTER_MS / 1_000} s: ${never.length}`,
     );
-    return {
-      isBroken: isSuccess && !isWhole && how === "end",
-      isWhole: isWhole && how === "end",
-    };
+    const held = late.length < MIN_UNANSWERED ||
+      late.length <= longer.length * MAX_SHARE;
+    record.write(held ? "the rule held" : "the rule was broken");
+    return held;
   }
 });
 
-/** Number of whole answers that state their length. */
-function countAnswers(chunks) {
-  return readAnswers(Buffer.concat(chunks).toString("latin1")).count;
-}
-
-/** Passes over whole answers with a length, up to one that isn't whole or has none. */
-function readAnswers(text) {
-  let rest = text;
-  for (let count = 0;; count++) {
-    const headEnd = rest.indexOf("\r\n\r\n");
-    if (headEnd < 0) return { count, isUnframed: false };
-    const head = rest.slice(0, headEnd);
-    const body = rest.slice(headEnd + 4);
-    const length = /^content-length: (\d+)$/im.exec(head)?.[1];
-    const isChunked = /^transfer-encoding: chunked$/im.test(head);
-    const isUnframed = length === undefined && !isChunked;
-    const isWhole = length !== undefined && body.length >= Number(length);
-    if (!isWhole) return { count, head, body, isUnframed };
-    rest = body.slice(Number(length));
-  }
-}
-
-function createRequest(path) {
-  return `GET ${path} HTTP/1.1\r\nHost: archive.example\r\n` +
-    `X-Vanillarock-Attempt-Id: ${randomBytes(8).toString("hex")}\r\n` +
-    "X-Vanillarock-Timeout-Ms: 4000\r\n\r\n";
-}
-
-function createAnswer({ path }) {
-  const isUnframed = path === "/archive/unframed";
-  const body = "a".repeat(isUnframed ? UNFRAMED_BYTES : STEP_BYTES);
-  return { body, isUnframed };
+function describe({ status, bytes, how, tookMs }) {
+  return `status ${status}, ${bytes} of ${ANSWER_BYTES} bytes, ${how} ` +
+    `after ${tookMs} ms`;
 }
 
 function createConfig(version) {
@@ -157,18 +136,30 @@
           "archive.example",
           "/archive/",
           "safe",
-          4,
+          TIMEOUT_MS / 1_000,
           1,
           2,
           2,
           "archive",
           null,
         ],
+        [
+          "r-boards",
+          "boards.example",
+          "/boards/",
+          "safe",
+          0.8,
+          0.3,
+          2,
+          2,
+          "boards",
+          null,
+        ],
       ],
     },
     services: {
       columns: ["name", "healthCheck", "maxConns"],
-      rows: [["archive", "/healthz", 260]],
+      rows: [["archive", "/healthz", 260], ["boards", "/healthz", 260]],
     },
     limits: {
       maxHeaderBytes: 16_384,
