Review: the records have all that is sent, answered and run

Cause: the scripts recorded only the requests that matter to their rules, and left what they had started if they were ended themselves.

--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -40,7 +40,12 @@
       service: "archive",
     })),
     createConfig,
-    serverOptions: () => ({ workMs: 5, createAnswer }),
+    serverOptions: () => ({
+      workMs: 5,
+      createAnswer,
+      onRun: ({ id, path, instance }) =>
+        record.write(`backend ${instance} runs ${id}: GET ${path}`),
+    }),
   });
   const [host] = deployment.hosts;
   const clients = [];
@@ -67,7 +72,15 @@
   /** Sends safe requests behind one another, the last one for the answer without a length. */
   function startClient(count) {
     const paths = Array.from({ length: count }, () => "/archive/framed");
-    const text = [...paths, "/archive/unframed"].map(createRequest).join("");
+    const ids = [...paths, "/archive/unframed"].map((path) => ({
+      path,
+      id: randomBytes(8).toString("hex"),
+    }));
+    const text = ids.map(createRequest).join("");
+    record.write(
+      `client ${count} sends ${ids.map(({ id }) => id).join(" ")}, ` +
+        "the last one for the answer without a length",
+    );
     const chunks = [];
     return new Promise((resolve) => {
       const socket = connect(deployment.ports.outbound, host.ip);
@@ -134,9 +147,9 @@
   }
 }
 
-function createRequest(path) {
+function createRequest({ path, id }) {
   return `GET ${path} HTTP/1.1\r\nHost: archive.example\r\n` +
-    `X-Vanillarock-Attempt-Id: ${randomBytes(8).toString("hex")}\r\n` +
+    `X-Vanillarock-Attempt-Id: ${id}\r\n` +
     "X-Vanillarock-Timeout-Ms: 4000\r\n\r\n";
 }
 
--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -44,6 +44,8 @@
     createConfig,
     serverOptions: () => ({
       workMs: 50,
+      onRun: ({ id, instance }) =>
+        record.write(`backend ${instance} runs download ${id}`),
       createAnswer: () => ({ body: "a".repeat(ANSWER_BYTES) }),
     }),
   });
@@ -64,6 +66,7 @@
   function download({ ip }) {
     const id = randomBytes(8).toString("hex");
     const startedAt = performance.now();
+    record.write(`download ${id} sent`);
     return new Promise((resolve) => {
       let status;
       let bytes = 0;
--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -26,6 +26,8 @@
 const START_MS = 20_000;
 /** Exit code of a script that couldn't run. */
 const COULD_NOT_RUN = 2;
+/** Longest run of a script, in ms. */
+const MAX_RUN_MS = 115_000;
 
 /** The bounds of the small deployments' site files. */
 export const BOUNDS = {
@@ -101,7 +103,7 @@
     call,
     close,
   };
-  process.once("exit", killAll);
+  process.once("exit", endAll);
   for (const [index, spec] of options.hosts.entries()) {
     const host = {
       ...spec,
@@ -309,9 +311,11 @@
     });
   }
 
-  function killAll() {
+  /** Ends what was started, however this process ends. */
+  function endAll() {
     isClosing = true;
     for (const { process: child } of hosts) child?.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
   }
 
   async function close() {
@@ -323,7 +327,6 @@
       relay?.close();
     }
     store.close();
-    if (process.env.KEEP === undefined) rmSync(folder, { recursive: true });
   }
 }
 
@@ -376,6 +379,13 @@
 
 /** Runs a script, whose result is true if the rule held, and exits as the cases must. */
 export async function runCase(run) {
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.once(signal, () => process.exit(COULD_NOT_RUN));
+  }
+  setTimeout(() => {
+    console.error("the script has taken too long");
+    process.exit(COULD_NOT_RUN);
+  }, MAX_RUN_MS).unref();
   try {
     const held = await run();
     process.exit(held ? 0 : 1);
