--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -11,7 +11,7 @@
   STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
+import type { Duplex, Readable } from "node:stream";
 import {
   type ConnectionOrder,
   createConnectionOrder,
@@ -84,6 +84,12 @@
    * read behind the request. From then on nothing more is passed on.
    */
   prepareHead(mustEnd?: boolean): void;
+  /**
+   * To be called in place of `prepareHead` for an answer whose end the caller
+   * can't tell from its bytes: the connection ends behind it, and is reset where
+   * the answer is cut, as a mere close would look like the end.
+   */
+  delimitByClose(body: Readable): void;
   /**
    * To be called before the head of an answer that may still be cut: what is read
    * behind the request is passed on only once the answer has ended, as a cut takes
@@ -145,6 +151,8 @@
   cause?: CloseCause;
   /** The last request that was read, answered or not. */
   newest?: IncomingMessage;
+  /** The last answer, if only the end of the connection tells its end. */
+  delimitedByClose?: ServerResponse;
   /** Written behind the last answer, to bytes that are no request. */
   refusal?: string;
   /** When the connection was last parsed on after a wait, in ms of the clock. */
@@ -292,11 +300,13 @@
         outgoing.setHeader("connection", "close");
         order.takeNoMore();
       },
-      holdOthers: () => void (connection.holder = entry),
-      cut: (reason) => {
-        recordCause(connection, { by: ClosedBy.Daemon, reason });
-        outgoing.destroy();
+      delimitByClose: (body) => {
+        entry.prepareHead(true);
+        connection.delimitedByClose = outgoing;
+        body.once("error", () => entry.cut("answer_cut"));
       },
+      holdOthers: () => void (connection.holder = entry),
+      cut: (reason) => cut(connection, reason),
     };
     return entry;
   }
@@ -473,10 +483,17 @@
 
   function cutAll(): void {
     for (const connection of connections.values()) {
-      recordCause(connection, { by: ClosedBy.Daemon, reason: "close_timeout" });
-      connection.socket.destroy();
+      cut(connection, "close_timeout");
     }
   }
+
+  function cut(connection: Connection, reason: string): void {
+    const { socket, delimitedByClose } = connection;
+    recordCause(connection, { by: ClosedBy.Daemon, reason });
+    if (delimitedByClose?.writableFinished === false) {
+      socket.resetAndDestroy();
+    } else socket.destroy();
+  }
 }
 
 /** Node.js goes on with HTTP behind such a request, but drops what it has read with it. */
--- a/src/daemon/caller_server.ts
+++ b/src/daemon/caller_server.ts
@@ -33,7 +33,7 @@
 import { getPlace, type HttpEnv } from "./http_server.ts";
 import type { Logger } from "./logger.ts";
 import { canBufferBody, hasUnknownCoding, readBody } from "./request_body.ts";
-import { createSharedAnswers } from "./shared_answers.ts";
+import { createSharedAnswers, statesItsEnd } from "./shared_answers.ts";
 import { hasEnded } from "./unread_sockets.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
@@ -168,7 +168,11 @@
     key: string | undefined,
   ): void {
     const { outgoing, id } = req;
-    if (!response.isComplete) getPlace(outgoing).holdOthers();
+    const place = getPlace(outgoing);
+    if (!statesItsEnd(outgoing.req, response)) {
+      place.delimitByClose(response.body);
+    }
+    if (!response.isComplete) place.holdOthers();
     outgoing.writeHead(response.status, {
       ...getForwardHeaders(response.headers),
       ...createHeaders(req, Execution.Ran, key),
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -26,7 +26,6 @@
 import type { StreamedResponse } from "../link/types.ts";
 import { sendBytes } from "../link/small_response.ts";
 import { streamBody } from "../link/stream_body.ts";
-import { Header } from "../link/wire.ts";
 import type { CallerHandler, Place } from "./caller_connections.ts";
 import type { CallerDialect, CallerMetadata } from "./caller_dialect.ts";
 import type { GatewayTask } from "./gateway_task.ts";
@@ -42,11 +41,7 @@
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
 import { createSignature } from "./request_signature.ts";
-import {
-  createSharedAnswers,
-  isUndelimited,
-  isUnframed,
-} from "./shared_answers.ts";
+import { createSharedAnswers, statesItsEnd } from "./shared_answers.ts";
 import { hasEnded } from "./unread_sockets.ts";
 import {
   gatherBody,
@@ -277,7 +272,9 @@
       tookMs: Math.round(tookMs),
     });
     const isAlone = place.isFirst() && place.isNewest();
-    const ready = isAlone ? response : await shared.prepare(place, response);
+    const ready = isAlone && statesItsEnd(req.incoming, response)
+      ? response
+      : await shared.prepare(place, response);
     if (req.isOver) return;
     if (!(ready instanceof Error)) return writeResponse(req, arrival, ready);
     logCut(req, ready);
@@ -296,10 +293,9 @@
   ): void {
     const { outgoing, incoming, id } = req;
     const { status, bytes } = response;
-    const { [Header.Unframed]: _, ...headers } = response.headers;
-    const mustEnd = isUndelimited(incoming, response);
-    if (isUnframed(response)) delimitByClose(outgoing, response.body);
-    req.place.prepareHead(mustEnd);
+    const { headers } = response;
+    if (statesItsEnd(incoming, response)) req.place.prepareHead();
+    else req.place.delimitByClose(response.body);
     if (bytes === undefined) req.response = response.body;
     if (!response.isComplete) req.place.holdOthers();
     outgoing.writeHead(status, dialect.createResponseHeaders(headers));
@@ -405,17 +401,6 @@
   }
 }
 
-/**
- * Ends the response by closing the connection, as its upstream did: chunked
- * framing would mark a response as complete that may have been cut off. A cut is
- * passed on as a reset, as a mere close would look like the end.
- */
-function delimitByClose(outgoing: ServerResponse, body: Readable): void {
-  outgoing.removeHeader("transfer-encoding");
-  outgoing.shouldKeepAlive = false;
-  body.once("error", () => outgoing.socket?.resetAndDestroy());
-}
-
 /** Returns a function that tells the size of the body once it has ended, in bytes. */
 function measureBody({ headers, body }: StreamedResponse): () => number {
   const stated = headers["content-length"];
--- a/src/daemon/shared_answers.ts
+++ b/src/daemon/shared_answers.ts
@@ -1,13 +1,13 @@
 /**
- * Answers on connections that requests share: an answer that is cut, or that only
- * the end of its connection ends, would take with it what is behind it
- * (docs/design/0022).
+ * Answers on connections that requests share: an answer that is cut would take
+ * with it what is behind it (docs/design/0022). Also states the length of answers
+ * to callers who would else have to take the end of the connection for theirs.
  */
 
 import type { IncomingMessage } from "node:http";
 import type { MemoryBudget } from "../core/memory_budget.ts";
+import { mayHaveBody } from "../link/final_status.ts";
 import type { StreamedResponse } from "../link/types.ts";
-import { Header } from "../link/wire.ts";
 import { createResponseReader } from "../upstream/response_reader.ts";
 import type { Place } from "./caller_connections.ts";
 import type { Clock } from "./clock.ts";
@@ -23,7 +23,8 @@
 export interface SharedAnswers {
   /**
    * Waits for the turn of a response. Its body is read to its end before, within
-   * bounds, if requests are behind it. Resolves to an error if the body was cut.
+   * bounds, if requests are behind it or its caller doesn't know chunks. Resolves
+   * to an error if the body was cut.
    */
   prepare(
     place: Place,
@@ -49,19 +50,19 @@
     const { incoming } = place;
     if (response.bytes !== undefined) {
       await place.whenFirst();
-      return isUndelimited(incoming, response)
-        ? setLength(response, response.bytes.length)
-        : response;
+      return statesItsEnd(incoming, response)
+        ? response
+        : setLength(response, response.bytes.length);
     }
     const { body } = response;
     body.on("error", ignoreError);
     await place.whenFirst();
     if (body.errored) return body.errored;
-    const isWhole = response.isComplete && !isUndelimited(incoming, response);
-    if (isWhole || place.isNewest()) return response;
+    const mayBeCut = !response.isComplete && !place.isNewest();
+    if (!mayBeCut && statesItsEnd(incoming, response)) return response;
     try {
       const read = await readWhole(response);
-      if (!isUndelimited(incoming, read)) return read;
+      if (place.isNewest() || statesItsEnd(incoming, read)) return read;
       read.body.destroy();
       return new Error("too large for a caller that doesn't know chunks");
     } catch (error) {
@@ -72,8 +73,8 @@
   async function readWhole(
     response: StreamedResponse,
   ): Promise<StreamedResponse> {
-    const { [Header.Unframed]: _, ...headers } = response.headers;
-    // The reader states the length of what is in chunks; the end of the rest is told by its error.
+    const { headers } = response;
+    // Other daemons send what has no length in chunks, or as frames with an end.
     const framed = headers["content-length"] === undefined
       ? { ...headers, "transfer-encoding": "chunked" }
       : headers;
@@ -83,28 +84,23 @@
   }
 }
 
-/** True if only the end of the upstream's connection ends the body. */
-export function isUnframed({ status, headers }: StreamedResponse): boolean {
-  return headers[Header.Unframed] !== undefined && status !== 204 &&
-    status !== 304;
-}
-
-/** The same for the caller, who may not know chunks. */
-export function isUndelimited(
+/**
+ * True if the bytes of an answer tell its end to the caller: by a length, or in
+ * chunks, which HTTP/1.0 doesn't know.
+ */
+export function statesItsEnd(
   { httpVersion, method }: IncomingMessage,
-  response: StreamedResponse,
+  { status, headers }: StreamedResponse,
 ): boolean {
-  return isUnframed(response) ||
-    (httpVersion === "1.0" && method !== "HEAD" &&
-      response.headers["content-length"] === undefined);
+  return httpVersion !== "1.0" || headers["content-length"] !== undefined ||
+    !mayHaveBody(method, status);
 }
 
 function setLength(
   response: StreamedResponse,
   bytes: number,
 ): StreamedResponse {
-  const { [Header.Unframed]: _, ...headers } = response.headers;
-  headers["content-length"] = String(bytes);
+  const headers = { ...response.headers, "content-length": String(bytes) };
   return { ...response, headers };
 }
 
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -972,6 +972,16 @@
     }],
     testFile: LARGE_RESPONSES_TEST,
   },
+  {
+    name: "buffered_bodies_state_their_length",
+    guarantee: "no response that was cut looks complete",
+    file: "src/upstream/response_reader.ts",
+    edits: [{
+      find: '"content-length": String(buffered.size()),',
+      replace: "",
+    }],
+    testFile: LARGE_RESPONSES_TEST,
+  },
   {
     name: "chunked_bodies_are_bounded",
     guarantee: "bounded memory",
@@ -1375,10 +1385,10 @@
   {
     name: "cut_is_passed_on_as_reset",
     guarantee: "no response that was cut looks complete",
-    file: "src/daemon/ingress_server.ts",
+    file: "src/daemon/caller_connections.ts",
     edits: [{
-      find: 'body.once("error", () => outgoing.socket?.resetAndDestroy());',
-      replace: "",
+      find: "if (delimitedByClose?.writableFinished === false) {",
+      replace: "if (delimitedByClose === null) {",
     }],
     testFile: INGRESS_TEST,
   },
--- a/src/link/final_status.ts
+++ b/src/link/final_status.ts
@@ -1,4 +1,4 @@
-/** Statuses that a final response may have. */
+/** Statuses that a final response may have, and which of them have a body. */
 
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
@@ -11,3 +11,11 @@
   return Number.isInteger(status) && status >= FIRST_FINAL_STATUS &&
     status <= LAST_STATUS;
 }
+
+/** False for a response that ends with its head, whatever length it states. */
+export function mayHaveBody(
+  method: string | undefined,
+  status: number,
+): boolean {
+  return method !== "HEAD" && status !== 204 && status !== 304;
+}
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -40,8 +40,6 @@
   Era = "vanillarock-era",
   /** Hostname in the caller's request. */
   Hostname = "vanillarock-hostname",
-  /** Marks a response whose end is given only by the end of its connection. */
-  Unframed = "vanillarock-unframed",
   // Sent to callers or received from them:
   Execution = "vanillarock-execution",
   Reason = "vanillarock-reason",
--- a/src/upstream/response_reader.ts
+++ b/src/upstream/response_reader.ts
@@ -18,7 +18,6 @@
   MAX_SMALL_RESPONSE_BYTES,
 } from "../link/small_response.ts";
 import type { StreamedResponse } from "../link/types.ts";
-import { Header } from "../link/wire.ts";
 import { createResponseBody } from "./response_body.ts";
 import type { UpstreamProtocol } from "./upstream_protocol.ts";
 
@@ -148,17 +147,17 @@
     response: StreamedResponse,
     buffered: ByteBuffer,
   ): StreamedResponse {
-    const headers = markUnframed(response.headers);
-    if (headers[Header.Unframed] === undefined) {
-      headers["content-length"] = String(buffered.size());
-      const isSmall = buffered.size() <= MAX_SMALL_RESPONSE_BYTES;
-      const bytes = isSmall ? buffered.take() ?? Buffer.alloc(0) : undefined;
-      if (bytes !== undefined) {
-        return createSmallResponse({ status: response.status, headers }, bytes);
-      }
+    const { status } = response;
+    const headers = {
+      ...response.headers,
+      "content-length": String(buffered.size()),
+    };
+    if (buffered.size() <= MAX_SMALL_RESPONSE_BYTES) {
+      const bytes = buffered.take() ?? Buffer.alloc(0);
+      return createSmallResponse({ status, headers }, bytes);
     }
     const body = createResponseBody({ clock: options.clock, buffered });
-    return { status: response.status, headers, body, isComplete: true };
+    return { status, headers, body, isComplete: true };
   }
 
   function stream(
@@ -169,7 +168,7 @@
     if ((getLength(headers) ?? Infinity) <= MAX_SMALL_BYTES) return response;
     return {
       status,
-      headers: protocol.buffersResponses ? markUnframed(headers) : headers,
+      headers,
       body: createResponseBody({
         ...read,
         clock: options.clock,
@@ -194,13 +193,6 @@
   return text === undefined ? undefined : Number(text);
 }
 
-/** The end of the connection does not prove that a body is complete; the receiver has to know. */
-function markUnframed(headers: IncomingHttpHeaders): IncomingHttpHeaders {
-  return isUnframed(headers)
-    ? { ...headers, [Header.Unframed]: "1" }
-    : { ...headers };
-}
-
 /** True if only the end of the connection ends the body. */
 export function isUnframed(headers: IncomingHttpHeaders): boolean {
   return headers["content-length"] === undefined &&
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -18,7 +18,7 @@
 import type { Clock } from "../daemon/clock.ts";
 import type { ForwardRequest, StreamedResponse } from "../link/types.ts";
 import { splitAddress } from "../link/address.ts";
-import { isFinalStatus } from "../link/final_status.ts";
+import { isFinalStatus, mayHaveBody } from "../link/final_status.ts";
 import { createSmallResponse } from "../link/small_response.ts";
 import {
   AbortError,
@@ -235,7 +235,9 @@
     if (responseClass !== ResponseClass.Valid) {
       return discard(response, responseClass);
     }
-    if (request.method === "HEAD") return { response: endAtHead(response) };
+    if (!mayHaveBody(request.method, response.status)) {
+      return { response: endAtHead(response) };
+    }
     return await reader.read(response);
   }
 
@@ -254,8 +256,8 @@
 }
 
 /**
- * The response to a HEAD, which may state the length of a body that it doesn't
- * have. Bytes behind the head end the connection, not the response.
+ * A response without a body, which may state the length of one that another
+ * request would get. Bytes behind the head end the connection, not the response.
  */
 function endAtHead(
   { status, headers, body }: StreamedResponse,
--- a/test/ingress_test.ts
+++ b/test/ingress_test.ts
@@ -23,6 +23,7 @@
 import { createCallerConnections } from "../src/daemon/caller_connections.ts";
 import { createIngressHandler } from "../src/daemon/ingress_server.ts";
 import type { LogFields, Logger } from "../src/daemon/logger.ts";
+import { createSmallResponse } from "../src/link/small_response.ts";
 import { openPipe } from "./support/pipelining_caller.ts";
 import { createTestHost } from "./support/core_host.ts";
 
@@ -177,29 +178,82 @@
   return new Readable({ read: () => {} });
 }
 
-test("a response without a length that is cut doesn't end like a whole one", async () => {
-  const body = createOpenBody();
-  body.push("the first part");
-  const response = {
-    status: 200,
-    headers: { "vanillarock-unframed": "1" },
-    body,
-  };
-  const { port, close } = await listen(createTask({ response }));
+test.each([
+  ["HTTP/1.1", "an end", 0],
+  ["HTTP/1.0", "ECONNRESET", 0],
+  // Too large to be read whole first, so that part of it is written.
+  ["HTTP/1.0", "ECONNRESET", 1_200_000],
+])(
+  "a response without a length that is cut doesn't end like a whole one: %s, %s, %i bytes",
+  async (version, expectedEnd, size) => {
+    const body = createOpenBody();
+    const first = `${"a".repeat(size)}the first part`;
+    body.push(Buffer.from(first));
+    const { port, close } = await listen(
+      createTask({ response: { status: 200, headers: {}, body } }),
+    );
+    const { received, end } = readToEnd(port, version);
+    if (version === "HTTP/1.1" || size > 0) {
+      await waitUntil(() => received().includes("the first part"));
+    } else {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    body.destroy(new Error("cut"));
+    const isRefused = received().length === 0;
+    const ended = await end;
+    // The last chunk tells the end of a whole response.
+    expect(received()).not.toMatch(/\r\n0\r\n\r\n$/);
+    if (isRefused) expect(received()).toMatch(/^HTTP\/1\.1 502 /);
+    else expect(ended).toBe(expectedEnd);
+    await close();
+  },
+);
+
+test("a small response without a length goes to a caller of HTTP/1.0 with one", async () => {
+  const body = Readable.from(
+    ["the first part, ", "the rest"].map((part) => Buffer.from(part)),
+  );
+  const { port, close } = await listen(
+    createTask({ response: { status: 200, headers: {}, body } }),
+  );
+  const { received, end } = readToEnd(port, "HTTP/1.0");
+  expect(await end).toBe("an end");
+  expect(received().toLowerCase()).toContain("\r\ncontent-length: 24\r\n");
+  expect(received()).toMatch(/\r\n\r\nthe first part, the rest$/);
+  await close();
+});
+
+test.each([["HEAD", 200], ["GET", 204], ["GET", 304]])(
+  "a response without a body keeps the length that it states: %s, %i",
+  async (method, status) => {
+    const { port, close } = await listen(createTask({
+      response: createSmallResponse({
+        status,
+        headers: status === 204 ? {} : { "content-length": "500" },
+      }, Buffer.alloc(0)),
+    }));
+    const { received, end } = readToEnd(port, "HTTP/1.1", method);
+    await waitUntil(() => received().endsWith("\r\n\r\n"));
+    await close();
+    await end;
+    const length = /\r\ncontent-length: (\d+)\r\n/i.exec(received())?.[1];
+    expect(length).toBe(status === 204 ? undefined : "500");
+    expect(received()).not.toMatch(/transfer-encoding/i);
+  },
+);
+
+/** Sends a request; `end` tells how the connection ended. */
+function readToEnd(port: number, version: string, method = "GET") {
   const socket = connect(port, "127.0.0.1");
-  socket.write("GET /order/1 HTTP/1.1\r\nhost: shop\r\n\r\n");
-  const end = new Promise((resolve) => {
+  socket.write(`${method} /order/1 ${version}\r\nhost: shop\r\n\r\n`);
+  let received = "";
+  socket.on("data", (chunk) => received += chunk);
+  const end = new Promise<string | undefined>((resolve) => {
     socket.on("end", () => resolve("an end"));
     socket.on("error", (error) => resolve((error as { code?: string }).code));
   });
-  let received = "";
-  socket.on("data", (chunk) => {
-    received += chunk;
-    if (received.endsWith("the first part")) body.destroy(new Error("cut"));
-  });
-  expect(await end).toBe("ECONNRESET");
-  await close();
-});
+  return { received: () => received, end };
+}
 
 test("a caller that leaves frees the responses that wait for an earlier one", async () => {
   const bodies: Readable[] = [];
--- a/test/large_responses_test.ts
+++ b/test/large_responses_test.ts
@@ -204,9 +204,11 @@
   upstream.mode = mode;
   upstream.createBody = () => expected;
   const response = await sendForResponse();
-  expect(response.isComplete ?? false).toBe(
-    size <= MAX_BUFFERED_RESPONSE_BYTES,
-  );
+  const isWhole = size <= MAX_BUFFERED_RESPONSE_BYTES;
+  expect(response.isComplete ?? false).toBe(isWhole);
+  if (isWhole) {
+    expect(response.headers["content-length"]).toBe(String(size));
+  }
   const body = await readAll(response.body);
   expect(body.toString() === expected).toBe(true);
   expect(memory.getUsed()).toBe(0);
@@ -223,7 +225,7 @@
   }
   upstream.mode = UpstreamMode.EndlessUnframed;
   const { body, headers } = await sendForResponse();
-  expect(headers["vanillarock-unframed"]).toBe("1");
+  expect(headers["content-length"]).toBeUndefined();
   await expect(readAll(body)).rejects.toMatchObject({
     diagnostic: Diagnostics.response_too_large,
   });
--- a/test/mesh_test.ts
+++ b/test/mesh_test.ts
@@ -123,9 +123,10 @@
     200,
     "the upstream's answer",
   ]);
-  expect(unframed.headers["content-length"]).toBeUndefined();
-  expect(unframed.headers["transfer-encoding"]).toBeUndefined();
-  expect(unframed.headers.connection).toBe("close");
+  // Without it, the end of a killed daemon's connections would look like that of the body.
+  expect(unframed.headers["content-length"]).toBe(
+    String(unframed.text.length),
+  );
   setUpstreamModes(UpstreamMode.RespondsTwice);
   for (let i = 0; i < 20; i++) {
     const res = await fleet.call(fleet.hosts[0]!, {
--- a/test/shared_connection_mesh_test.ts
+++ b/test/shared_connection_mesh_test.ts
@@ -99,12 +99,13 @@
     expect(all.map((it) => [it.status, it.isWhole])).toEqual(
       Array(3).fill([200, true]),
     );
-    // Nothing is behind the last one, which ends as its upstream's did.
-    expect(all.map((it) => it.headers["connection"])).toEqual([
-      "keep-alive",
-      "keep-alive",
-      "close",
-    ]);
+    // Their upstream's connections end; that of their caller doesn't tell their ends.
+    expect(all.map((it) => it.headers["connection"])).toEqual(
+      Array(3).fill("keep-alive"),
+    );
+    expect(all.map((it) => it.headers["content-length"])).toEqual(
+      all.map((it) => String(it.body.length)),
+    );
   } finally {
     for (const { upstream } of fleet.hosts) {
       upstream.mode = UpstreamMode.Serving;
