--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from "node:net";
 import { EventEmitter } from "node:events";
+import process from "node:process";
 import type { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
 import { Execution, type Ticket } from "../core/types.ts";
@@ -12,6 +13,7 @@
   type RequestFrameHead,
 } from "../link/frame_heads.ts";
 import {
+  ALIVE,
   createFrameReader,
   encodeFrame,
   encodePartPrefix,
@@ -20,6 +22,7 @@
   MAX_FRAME_BODY_BYTES,
 } from "../link/frames.ts";
 import { getForwardHeaders } from "../link/http_headers.ts";
+import { createTicker, STUCK_INTERVALS } from "../link/signs_of_life.ts";
 import {
   type ForwardRequest,
   type GuardReply,
@@ -86,6 +89,8 @@
   readonly body: Buffer;
   /** Emits "abort" when the connection closes before the reply is sent. */
   readonly signal: EventEmitter;
+  /** Sends a frame that isn't the last one. */
+  send(frame: Buffer): void;
   /** Sends the last frame. */
   finish(frame: Buffer): void;
   /** Closes the connection, as there is no whole reply. */
@@ -103,6 +108,7 @@
   const { guard } = options;
   /** Connections, with what announces their end unless they carry an exchange. */
   const connections = new Map<Socket, () => void>();
+  const ticker = createTicker();
   let isDraining = false;
   let isClosed = false;
   const steps: Partial<Record<Step, StepHandler>> = {
@@ -117,7 +123,7 @@
       }
       return guard.submit(ticket, head, {
         forward: createForward(exchange),
-        onAccepted: () => void exchange.socket.write(ACCEPTED),
+        onAccepted: () => exchange.send(ACCEPTED),
       });
     },
     [Step.Run]: (exchange) => {
@@ -150,6 +156,11 @@
     let isEndAnnounced = false;
     /** Why this daemon closes the connection. */
     let cutReason: string | undefined;
+    /** True once the peer was told that this daemon sends signs of life. */
+    let hasSentSigns = false;
+    /** Bytes by the last tick: passed to the socket, sent, and read. */
+    let last = { written: 0, sent: 0, read: 0 };
+    let stuckTicks = 0;
     const peer = socket.remoteAddress;
     const reader = createFrameReader(receive);
     socket.setTimeout(IDLE_MS, () => {
@@ -160,6 +171,7 @@
     socket.on("end", () => socket.destroy());
     socket.once("close", () => {
       connections.delete(socket);
+      ticker.remove(check);
       if (open === undefined) return;
       reportCut(open);
       open.signal.emit("abort");
@@ -197,7 +209,27 @@
       });
     }
 
+    /** Sends a sign of life if nothing else was sent, and gives up a peer that neither reads nor sends one. */
+    function check(): void {
+      const { bytesWritten: written, bytesRead: read, writableLength } = socket;
+      const sent = written - writableLength;
+      const isStuck = writableLength > 0 && sent === last.sent &&
+        read === last.read;
+      stuckTicks = isStuck ? stuckTicks + 1 : 0;
+      const isDue = writableLength === 0 && written === last.written;
+      last = { written, sent, read };
+      if (stuckTicks >= STUCK_INTERVALS) cut("peer_silent");
+      else if (isDue) sendSign();
+    }
+
+    function sendSign(): void {
+      hasSentSigns = true;
+      socket.write(ALIVE);
+      last.written = socket.bytesWritten;
+    }
+
     function receive(frame: Frame): void {
+      if (frame.kind === FrameKind.Alive && hasSentSigns) return;
       const head = frame.kind === FrameKind.Request
         ? decodeRequestFrame(frame.head)
         : undefined;
@@ -209,19 +241,40 @@
       const end = options.trackExchange();
       let isFinished = false;
       signal.once("abort", end);
-      const exchange = { socket, head, body: frame.body, signal, finish, cut };
+      const { body } = frame;
+      const exchange = { socket, head, body, signal, send, finish, cut };
       open = exchange;
+      if (head.knowsSigns) {
+        last.written = socket.bytesWritten;
+        stuckTicks = 0;
+        ticker.add(check);
+      }
       void runHandler(() => serve(exchange), (error) => {
         options.onHandlerFailure(error);
         cut("handler_failed");
       });
 
-      function finish(last: Buffer): void {
+      function send(frame: Buffer): void {
+        announceSigns();
+        socket.write(frame);
+      }
+
+      /** From the first frame on its receiver knows that it may wait for signs. */
+      function announceSigns(): void {
+        if (!head!.knowsSigns || hasSentSigns) return;
+        socket.cork();
+        sendSign();
+        process.nextTick(() => socket.uncork());
+      }
+
+      function finish(lastFrame: Buffer): void {
         if (isFinished || socket.destroyed) return;
         isFinished = true;
         // The next request may arrive before the callback of the write.
         open = undefined;
-        socket.write(last, (error) => {
+        ticker.remove(check);
+        announceSigns();
+        socket.write(lastFrame, (error) => {
           end();
           if (error) reportCut(exchange);
         });
@@ -288,7 +341,7 @@
     };
     if (bytes !== undefined) return finish(exchange, head, bytes);
     const text = createReplyHead({ ...head, hasParts: true });
-    exchange.socket.write(encodeFrame(FrameKind.Reply, text));
+    exchange.send(encodeFrame(FrameKind.Reply, text));
     sendParts(exchange, response.body);
   }
 
--- a/src/daemon/gateway_task.ts
+++ b/src/daemon/gateway_task.ts
@@ -33,6 +33,7 @@
   type StreamedResponse,
 } from "../link/types.ts";
 import { Header } from "../link/wire.ts";
+import { watchAnswer } from "./answer_watch.ts";
 import type { Clock } from "./clock.ts";
 import { OpenPhase, type OpenRequest } from "./graceful_stop.ts";
 import { logHandlerFailure, runHandler } from "./handler_failure.ts";
@@ -498,10 +499,34 @@
     });
     delete io.response;
     exchange.isDelivering = true;
+    if (response !== undefined && response.bytes === undefined) {
+      watch(exchange, response, io.host);
+    }
     if (response !== undefined) exchange.resolve({ response, ...key });
     else exchange.resolve({ replay: replay!, ...key });
   }
 
+  /** From its head on the gateway has no time for the request. */
+  function watch(
+    { request, deadline }: Exchange,
+    { body }: StreamedResponse,
+    from: HostId,
+  ): void {
+    watchAnswer({
+      clock,
+      body,
+      deadline,
+      onSilent: (silentMs) => {
+        gateway.counters.add("answer_silent");
+        logger.warn("answer_silent", {
+          req: getCallerId(request.arrival.id),
+          from,
+          silentMs: Math.round(silentMs),
+        });
+      },
+    });
+  }
+
   function finish(
     action: OfKind<GatewayAction, GatewayActionKind.Finish>,
   ): void {
--- a/src/daemon/link_table.ts
+++ b/src/daemon/link_table.ts
@@ -23,6 +23,8 @@
   readonly usesFrames?: boolean;
   /** Called for each connection that is opened for frames. */
   onConnect?(): void;
+  /** Called for each of them that is closed as its peer was silent within an exchange. */
+  onSilent?(): void;
   /** Limits of the small parts of replies. */
   readonly pieces?: PieceLimits;
 }
@@ -65,6 +67,7 @@
       },
       onLinkError: (message) => options.onMalformed(to, message),
       ...(options.onConnect && { onConnect: options.onConnect }),
+      ...(options.onSilent && { onSilent: options.onSilent }),
       ...(options.pieces && { pieces: options.pieces }),
     });
   }
--- a/src/daemon/peer_listener.ts
+++ b/src/daemon/peer_listener.ts
@@ -51,6 +51,8 @@
     requestTimeout: 0,
     keepAliveTimeout: KEEP_ALIVE_MS,
   }, options.handler);
+  // Also within an exchange: a peer that reads slowly takes some bytes, or has cut it before.
+  http.setTimeout(KEEP_ALIVE_MS);
   const tcp = createTcpServer({
     noDelay: true,
     highWaterMark: MAX_READ_BYTES,
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -277,6 +277,7 @@
     onRevisions: () => {},
     usesFrames: true,
     onConnect: () => counters.add("link_connected"),
+    onSilent: () => counters.add("link_silent"),
     pieces,
     onMalformed: (peer, message) => {
       counters.add("malformed_peer_message");
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -38,6 +38,7 @@
 const EVACUATION_TEST = "test/evacuation_test.ts";
 const COLD_STARTS_TEST = "test/cold_starts_test.ts";
 const CALLED_SERVICES_TEST = "test/called_services_test.ts";
+const ANSWER_WATCH_TEST = "test/answer_watch_test.ts";
 const FRAMES_TEST = "test/frames_test.ts";
 const REFUSAL_COPIES_TEST = "test/refusal_copies_test.ts";
 const WAKES_TEST = "test/wakes_test.ts";
@@ -982,6 +983,47 @@
     }],
     testFile: LARGE_RESPONSES_TEST,
   },
+  {
+    name: "silent_connections_are_closed",
+    guarantee: "each exchange ends",
+    file: "src/link/frame_pool.ts",
+    edits: [{
+      find: "if (connection.silentTicks < maxTicks) return;",
+      replace: "if (connection.silentTicks < Infinity) return;",
+    }],
+    testFile: FRAMES_TEST,
+  },
+  {
+    name: "slow_readers_are_not_silent",
+    guarantee: "an answer whose caller reads it is not cut",
+    file: "src/link/frame_pool.ts",
+    edits: [{
+      find: "if (connection.isPaused) {",
+      replace: "if (connection.isPaused && connection.socket === null) {",
+    }],
+    testFile: FRAMES_TEST,
+  },
+  {
+    name: "silent_answers_are_cut",
+    guarantee: "each exchange ends",
+    file: "src/daemon/answer_watch.ts",
+    edits: [{
+      find:
+        "if (now < deadline || silentMs < MAX_SILENCE_MS) return schedule();",
+      replace: "if (silentMs < Infinity) return schedule();",
+    }],
+    testFile: ANSWER_WATCH_TEST,
+  },
+  {
+    name: "a_waiting_caller_is_no_silence",
+    guarantee: "an answer whose caller reads it is not cut",
+    file: "src/daemon/answer_watch.ts",
+    edits: [{
+      find: "if (hasPaused || body.readableFlowing !== true) heardAt = now;",
+      replace: "if (hasPaused) heardAt = now;",
+    }],
+    testFile: ANSWER_WATCH_TEST,
+  },
   {
     name: "chunked_bodies_are_bounded",
     guarantee: "bounded memory",
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -21,6 +21,8 @@
   readonly method?: string;
   readonly path?: string;
   readonly headers?: FrameHeaders;
+  /** True if the sender knows signs of life. */
+  readonly knowsSigns?: boolean;
 }
 
 /** Head of a reply frame. */
@@ -90,6 +92,7 @@
     typeof value === "string" && value.startsWith("/")
   ),
   headers: isOptional(areHeaders),
+  knowsSigns: isOptional(isFlag),
 });
 
 const checkReply = createCheck<ReplyFrameHead>({
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -71,18 +71,25 @@
 export interface FrameLinkOptions extends HttpLinkOptions {
   /** Called for each connection that is opened for frames. */
   onConnect?(): void;
+  /** Called for each connection that is closed as its peer was silent within an exchange. */
+  onSilent?(): void;
   /** Limits of small parts; some of its own by default. */
   readonly pieces?: PieceLimits;
 }
 
 /** Creates a link; connections are opened on demand. */
 export function createFrameLink(options: FrameLinkOptions): GuardLink {
-  const { address, onConnect } = options;
+  const { address, onConnect, onSilent } = options;
   const frames = createFramePool({
     address,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: options.connections,
     ...(onConnect && { onConnect }),
+    onSilent: () => {
+      onSilent?.();
+      // What was opened before may be silent, too.
+      replaceConnections();
+    },
   });
   const metadata = createReplyMetadata(options);
   const pieces = options.pieces ?? createPieceLimits(performance);
@@ -95,10 +102,7 @@
     release,
     settle: (ticket, query) => getHttp().settle(ticket, query),
     issueKeys: (account, count) => getHttp().issueKeys(account, count),
-    replaceConnections: () => {
-      frames.replaceConnections();
-      http?.replaceConnections();
-    },
+    replaceConnections,
     exchangeSuspects: (body) =>
       getHttp().exchangeSuspects?.(body) ?? Promise.resolve(undefined),
     readState: (after) =>
@@ -110,6 +114,11 @@
     },
   };
 
+  function replaceConnections(): void {
+    frames.replaceConnections();
+    http?.replaceConnections();
+  }
+
   function getHttp(): GuardLink {
     return http ??= createHttpLink(options);
   }
@@ -166,8 +175,9 @@
       (Buffer.isBuffer(body) && body.length <= MAX_REQUEST_BODY_BYTES);
     if (!isSmall || performance.now() < httpUntil) return io.sendOverHttp();
     const text = JSON.stringify(
-      forward === undefined ? head : {
+      forward === undefined ? { ...head, knowsSigns: true } : {
         ...head,
+        knowsSigns: true,
         method: forward.method,
         path: forward.path,
         headers: forward.headers,
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -5,12 +5,19 @@
 import type { Millis } from "../core/types.ts";
 import { splitAddress } from "./address.ts";
 import {
+  ALIVE,
   createFrameReader,
   type Frame,
   FrameKind,
   HTTP_FIRST_BYTE,
 } from "./frames.ts";
 import { connectQuickly } from "./quick_connector.ts";
+import {
+  createTicker,
+  SIGN_INTERVAL_MS,
+  SILENT_INTERVALS,
+  UNSIGNED_INTERVALS,
+} from "./signs_of_life.ts";
 import { createSmallReads } from "./small_reads.ts";
 
 /** Idle time after which a connection is closed, in ms; shorter than servers keep it. */
@@ -18,6 +25,8 @@
 
 /** Of all connections of the process, as each read is copied at once. */
 const smallReads = createSmallReads();
+/** Of all connections of the process, so that it wakes once an interval. */
+const ticker = createTicker();
 
 /** Why an exchange ended without its last frame. */
 export interface ExchangeFailure {
@@ -68,6 +77,8 @@
   readonly maxConnections: number;
   /** Called for each connection that is opened. */
   onConnect?(): void;
+  /** Called for each connection that is closed as its peer was silent within an exchange. */
+  onSilent?(): void;
 }
 
 /** A connection; `handlers` belong to its exchange, none while it is idle. */
@@ -77,6 +88,17 @@
   /** True once a frame of the present exchange has arrived. */
   isAnswered?: boolean;
   isCancelled?: boolean;
+  /** True while the exchange reads nothing. */
+  isPaused?: boolean;
+  /** True once the peer has sent a sign of life. */
+  sendsSigns?: boolean;
+  /** Bytes read by the last tick, and the ticks since the last one. */
+  bytesRead: number;
+  silentTicks: number;
+  /** Why it was closed, if this side did so. */
+  closeReason?: string;
+  /** Looks for signs of life while it carries an exchange. */
+  readonly check: () => void;
 }
 
 /** A request and the connection that it uses, none while it waits for one. */
@@ -109,16 +131,20 @@
     else wait(exchange, maxWaitMs);
     return {
       cancel: () => cancel(exchange),
-      pause: () => tryGetSocket(exchange)?.pause(),
-      resume: () => tryGetSocket(exchange)?.resume(),
+      pause: () => setPaused(exchange, true),
+      resume: () => setPaused(exchange, false),
     };
   }
 
-  /** The socket of an exchange until its last frame; then it may serve another one. */
-  function tryGetSocket(
+  /** After its last frame the connection of an exchange may serve another one. */
+  function setPaused(
     { connection, handlers }: Exchange,
-  ): Socket | undefined {
-    return connection?.handlers === handlers ? connection.socket : undefined;
+    isPaused: boolean,
+  ): void {
+    if (connection?.handlers !== handlers) return;
+    connection.isPaused = isPaused;
+    if (isPaused) connection.socket?.pause();
+    else connection.socket?.resume();
   }
 
   function start(exchange: Exchange): void {
@@ -127,6 +153,9 @@
     exchange.connection = connection;
     connection.handlers = handlers;
     connection.isAnswered = false;
+    connection.isPaused = false;
+    connection.silentTicks = 0;
+    ticker.add(connection.check);
     connection.socket?.write(frame);
   }
 
@@ -184,7 +213,11 @@
 
   function open(first: Buffer): Connection {
     options.onConnect?.();
-    const connection: Connection = {};
+    const connection: Connection = {
+      bytesRead: 0,
+      silentTicks: 0,
+      check: () => checkSigns(connection),
+    };
     all.add(connection);
     current.add(connection);
     connectQuickly({
@@ -230,11 +263,38 @@
       remove(connection);
       const wasSent = connection.isCancelled !== true ||
         socket.bytesWritten > 0;
-      fail(connection, { wasSent, isHttpPeer, message });
+      fail(connection, {
+        wasSent,
+        isHttpPeer,
+        message: connection.closeReason ?? message,
+      });
     });
   }
 
+  /** Closes a connection whose exchange waits for a peer that shows no life. */
+  function checkSigns(connection: Connection): void {
+    const { socket, sendsSigns } = connection;
+    if (socket === undefined) return;
+    const hasRead = socket.bytesRead !== connection.bytesRead;
+    connection.bytesRead = socket.bytesRead;
+    if (connection.isPaused) {
+      connection.silentTicks = 0;
+      // What the peer has written isn't taken, which tells it nothing of this side.
+      if (sendsSigns) socket.write(ALIVE);
+      return;
+    }
+    connection.silentTicks = hasRead ? 0 : connection.silentTicks + 1;
+    const maxTicks = sendsSigns ? SILENT_INTERVALS : UNSIGNED_INTERVALS;
+    if (connection.silentTicks < maxTicks) return;
+    connection.closeReason = `the peer was silent for ${
+      maxTicks * SIGN_INTERVAL_MS
+    } ms`;
+    socket.destroy();
+    options.onSilent?.();
+  }
+
   function remove(connection: Connection): void {
+    ticker.remove(connection.check);
     all.delete(connection);
     current.delete(connection);
     const index = idle.indexOf(connection);
@@ -245,11 +305,13 @@
   function receive(connection: Connection, frame: Frame): void {
     const { handlers, socket } = connection;
     if (frame.kind === FrameKind.Closing) return endClosing(connection);
+    if (frame.kind === FrameKind.Alive) connection.sendsSigns = true;
     const isExpected = handlers !== undefined &&
       frame.kind !== FrameKind.Request;
     if (!isExpected) return void socket!.destroy();
     connection.isAnswered = true;
-    if (!handlers.onFrame(frame)) return;
+    if (frame.kind === FrameKind.Alive || !handlers.onFrame(frame)) return;
+    ticker.remove(connection.check);
     connection.handlers = undefined;
     // The last part may have paused it in the same read as the end.
     socket!.resume();
--- a/src/link/frames.ts
+++ b/src/link/frames.ts
@@ -19,6 +19,11 @@
   End = 5,
   /** The guard reads no further request on the connection; one that it has not begun to answer never runs. */
   Closing = 6,
+  /**
+   * A sign of life, which belongs to no message; from the first one on its sender
+   * sends them. Sent only to peers that have stated that they know them.
+   */
+  Alive = 7,
 }
 
 /** A frame as received. */
@@ -55,6 +60,9 @@
   return frame;
 }
 
+/** The frame of a sign of life. */
+export const ALIVE: Buffer = encodeFrame(FrameKind.Alive);
+
 /** Encodes what precedes the bytes of a part, which need no copy. */
 export function encodePartPrefix(bodyBytes: number): Buffer {
   const prefix = Buffer.allocUnsafe(PREFIX_BYTES);
--- a/src/link/http_link.ts
+++ b/src/link/http_link.ts
@@ -33,7 +33,8 @@
  * and far below the second after which a lost first packet is sent again.
  */
 export const CONNECT_TIMEOUT_MS = 150;
-const SETTLE_TIMEOUT_MS = 1_000;
+/** Timeout of a message whose reply waits for no upstream, in ms. */
+const REPLY_TIMEOUT_MS = 1_000;
 /** Timeout of an exchange of what is known, in ms; it is tried again. */
 const EXCHANGE_TIMEOUT_MS = 500;
 /** Interval at which unchanged revisions are sent again, in ms. */
@@ -102,7 +103,7 @@
     return requestReply(pool, Step.Reserve, {
       [Header.Ticket]: ticket,
       [Header.Head]: encodeHead(head),
-    });
+    }, { signal: AbortSignal.timeout(Math.max(1, head.timeoutMs)) });
   }
 
   async function settle(
@@ -110,19 +111,21 @@
     query: { account: AccountName; key: string },
   ): Promise<GuardReply> {
     const client = new Client(origin, {
-      connect: createQuickConnector({ timeoutMs: SETTLE_TIMEOUT_MS }),
+      connect: createQuickConnector({ timeoutMs: REPLY_TIMEOUT_MS }),
     });
     const reply = await requestReply(client, Step.Settle, {
       [Header.Ticket]: ticket,
       [Header.Account]: query.account,
       [Header.Key]: query.key,
-    }, { signal: AbortSignal.timeout(SETTLE_TIMEOUT_MS) });
+    }, { signal: AbortSignal.timeout(REPLY_TIMEOUT_MS) });
     void client.close();
     return reply;
   }
 
   function release(ticket: Ticket): void {
-    void requestReply(pool, Step.Release, { [Header.Ticket]: ticket });
+    void requestReply(pool, Step.Release, { [Header.Ticket]: ticket }, {
+      signal: AbortSignal.timeout(REPLY_TIMEOUT_MS),
+    });
   }
 
   /** A run that failed is always in doubt: the pool may have sent it on another connection before. */
@@ -159,7 +162,7 @@
       const res = await call(pool, Step.Keys, {
         [Header.Account]: account,
         "vanillarock-count": String(count),
-      });
+      }, { signal: AbortSignal.timeout(REPLY_TIMEOUT_MS) });
       return z.array(z.string()).parse(JSON.parse(await readText(res)));
     } catch {
       return [];
@@ -183,7 +186,8 @@
 
   async function probe(): Promise<number> {
     try {
-      const res = await call(pool, Step.Ping, {});
+      const signal = AbortSignal.timeout(REPLY_TIMEOUT_MS);
+      const res = await call(pool, Step.Ping, {}, { signal });
       const text = await readText(res);
       return text.length + JSON.stringify(res.headers).length;
     } catch {
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -9,6 +9,7 @@
   type Server,
   type Socket,
 } from "node:net";
+import type { Readable } from "node:stream";
 import { afterEach, expect, test } from "vitest";
 import { Diagnostics } from "../src/core/diagnostics.ts";
 import { Execution, Repeatability } from "../src/core/types.ts";
@@ -19,6 +20,7 @@
 } from "../src/link/frame_heads.ts";
 import { createFrameLink } from "../src/link/frame_link.ts";
 import {
+  ALIVE,
   createFrameReader,
   encodeFrame,
   type Frame,
@@ -26,6 +28,10 @@
   MAX_FRAME_BODY_BYTES,
   MAX_FRAME_HEAD_BYTES,
 } from "../src/link/frames.ts";
+import {
+  SIGN_INTERVAL_MS,
+  SILENT_INTERVALS,
+} from "../src/link/signs_of_life.ts";
 import {
   type ForwardRequest,
   type GuardLink,
@@ -611,3 +617,82 @@
   expect(steps).toEqual([Step.Submit, Step.Submit, Step.Reserve]);
   http.closeAllConnections();
 });
+
+/** Replies in parts, the first of them with a sign of life, and says what it hears. */
+async function startSigningPeer(
+  { sends }: { sends: "signs" | "nothing" },
+): Promise<{ heard: FrameKind[] }> {
+  const heard: FrameKind[] = [];
+  await startPeer((socket, frame) => {
+    heard.push(frame.kind);
+    if (frame.kind !== FrameKind.Request) return;
+    const { ticket, knowsSigns } = decodeRequestFrame(frame.head)!;
+    expect(knowsSigns).toBe(true);
+    const head = { meta: {}, ticket, status: 200, headers: {}, hasParts: true };
+    socket.write(ALIVE);
+    socket.write(encodeFrame(FrameKind.Reply, JSON.stringify(head)));
+    socket.write(encodeFrame(FrameKind.Part, "", Buffer.alloc(50_000, "b")));
+    if (sends === "nothing") return;
+    const timer = setInterval(() => socket.write(ALIVE), SIGN_INTERVAL_MS);
+    socket.once("close", () => clearInterval(timer));
+  });
+  return { heard };
+}
+
+async function submitForBody(): Promise<Readable> {
+  const reply = await submit("i/1:r/1");
+  if (reply.kind !== ReplyKind.Response) throw new Error(reply.kind);
+  reply.response.body.on("error", () => {});
+  return reply.response.body;
+}
+
+const SILENCE_MS = (SILENT_INTERVALS + 2) * SIGN_INTERVAL_MS;
+
+test("a connection whose peer has sent signs of life and is silent is closed", async () => {
+  await startSigningPeer({ sends: "nothing" });
+  const body = await submitForBody();
+  const cut = once(body, "error");
+  body.resume();
+  const [error] = await Promise.race([cut, after(SILENCE_MS, ["none"])]);
+  expect(String(error)).toContain("silent");
+});
+
+test(
+  "a peer that sends signs of life, or a reader that waits, is not taken for silent",
+  async () => {
+    const { heard } = await startSigningPeer({ sends: "signs" });
+    const read = await submitForBody();
+    read.resume();
+    await after(SILENCE_MS, undefined);
+    expect(read.destroyed).toBe(false);
+    read.destroy();
+    const { heard: heardOfWaiting } = await startSigningPeer({
+      sends: "nothing",
+    });
+    const waiting = await submitForBody();
+    await after(SILENCE_MS, undefined);
+    expect(waiting.destroyed).toBe(false);
+    // It shows that it is alive itself, as it takes no byte.
+    expect(heardOfWaiting).toContain(FrameKind.Alive);
+    expect(heard).not.toContain(FrameKind.Alive);
+    waiting.destroy();
+  },
+  10_000,
+);
+
+test(
+  "a peer that has sent no sign of life may take as long as it likes",
+  async () => {
+    await startPeer((socket, frame) => {
+      const { ticket } = decodeRequestFrame(frame.head)!;
+      setTimeout(() => socket.write(createReply(ticket, "late")), SILENCE_MS);
+    });
+    const reply = await submit("i/1:r/1");
+    expect(reply.kind).toBe(ReplyKind.Response);
+  },
+  10_000,
+);
+
+function after<T>(ms: number, value: T): Promise<T> {
+  return new Promise((resolve) => setTimeout(() => resolve(value), ms));
+}
--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -28,6 +28,8 @@
   setMode(mode: RelayMode): void;
   /** Delays all bytes by a time in ms. */
   setDelay(ms: number): void;
+  /** Bounds what each connection carries in each direction, in bytes per ms. */
+  setBandwidth(bytesPerMs: number): void;
   /** Resets all open connections. */
   cut(): void;
   /** Stalls all open connections permanently; new ones are forwarded. */
@@ -50,6 +52,7 @@
   const pairs = new Set<ConnectionPair>();
   let mode = RelayMode.Forwarding;
   let delayMs = options.delayMs ?? 0;
+  let bandwidth = Infinity;
   const server = createServer((left) => {
     const right = connect(to.port, to.ip);
     const pair = { left, right, dropsBytes: false };
@@ -68,6 +71,7 @@
   return {
     setMode: (next) => void (mode = next),
     setDelay: (ms) => void (delayMs = ms),
+    setBandwidth: (bytesPerMs) => void (bandwidth = bytesPerMs),
     cut: () => {
       for (const pair of [...pairs]) destroy(pair);
     },
@@ -85,10 +89,15 @@
       if (drops) pair.dropsBytes = true;
       if (pair.dropsBytes) return;
       // Keeps bytes in order when the delay gets shorter.
-      forwardAt = Math.max(forwardAt, Date.now() + delayMs);
+      forwardAt = Math.max(forwardAt, Date.now() + delayMs) +
+        chunk.length / bandwidth;
       const waitMs = forwardAt - Date.now();
       if (waitMs <= 0) target.write(chunk);
-      else setTimeout(() => target.write(chunk), waitMs);
+      else {
+        setTimeout(() => {
+          if (!pair.dropsBytes) target.write(chunk);
+        }, waitMs);
+      }
     });
     source.on("end", () => {
       if (!pair.dropsBytes) setTimeout(() => target.end(), delayMs);
