A body in chunks whose reader pauses within it arrives whole

What callers saw: an upload in chunks whose upstream takes it slowly, or which the daemon itself pauses, could stop for good and got 504.

Cause: a connection that waits for its turn reads on only when nothing read of the body is left; Node.js asks for more before that, and then not again, so that nobody told the connection.

Evidence: caller_connections_test, a reader that pauses after each piece: 650 KB never arrived before, all of it now.

Why it works: a connection that is held up by unread bytes gets its turn again once their reader reads on.

--- a/src/daemon/caller_connections.ts
+++ b/src/daemon/caller_connections.ts
@@ -192,6 +192,10 @@
         hasUnread: () =>
           connection.newest?.complete === false &&
           connection.newest.readableLength > 0,
+        onceReading: (listener) => {
+          if (connection.newest?.readableFlowing === true) listener();
+          else connection.newest?.once("resume", listener);
+        },
         onWaiting: () => turns.add(connection.step),
       }),
       rate: createRateLimit(options.clock, REQUEST_RATE),
--- a/src/daemon/caller_input.ts
+++ b/src/daemon/caller_input.ts
@@ -40,6 +40,8 @@
   hasHeld(): boolean;
   /** True while what was read of a body waits for its reader. */
   hasUnread(): boolean;
+  /** Calls back once its reader reads on, at once if it does. */
+  onceReading(listener: () => void): void;
   /** Called when the connection waits for a turn in which it is read on; may be called again. */
   onWaiting(): void;
 }
@@ -61,12 +63,13 @@
 /** Takes over when the connection is read. */
 export function createCallerInput(
   socket: Socket,
-  { clock, hasHeld, hasUnread, onWaiting }: CallerInputOptions,
+  { clock, hasHeld, hasUnread, onceReading, onWaiting }: CallerInputOptions,
 ): CallerInput {
   const pause = socket.pause.bind(socket);
   const parsing = createRateLimit(clock, PARSING_RATE);
   /** True while Node.js waits for who reads a body or answers. */
   let isFull = false;
+  let isAwaitingRead = false;
   /** True from `hold` to `readOn`. */
   let isWaiting = false;
   let measures = Measures.No;
@@ -106,13 +109,25 @@
   }
 
   function readOn(): void {
-    if ((isFull || hasUnread()) && !isDropped) return;
+    // Whoever resumes the socket calls again.
+    if (isFull && !isDropped) return;
+    if (hasUnread() && !isDropped) return awaitRead();
     isWaiting = false;
     // In a turn of the loop there may be several steps, but only one of a connection.
     if (unparsed.length > 0) process.nextTick(parseUnparsed);
     else resume();
   }
 
+  /** Node.js asks for more of a body before all of it has been read, and then not again. */
+  function awaitRead(): void {
+    if (isAwaitingRead) return;
+    isAwaitingRead = true;
+    onceReading(() => {
+      isAwaitingRead = false;
+      onWaiting();
+    });
+  }
+
   function parseUnparsed(): void {
     if (isWaiting || isFull || socket.destroyed) return;
     const data = Buffer.concat(unparsed);
--- a/test/caller_connections_test.ts
+++ b/test/caller_connections_test.ts
@@ -358,6 +358,23 @@
   expect(size).toBe(40_000);
 });
 
+test("a body in chunks whose reader pauses within it arrives whole", async () => {
+  const listener = await listen();
+  const pipe = await open(listener);
+  pipe.write(CHUNKED);
+  await until(() => listener.taken.has("/1"));
+  const { incoming } = listener.taken.get("/1")!;
+  const chunk = `fde8\r\n${"a".repeat(65_000)}\r\n`;
+  let size = 0;
+  incoming.on("data", (piece: Buffer) => {
+    size += piece.length;
+    incoming.pause();
+    setTimeout(() => incoming.resume(), 5);
+  });
+  pipe.write(chunk.repeat(10) + END);
+  await until(() => size === 650_000);
+});
+
 test("a body of small chunks arrives whole in few pieces, and so do the requests behind it", async () => {
   const listener = await listen();
   const pipe = await open(listener);
