--- a/src/core/crash_suspects.ts
+++ b/src/core/crash_suspects.ts
@@ -104,8 +104,9 @@
   };
 
   function tryGetQuarantineMs(arrival: Arrival): Millis | undefined {
-    if (entries.size === 0 || arrival.signature === undefined) return undefined;
-    const entry = entries.get(arrival.signature());
+    if (entries.size === 0) return undefined;
+    // One that isn't known yet is like no other, and refused for none.
+    const entry = entries.get(arrival.signature?.() ?? "");
     return entry !== undefined && isQuarantined(entry)
       ? entry.lastEndAt + QUARANTINE_MS - host.now()
       : undefined;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -314,8 +314,11 @@
   readonly route?: string;
   /** Size of the request's body in bytes, if known. */
   readonly bodyBytes?: number;
-  /** Digest of what identifies the request when it comes again: method, path and body. */
-  signature?(): string;
+  /**
+   * Digest of what identifies the request when it comes again: method, path and
+   * body; undefined while a streamed body isn't whole.
+   */
+  signature?(): string | undefined;
 }
 
 /** Messages to a gateway. */
--- a/src/daemon/ingress_admission.ts
+++ b/src/daemon/ingress_admission.ts
@@ -98,7 +98,7 @@
   /** True if the body is kept for a retry. */
   readonly replayable: boolean;
   readonly bodyBytes: number;
-  readonly signature?: () => string;
+  readonly signature?: () => string | undefined;
 }
 
 /** Creates the arrival of an admitted request; draws its service. */
--- a/src/daemon/ingress_server.ts
+++ b/src/daemon/ingress_server.ts
@@ -40,15 +40,21 @@
 } from "./ingress_admission.ts";
 import type { Logger } from "./logger.ts";
 import { createRefusal } from "./request_explanation.ts";
-import { createSignature } from "./request_signature.ts";
+import {
+  createSignature,
+  createStreamedSignature,
+  type StreamedSignature,
+} from "./request_signature.ts";
 import { createSharedAnswers, statesItsEnd } from "./shared_answers.ts";
 import { hasEnded } from "./unread_sockets.ts";
 import {
-  gatherBody,
+  BodyFailure,
+  type BodyTerms,
   hasBody,
   hasUnknownCoding,
-  type KeptBody,
-  tryKeepBody,
+  isBodyFailure,
+  receiveBody,
+  type ReceivedBody,
 } from "./request_body.ts";
 
 /** Largest request body that is buffered so that a retry can send it again, in bytes. */
@@ -77,6 +83,8 @@
   /** Service that runs on this host; all callers here are part of it. */
   readonly origin: ServiceName;
   isStopping(): boolean;
+  /** True if requests with this signature are refused now; none are by default. */
+  isQuarantined?(signature: string): boolean;
   onResponse(arrival: Arrival, latencyMs: Millis): void;
   /**
    * Called with the time from a request to the last byte of its answer, in ms;
@@ -85,6 +93,12 @@
   onAnswered?(arrival: Arrival, tookMs: Millis): void;
 }
 
+const BODY_REFUSALS: Readonly<Record<BodyFailure, DiagnosticName>> = {
+  [BodyFailure.CutOff]: "body_cut_off",
+  [BodyFailure.Overdue]: "request_timeout",
+  [BodyFailure.TooLarge]: "body_too_large",
+};
+
 interface CallerRequest {
   /** Unique in this process; ends with the caller's own id. */
   readonly id: string;
@@ -95,8 +109,8 @@
   readonly arrivedAt: Millis;
   /** True once the gateway knows how the request ended. */
   isOver?: boolean;
-  /** Body that is kept for a retry, if any. */
-  kept?: KeptBody;
+  /** Its body, once it is received. */
+  body?: ReceivedBody;
   /** Body of the response, once there is one. */
   response?: Readable;
 }
@@ -134,7 +148,7 @@
       req: metadata.id,
     });
     req.isOver = true;
-    req.kept?.release();
+    req.body?.release();
     req.response?.destroy();
     task.abandon(id);
     if (outgoing.headersSent) return req.place.cut("handler_failed");
@@ -164,15 +178,11 @@
       metadata.timeoutMs ?? Infinity,
       route.timeoutMs,
     );
-    const kept = tryKeepBody(incoming, {
-      memory: options.memory,
-      maxBytes: MAX_BUFFERED_BODY_BYTES,
+    const { body, getSignature } = await receive(req, {
+      maxBytes: routes.config.limits.maxBodyBytes,
       timeoutMs: timeoutMs - (host.now() - req.arrivedAt),
     });
-    if (kept !== undefined) req.kept = kept;
-    const buffered = await kept?.bytes;
-    if (buffered === "cut-off") return refuse(req, "body_cut_off");
-    if (buffered === "overdue") return refuse(req, "request_timeout");
+    if (isBodyFailure(body)) return refuse(req, BODY_REFUSALS[body]);
     // The daemon may have begun to stop while the body arrived.
     if (!mayTakeNow(route, metadata.timeoutMs, options)) {
       return refuse(req, "stopping");
@@ -190,9 +200,9 @@
       timeoutMs: metadata.timeoutMs,
       spentMs,
       waitedBeforeMs,
-      replayable: kept !== undefined,
-      bodyBytes,
-      signature: createSignature(incoming, buffered ?? null),
+      replayable: !(body instanceof Readable),
+      bodyBytes: Buffer.isBuffer(body) ? body.length : bodyBytes,
+      signature: getSignature,
     });
     logger.info("accepted", {
       req: metadata.id,
@@ -204,12 +214,39 @@
       waitedBeforeMs: waitedBeforeMs > 0
         ? Math.round(waitedBeforeMs)
         : undefined,
-      bytes: bodyBytes,
+      bytes: arrival.bodyBytes,
     });
-    const body = buffered === undefined ? gatherBody(incoming) : buffered;
     await serve(req, arrival, body);
   }
 
+  /** Resolves once the body is there or is to be streamed. */
+  async function receive(
+    req: CallerRequest,
+    terms: Pick<BodyTerms, "maxBytes" | "timeoutMs">,
+  ) {
+    const { incoming } = req;
+    let streamed: StreamedSignature | undefined;
+    req.body = receiveBody(incoming, {
+      ...terms,
+      memory: options.memory,
+      maxKeptBytes: MAX_BUFFERED_BODY_BYTES,
+      onStreamed: (piece) => {
+        streamed ??= createStreamedSignature(incoming);
+        streamed.update(piece);
+      },
+      mayEnd: () => {
+        streamed?.finish();
+        const signature = streamed?.get();
+        return signature === undefined || !options.isQuarantined?.(signature);
+      },
+    });
+    const body = await req.body.content;
+    const getSignature = body === null || Buffer.isBuffer(body)
+      ? createSignature(incoming, body)
+      : () => streamed?.get();
+    return { body, getSignature };
+  }
+
   async function serve(
     req: CallerRequest,
     arrival: Arrival,
@@ -217,7 +254,7 @@
   ): Promise<void> {
     const { incoming, outgoing } = req;
     if (incoming.socket.destroyed) {
-      req.kept?.release();
+      req.body?.release();
       return logCallerGone(req);
     }
     outgoing.once("close", () => {
@@ -254,7 +291,7 @@
     req.isOver = true;
     logger.info("caller_gone", { req: getCallerId(req.id) });
     task.abandon(req.id);
-    req.kept?.release();
+    req.body?.release();
     req.response?.destroy();
   }
 
@@ -328,7 +365,7 @@
       if (req.isOver) return;
       req.isOver = true;
       if (error) req.place.cut("answer_cut");
-      req.kept?.release();
+      req.body?.release();
       const isWhole = error === undefined && incoming.method !== "HEAD" &&
         status < FIRST_UNSUCCESSFUL_STATUS;
       task.complete(id, isWhole ? bodyBytes : undefined);
@@ -349,7 +386,7 @@
     arrival?: Arrival,
   ): Promise<void> {
     const { outgoing, incoming, metadata } = req;
-    req.kept?.release();
+    req.body?.release();
     const tookMs = host.now() - req.arrivedAt;
     if (arrival?.route !== undefined) callerTimes.recordUnserved(arrival.route);
     if (arrival !== undefined && verdict.execution !== Execution.NotRun) {
--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -55,62 +55,159 @@
   return bytes === 0 || (bytes <= maxBytes && memory.hasRoom(bytes));
 }
 
-/** A request's body that is kept so that a retry can send it again. */
-export interface KeptBody {
-  /**
-   * Resolves to the bytes, null if there is no body, "cut-off" if it ends early,
-   * or "overdue" if it hasn't ended in its time.
-   */
-  readonly bytes: Promise<Buffer | null | "cut-off" | "overdue">;
-  /** Returns the bytes to the budget and keeps no further ones; may be called again. */
+/** How a body may be received. */
+export interface BodyTerms {
+  readonly memory: MemoryBudget;
+  /** Largest body that is kept whole, so that a retry can send it again, in bytes. */
+  readonly maxKeptBytes: number;
+  /** Largest body that may be sent, in bytes. */
+  readonly maxBytes: number;
+  /** Time for a kept body to arrive, in ms. */
+  readonly timeoutMs: Millis;
+  /** Called with each piece of a body that is streamed, in order. */
+  onStreamed?(piece: Buffer): void;
+  /** Called when a streamed body has ended; its last piece is dropped, and the body fails, if the result is false. */
+  mayEnd?(): boolean;
+}
+
+/** Why a body was not received. */
+export enum BodyFailure {
+  CutOff = "cut-off",
+  Overdue = "overdue",
+  TooLarge = "too-large",
+}
+
+/** True for a body that was not received. */
+export function isBodyFailure(content: unknown): content is BodyFailure {
+  return typeof content === "string";
+}
+
+/** The body of a request on its way. */
+export interface ReceivedBody {
+  /** Resolves to the kept bytes, null if there is no body, or a stream without a retry once it was sent. */
+  readonly content: Promise<Buffer | null | Readable | BodyFailure>;
+  /** Returns the kept bytes to the budget and keeps no further ones; may be called again. */
   release(): void;
 }
 
 /**
- * Starts to read a body to be kept; undefined if it can't be buffered, or if its
- * length doesn't fit in the budget. Such a body is streamed, without a retry
- * once it was sent.
+ * Starts to receive a body. One that is small and fits in the budget is kept,
+ * whether it comes with a length or in chunks; any other is streamed.
  */
-export function tryKeepBody(
+export function receiveBody(
   incoming: IncomingMessage,
-  { memory, maxBytes, timeoutMs }: {
-    memory: MemoryBudget;
-    maxBytes: number;
-    /** Time for the body to arrive, in ms. */
-    timeoutMs: Millis;
-  },
-): KeptBody | undefined {
-  if (!canBufferBody(incoming, maxBytes)) return undefined;
+  terms: BodyTerms,
+): ReceivedBody {
   if (!hasBody(incoming)) {
-    return { bytes: Promise.resolve(null), release: () => {} };
+    return { content: Promise.resolve(null), release: () => {} };
   }
+  const { memory, maxKeptBytes } = terms;
   const buffered = createByteBuffer(memory);
-  const length = Number(incoming.headers["content-length"]);
-  if (!buffered.reserve(length)) return undefined;
-  const receive = (chunk: Buffer) => void buffered.append(chunk);
-  const bytes = new Promise<Buffer | "cut-off" | "overdue">((resolve) => {
-    const timer = setTimeout(() => resolve("overdue"), timeoutMs);
-    incoming.on("data", receive);
-    finished(incoming, { writable: false }, (error) => {
-      clearTimeout(timer);
-      resolve(error ? "cut-off" : buffered.peek());
+  const stated = incoming.headers["content-length"];
+  const length = stated === undefined ? 0 : Number(stated);
+  if (length > maxKeptBytes || !buffered.reserve(length)) {
+    const content = Promise.resolve(streamBody(incoming, terms));
+    return { content, release: buffered.release };
+  }
+  let stop = () => {};
+  const content = new Promise<Buffer | Readable | BodyFailure>((resolve) => {
+    const timer = setTimeout(
+      () => resolve(BodyFailure.Overdue),
+      terms.timeoutMs,
+    );
+    const stopWaiting = finished(incoming, { writable: false }, (error) => {
+      stop();
+      resolve(error ? BodyFailure.CutOff : takeKept());
     });
+    stop = () => {
+      clearTimeout(timer);
+      incoming.off("data", receive);
+    };
+    incoming.on("data", receive);
+
+    function receive(piece: Buffer): void {
+      const isKept = buffered.size() + piece.length <= maxKeptBytes &&
+        buffered.append(piece);
+      if (isKept) return;
+      stop();
+      stopWaiting();
+      // They stay in the budget until the request has ended.
+      resolve(streamBody(incoming, terms, [buffered.peek(), piece]));
+    }
   });
-  return { bytes, release };
+  return { content, release };
+
+  function takeKept(): Buffer | BodyFailure {
+    const bytes = buffered.peek();
+    return bytes.length > terms.maxBytes ? BodyFailure.TooLarge : bytes;
+  }
 
   function release(): void {
-    incoming.off("data", receive);
+    stop();
     buffered.release();
   }
 }
 
+/** A body that has more bytes than a request may have. */
+class BodyTooLargeError extends Error {}
+
+/** A streamed body whose end is not to be sent. */
+class BodyRefusedError extends Error {}
+
+/**
+ * Streams a body whose first pieces were read. Its last piece is held back until
+ * it has ended, so that a request may still be kept from being whole.
+ */
+function streamBody(
+  incoming: IncomingMessage,
+  { maxBytes, onStreamed, mayEnd }: BodyTerms,
+  first: readonly Buffer[] = [],
+): Readable {
+  let size = 0;
+  let last: Buffer | undefined;
+  return gatherBody(incoming, {
+    first,
+    pass(piece) {
+      size += piece.length;
+      if (size > maxBytes) {
+        return new BodyTooLargeError(`more than ${maxBytes} bytes`);
+      }
+      onStreamed?.(piece);
+      const before = last;
+      last = piece;
+      return before;
+    },
+    end() {
+      if (mayEnd?.() === false) {
+        return new BodyRefusedError("a request that may not run");
+      }
+      return last;
+    },
+  });
+}
+
+/** What a gathered body consists of. */
+export interface GatheredOptions {
+  /** Pieces that were read before. */
+  readonly first?: readonly Buffer[];
+  /** Returns what is passed on in place of a piece, if anything; an error ends the body. */
+  pass?(piece: Buffer): Buffer | Error | undefined;
+  /** Returns what is passed on last, if anything; an error ends the body. */
+  end?(): Buffer | Error | undefined;
+}
+
 /**
  * The body of a request as a stream that passes on in one piece what one read
  * returned of it: each small piece would cost as much as a large one wherever it
  * passes. Destroying it reads the rest and drops it.
  */
-export function gatherBody(incoming: IncomingMessage): Readable {
-  let pieces: Buffer[] = [];
+export function gatherBody(
+  incoming: IncomingMessage,
+  options: GatheredOptions = {},
+): Readable {
+  const { first = [], pass = (piece) => piece, end = () => undefined } =
+    options;
+  let pieces: Buffer[] = first.filter(({ length }) => length > 0);
   const body = new Readable({
     read: () => void incoming.resume(),
     destroy,
@@ -120,9 +217,12 @@
   incoming.pause();
   incoming.on("data", receive);
   incoming.pause();
+  if (pieces.length > 0) queueMicrotask(flush);
   incoming.once("end", () => {
     flush();
-    body.push(null);
+    if (body.destroyed) return;
+    push(end());
+    if (!body.destroyed) body.push(null);
   });
   incoming.on("error", (error) => body.destroy(error));
   incoming.once("close", () => {
@@ -140,7 +240,14 @@
     if (pieces.length === 0 || body.destroyed) return;
     const gathered = pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces);
     pieces = [];
-    if (!body.push(gathered)) incoming.pause();
+    push(pass(gathered));
+  }
+
+  function push(piece: Buffer | Error | undefined): void {
+    if (piece instanceof Error) body.destroy(piece);
+    else if (piece !== undefined && !body.destroyed && !body.push(piece)) {
+      incoming.pause();
+    }
   }
 
   function destroy(
--- a/src/daemon/store_daemon.ts
+++ b/src/daemon/store_daemon.ts
@@ -441,6 +441,7 @@
       origin: settings.service,
       getRoutes: () => routes,
       isStopping: () => gracefulStop.isStopping(),
+      isQuarantined: protection.suspects.isQuarantined,
       mayTake: stopPlan.mayTake,
       tryGetReturnMs: stopPlan.tryGetReturnMs,
       onResponse: ({ service, route = "" }, latencyMs) => {
