--- a/src/core/crash_suspects.ts
+++ b/src/core/crash_suspects.ts
@@ -45,7 +45,7 @@
   /** Time for which a request is refused, in ms; undefined if it may run. */
   tryGetQuarantineMs(arrival: Arrival): Millis | undefined;
   /** Records that an upstream ended while it ran the request; `end` names that end alike at all daemons. */
-  recordEnd(arrival: Arrival, end: string): void;
+  recordEnd(arrival: Pick<Arrival, "signature">, end: string): void;
   /** Records that the request succeeded. */
   recordSuccess(arrival: Arrival): void;
   /** Adds what another daemon knows; returns the signatures of which it told something new. */
@@ -112,7 +112,10 @@
       : undefined;
   }
 
-  function recordEnd(arrival: Arrival, end: string): void {
+  function recordEnd(
+    arrival: Pick<Arrival, "signature">,
+    end: string,
+  ): void {
     const signature = arrival.signature?.();
     if (signature === undefined || hasSucceeded(signature)) return;
     const ends = [`${end}@${options.origin}`];
--- a/src/core/gateway.ts
+++ b/src/core/gateway.ts
@@ -38,6 +38,7 @@
 import { createCounters } from "./counters.ts";
 import { createExtraAttempts } from "./extra_attempts.ts";
 import { explainDecision } from "./explain.ts";
+import { createGivenUpRuns } from "./given_up_runs.ts";
 import { findStaleHosts, rankHosts } from "./host_ranking.ts";
 import { Debug } from "./debug.ts";
 import { type DiagnosticName, Diagnostics } from "./diagnostics.ts";
@@ -67,6 +68,7 @@
   GatewayActionKind,
   type GatewayMessage,
   GatewayMessageKind,
+  type LoadReport,
   type Millis,
   type OfKind,
   type Ticket,
@@ -100,6 +102,7 @@
   const responses = createResponseRecorder(host, { counters, loads, budgets });
   const retries = createRetryPolicy(host, options, { budgets });
   const attemptCost = createAttemptCost(host);
+  const givenUp = createGivenUpRuns(host);
   const planBasis = {
     options,
     chooser,
@@ -140,6 +143,7 @@
       (handlers[msg.kind] as (m: GatewayMessage) => GatewayAction[])(msg),
     receiveReport: (report) => {
       usableHosts.recordMessage(report.host);
+      recordEnds(report);
       const isNew = loads.recordReport(report);
       notices.recordReport(report, isNew);
       if (isNew) extras?.recordReport(report.host);
@@ -372,11 +376,29 @@
     });
   }
 
+  /** Runs that were given up ended with their upstream. */
+  function recordEnds({ ends = [] }: LoadReport): void {
+    for (const { end, hashes } of ends) {
+      for (const hash of hashes) {
+        const arrival = givenUp.take(hash);
+        if (arrival !== undefined) options.suspects?.recordEnd(arrival, end);
+      }
+    }
+  }
+
+  /** Its guard's verdict won't come. */
+  function giveUp({ arrival }: PendingRequest, attempt: Attempt): void {
+    if (options.suspects === undefined) return;
+    if (attempt.phase !== AttemptPhase.Sent) return;
+    givenUp.add(getTicket(arrival.id, attempt.number), arrival);
+  }
+
   function abandon(
     request: PendingRequest,
     attempt: Attempt,
     how: { name: DiagnosticName; mayHaveRun: boolean },
   ): GatewayAction[] {
+    if (how.mayHaveRun) giveUp(request, attempt);
     counters.add(how.name);
     loads.recordEnd(attempt.host);
     endWithoutVerdict(request, attempt, how);
@@ -658,6 +680,7 @@
   }
 
   function cancel(request: PendingRequest, attempt: Attempt): GatewayAction {
+    giveUp(request, attempt);
     const endAction = createEndAction(request, attempt);
     loads.recordEnd(attempt.host);
     endCancelled(attempt);
--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -30,6 +30,8 @@
 import type { ClosedReason, Guard, GuardOptions } from "./guard_types.ts";
 import { checkKey, type KeyVerdict } from "./key_verdict.ts";
 import { createKeyTable, KeyStanding, KeyState } from "./key_table.ts";
+import { createLingeringRuns } from "./lingering_runs.ts";
+import { hashTicket } from "./ticket_hash.ts";
 import {
   type AccountName,
   type CoreHost,
@@ -126,6 +128,7 @@
   });
   const wakes = createWakeQueue<Ticket>(isWakeNeeded);
   const startedAt = host.now();
+  const lingering = createLingeringRuns(host);
   let failures = createFailures();
   let busySlots = 0;
   let runningCount = 0;
@@ -159,8 +162,9 @@
       failures = createFailures();
       return applyLimit();
     },
-    [GuardMessageKind.UpstreamEnded]: () => {
-      notices.recordEnded();
+    [GuardMessageKind.UpstreamEnded]: ({ end, next }) => {
+      if (next === undefined) notices.recordEnded();
+      if (end !== undefined) lingering.recordEnd(end, next);
       return applyLimit();
     },
     [GuardMessageKind.Tick]: tick,
@@ -174,6 +178,8 @@
     getNextWake: wakes.getNext,
     isDraining: () => draining,
     getOpenCount: () => openCount,
+    hasLingering: lingering.hasAny,
+    getEnds: lingering.getEnds,
     getKeyHorizon: keys.getHorizon,
     counters,
   };
@@ -253,6 +259,7 @@
     const failureShare = failures.get();
     const notice = notices.get();
     const startsInMs = tryGetStartsInMs();
+    const ends = lingering.getEnds();
     return {
       host: options.self,
       incarnation: options.incarnation,
@@ -267,6 +274,12 @@
       ...(failureShare >= MIN_REPORTED_FAILURE_SHARE && { failureShare }),
       ...(notice && { notice }),
       ...(startsInMs !== undefined && { startsInMs }),
+      ...(ends.length > 0 && {
+        ends: ends.map(({ end, tickets }) => ({
+          end,
+          hashes: tickets.map(hashTicket),
+        })),
+      }),
     };
   }
 
@@ -657,6 +670,14 @@
     runningCount -= 1;
     freeSlot();
     recordRunEnd(entry, false);
+    // Nobody is left to whom a verdict could tell of the upstream's end.
+    if (entry.isCancelled && msg.execution !== NotRun) {
+      lingering.add(entry.ticket, {
+        deadline: entry.deadline,
+        instance: entry.head.instance,
+      });
+      if (msg.end !== undefined) lingering.recordEnd(msg.end);
+    }
     if (entry.record !== undefined) {
       entry.record.state = msg.execution === NotRun
         ? KeyState.Sealed
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -1,5 +1,6 @@
 /** Settings and interface of a guard, kept apart from its implementation. */
 
+import type { InterruptedRuns } from "./lingering_runs.ts";
 import type { CalledServices } from "./called_services.ts";
 import type { ColdStarts } from "./cold_starts.ts";
 import type { Counters } from "./counters.ts";
@@ -89,6 +90,10 @@
   isDraining(): boolean;
   /** Requests queued, granted or running. */
   getOpenCount(): number;
+  /** True while a run that was given up may be at the upstream, leaving out those of an incarnation. */
+  hasLingering(except?: string): boolean;
+  /** Recent ends of the upstream that interrupted such runs. */
+  getEnds(): readonly InterruptedRuns[];
   /** Highest sequence number of a key whose record was evicted. */
   getKeyHorizon(): number;
   readonly counters: Counters;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -155,6 +155,14 @@
   readonly notice?: UpstreamNotice;
   /** Time until another request may start, in ms, if the upstream has a limit or is in a slow period. */
   readonly startsInMs?: Millis;
+  /** Recent ends of the upstream that interrupted runs whose gateways had given up, if any. */
+  readonly ends?: readonly ReportedEnd[];
+}
+
+/** An end of an upstream, and hashes of the tickets of the runs without a receiver that it interrupted. */
+export interface ReportedEnd {
+  readonly end: string;
+  readonly hashes: readonly number[];
 }
 
 /** A host that may serve a service, as known to this daemon. */
@@ -238,7 +246,13 @@
     source: NoticeSource;
   }
   | { kind: GuardMessageKind.UpstreamListed; start: UpstreamStart }
-  | { kind: GuardMessageKind.UpstreamEnded }
+  | {
+    kind: GuardMessageKind.UpstreamEnded;
+    /** Names the end, if it is known to have interrupted a request. */
+    end?: string;
+    /** The incarnation that runs since, if it is what shows the end. */
+    next?: string;
+  }
   | { kind: GuardMessageKind.Tick };
 
 /** Kinds of actions that a guard requests from its driver. */
--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -5,10 +5,10 @@
 import process from "node:process";
 import type { Readable } from "node:stream";
 import { type Diagnostic, Diagnostics } from "../core/diagnostics.ts";
+import { hashTicket } from "../core/ticket_hash.ts";
 import { Execution, type Ticket } from "../core/types.ts";
 import {
   decodeRequestFrame,
-  hashTicket,
   type ReplyFrameHead,
   type RequestFrameHead,
 } from "../link/frame_heads.ts";
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -146,6 +146,8 @@
   const { upstream, logger } = options;
   const guard = createGuard(options.host, options.guard);
   const tickets = new Map<Ticket, TicketState>();
+  /** When a request was last passed on to the upstream, in ms. */
+  let lastSentAt: Millis = -Infinity;
   const waker = createWaker(clock, {
     getNextWake: guard.getNextWake,
     tick: () => dispatch({ kind: GuardMessageKind.Tick }),
@@ -186,9 +188,18 @@
     probe: () => Promise.resolve(0),
     wake: () => dispatch({ kind: GuardMessageKind.Tick }),
     recordNotice,
-    recordListed: (start) =>
-      dispatch({ kind: GuardMessageKind.UpstreamListed, start }),
-    recordEnded: () => dispatch({ kind: GuardMessageKind.UpstreamEnded }),
+    recordListed: (start) => {
+      dispatch({ kind: GuardMessageKind.UpstreamListed, start });
+      const { instance } = start;
+      if (options.ends === undefined || !guard.hasLingering(instance)) return;
+      recordEnd(options.ends.recordEnd(lastSentAt), instance);
+    },
+    recordEnded: () => {
+      dispatch({ kind: GuardMessageKind.UpstreamEnded });
+      void runHandler(findEndOfLingering, (error) => {
+        logHandlerFailure(logger, error, { handler: "guard", req: undefined });
+      });
+    },
     getOpen,
     drain,
     close,
@@ -365,6 +376,7 @@
       if (isCancelled || isOverdue) return endUnsent(ticket, { isOverdue });
     }
     const sentAt = clock.now();
+    lastSentAt = sentAt;
     const result = await upstream.send(forward, {
       timeoutMs: Math.max(1, Math.floor(state.deadline! - clock.now())),
       isAtMostOnce,
@@ -461,11 +473,34 @@
       ? await options.ends?.tryGetEnd(sentAt)
       : undefined;
     if (end === undefined) return onUpstreamFailure(ticket, failure);
-    dispatch({ kind: GuardMessageKind.UpstreamEnded });
+    recordEnd(end);
     const diagnostic = Diagnostics.upstream_ended;
     onUpstreamFailure(ticket, { ...failure, diagnostic }, end);
   }
 
+  /** Runs that were given up may be all that the end interrupted. */
+  async function findEndOfLingering(): Promise<void> {
+    if (!guard.hasLingering()) return;
+    const end = await options.ends?.tryGetEnd(lastSentAt);
+    if (end !== undefined) recordEnd(end);
+  }
+
+  function recordEnd(end: string, next?: string): void {
+    const before = guard.getEnds();
+    dispatch({
+      kind: GuardMessageKind.UpstreamEnded,
+      end,
+      ...(next !== undefined && { next }),
+    });
+    const ends = guard.getEnds();
+    const interrupted = ends.find((it) => it.end === end);
+    if (ends === before || interrupted === undefined) return;
+    logger.info("given_up_interrupted", {
+      end,
+      reqs: interrupted.tickets.map(getRequestId).join(","),
+    });
+  }
+
   function onUpstreamFailure(
     ticket: Ticket,
     failure: AttemptFailure,
--- a/src/daemon/peer_server.ts
+++ b/src/daemon/peer_server.ts
@@ -15,6 +15,7 @@
 import {
   decodeHead,
   encodeBornAt,
+  encodeEnds,
   encodeNotice,
   encodeReport,
   encodeStartsIn,
@@ -306,11 +307,13 @@
   const notice = encodeNotice(report);
   const bornAt = encodeBornAt(report);
   const startsIn = encodeStartsIn(report);
+  const ends = encodeEnds(report);
   return {
     [Header.Report]: encodeReport(report),
     ...(notice !== undefined && { [Header.Notice]: notice }),
     ...(bornAt !== undefined && { [Header.NoticeBornAt]: bornAt }),
     ...(startsIn !== undefined && { [Header.StartsInMs]: startsIn }),
+    ...(ends !== undefined && { [Header.UpstreamEnds]: ends }),
   };
 }
 
--- a/src/daemon/upstream_ends.ts
+++ b/src/daemon/upstream_ends.ts
@@ -18,6 +18,8 @@
    * accepts connections.
    */
   tryGetEnd(sentAt: Millis): Promise<string | undefined>;
+  /** Names the end of an upstream that is known to have ended after a request was sent, at a time in ms. */
+  recordEnd(sentAt: Millis): string;
 }
 
 /** Observes the upstream at an IP address and port, for one run of the daemon. */
@@ -29,12 +31,15 @@
   /** Time at which the upstream was last found to have ended, in ms. */
   let endedAt: Millis = -Infinity;
   let checking: Promise<boolean> | undefined;
-  return { tryGetEnd };
+  return { tryGetEnd, recordEnd };
 
   async function tryGetEnd(sentAt: Millis): Promise<string | undefined> {
     checking ??= acceptsConnections(address)
       .finally(() => checking = undefined);
-    if (await checking) return undefined;
+    return await checking ? undefined : recordEnd(sentAt);
+  }
+
+  function recordEnd(sentAt: Millis): string {
     // What was sent after an end was taken by the next start, which has ended too.
     // A connection that the end closes may still be used at that moment.
     if (sentAt > endedAt + SETTLE_MS) count += 1;
--- a/src/lab/mutation_table.ts
+++ b/src/lab/mutation_table.ts
@@ -38,6 +38,7 @@
 const EVACUATION_TEST = "test/evacuation_test.ts";
 const COLD_STARTS_TEST = "test/cold_starts_test.ts";
 const CALLED_SERVICES_TEST = "test/called_services_test.ts";
+const GIVEN_UP_RUNS_TEST = "test/given_up_runs_test.ts";
 const REQUEST_BODY_TEST = "test/request_body_test.ts";
 const ANSWER_WATCH_TEST = "test/answer_watch_test.ts";
 const FRAMES_TEST = "test/frames_test.ts";
@@ -1025,6 +1026,38 @@
     }],
     testFile: ANSWER_WATCH_TEST,
   },
+  {
+    name: "given_up_runs_have_their_time",
+    guarantee: "harmless requests are not refused for an end",
+    file: "src/core/lingering_runs.ts",
+    edits: [{
+      find:
+        "if (host.now() > until || runs.size >= MAX_RUNS) runs.delete(ticket);",
+      replace: "if (runs.size >= MAX_RUNS) runs.delete(ticket);",
+    }],
+    testFile: GIVEN_UP_RUNS_TEST,
+  },
+  {
+    name: "given_up_runs_belong_to_an_incarnation",
+    guarantee: "harmless requests are not refused for an end",
+    file: "src/core/lingering_runs.ts",
+    edits: [{
+      find:
+        "if (except === undefined || instance !== except) others.push(ticket);",
+      replace: "others.push(ticket);",
+    }],
+    testFile: GIVEN_UP_RUNS_TEST,
+  },
+  {
+    name: "runs_without_a_receiver_are_counted",
+    guarantee: "a request that ends upstreams is refused",
+    file: "src/core/guard.ts",
+    edits: [{
+      find: "if (entry.isCancelled && msg.execution !== NotRun) {",
+      replace: "if (entry.isCancelled && msg.execution === NotRun) {",
+    }],
+    testFile: GIVEN_UP_RUNS_TEST,
+  },
   {
     name: "refused_streams_are_cut",
     guarantee: "a request that ends upstreams is refused",
@@ -1336,8 +1369,8 @@
     guarantee: "fatal requests end few upstreams",
     file: "src/daemon/upstream_ends.ts",
     edits: [{
-      find: "if (await checking) return undefined;",
-      replace: "await checking;",
+      find: "return await checking ? undefined : recordEnd(sentAt);",
+      replace: "await checking;\n    return recordEnd(sentAt);",
     }],
     testFile: CRASH_SUSPECTS_TEST,
   },
@@ -1889,6 +1922,10 @@
     edits: [{
       find: "if (length > maxKeptBytes || !buffered.reserve(length)) {",
       replace: "buffered.reserve(length);\n  if (length > maxKeptBytes) {",
+    }, {
+      find: "const isKept = buffered.size() + piece.length <= maxKeptBytes &&",
+      replace:
+        "const isKept = buffered.size() + piece.length <= maxKeptBytes ||",
     }],
     testFile: INGRESS_TEST,
   },
--- a/src/link/frame_heads.ts
+++ b/src/link/frame_heads.ts
@@ -3,7 +3,6 @@
  * a schema library takes a twentieth of a daemon's processor time here.
  */
 
-import murmurhash from "murmurhash";
 import { Repeatability, type RequestHead, type Ticket } from "../core/types.ts";
 import { isFinalStatus } from "./final_status.ts";
 import { Step } from "./wire.ts";
@@ -44,11 +43,6 @@
   readonly hasParts?: boolean;
 }
 
-/** Hash by which a refusal names the ticket of its request. */
-export function hashTicket(ticket: Ticket): number {
-  return murmurhash.v3(ticket);
-}
-
 type Check = (value: unknown) => boolean;
 
 const isText: Check = (value) => typeof value === "string";
--- a/src/link/frame_link.ts
+++ b/src/link/frame_link.ts
@@ -10,6 +10,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Diagnostics } from "../core/diagnostics.ts";
 import type { RateLimit } from "../core/rate_limit.ts";
+import { hashTicket } from "../core/ticket_hash.ts";
 import {
   Execution,
   type Millis,
@@ -18,7 +19,6 @@
 } from "../core/types.ts";
 import {
   decodeReplyFrame,
-  hashTicket,
   type ReplyFrameHead,
   type RequestFrameHead,
 } from "./frame_heads.ts";
--- a/src/link/http_headers.ts
+++ b/src/link/http_headers.ts
@@ -25,6 +25,7 @@
   Header.Report,
   Header.Notice,
   Header.NoticeBornAt,
+  Header.UpstreamEnds,
   Header.VerdictJson,
   Header.Revisions,
   Header.From,
--- a/src/link/reply_metadata.ts
+++ b/src/link/reply_metadata.ts
@@ -15,6 +15,7 @@
 import { type GuardReply, ReplyKind } from "./types.ts";
 import {
   decodeBornAt,
+  decodeEnds,
   decodeNotice,
   decodeReport,
   decodeStartsIn,
@@ -95,12 +96,25 @@
     const startsInMs = decodeStartsIn(
       getHeader(headers, Header.StartsInMs) ?? "",
     );
+    const ends = tryReadEnds(headers);
     return {
       ...addNotice(report.val, headers),
       ...(startsInMs !== undefined && { startsInMs }),
+      ...(ends && { ends }),
     };
   }
 
+  function tryReadEnds(
+    headers: IncomingHttpHeaders,
+  ): LoadReport["ends"] | undefined {
+    const text = getHeader(headers, Header.UpstreamEnds);
+    if (text === undefined) return undefined;
+    const ends = decodeEnds(text);
+    if (ends.ok) return ends.val;
+    options.onLinkError(`malformed ends: ${ends.val}`);
+    return undefined;
+  }
+
   function addNotice(
     report: LoadReport,
     headers: IncomingHttpHeaders,
--- a/src/link/wire.ts
+++ b/src/link/wire.ts
@@ -13,6 +13,7 @@
   type LoadReport,
   type Millis,
   Repeatability,
+  type ReportedEnd,
   type RequestHead,
   type Verdict,
 } from "../core/types.ts";
@@ -30,6 +31,8 @@
   NoticeBornAt = "vanillarock-notice-born-at",
   /** Time until the sender's upstream may start a request, in ms; absent if it may now. */
   StartsInMs = "vanillarock-starts-in-ms",
+  /** Recent ends of the sender's upstream that interrupted runs which nobody waits for, as JSON; absent without any. */
+  UpstreamEnds = "vanillarock-upstream-ends",
   VerdictJson = "vanillarock-verdict-json",
   /** Digest of the sender's revisions in force. */
   Revisions = "vanillarock-revisions",
@@ -283,3 +286,19 @@
 export function decodeStartsIn(text: string): Millis | undefined {
   return /^\d{1,9}$/.test(text) ? Number(text) : undefined;
 }
+
+/** Encodes the ends that a report tells of; undefined without any. */
+export function encodeEnds({ ends }: LoadReport): string | undefined {
+  return ends && JSON.stringify(ends);
+}
+
+const endsSchema = z.array(
+  z.object({ end: z.string(), hashes: z.array(z.number()) }),
+);
+
+/** Decodes such ends, or returns what is wrong with them. */
+export function decodeEnds(
+  text: string,
+): Result<readonly ReportedEnd[], string> {
+  return decodeJson(text, endsSchema);
+}
--- a/test/frames_test.ts
+++ b/test/frames_test.ts
@@ -12,11 +12,11 @@
 import type { Readable } from "node:stream";
 import { afterEach, expect, test } from "vitest";
 import { Diagnostics } from "../src/core/diagnostics.ts";
+import { hashTicket } from "../src/core/ticket_hash.ts";
 import { Execution, Repeatability } from "../src/core/types.ts";
 import {
   decodeReplyFrame,
   decodeRequestFrame,
-  hashTicket,
 } from "../src/link/frame_heads.ts";
 import { createFrameLink } from "../src/link/frame_link.ts";
 import {
