--- a/test/platform_decode_test.ts
+++ b/test/platform_decode_test.ts
@@ -274,6 +274,8 @@
     JSON.stringify({ ...ENTRY, info: undefined }),
     JSON.stringify({ ...ENTRY, born: "yesterday" }),
     JSON.stringify({ ...ENTRY, info: { ...ENTRY.info, slots: 0 } }),
+    JSON.stringify({ ...ENTRY, info: { ...ENTRY.info, version: undefined } }),
+    JSON.stringify({ ...ENTRY, info: { ...ENTRY.info, version: 1 } }),
     JSON.stringify({ ...ENTRY, status: { ...ENTRY.status, state: "odd" } }),
     JSON.stringify({ ...ENTRY, status: { state: "ready", coldLeftS: 0 } }),
   ];
