The end of an upstream shows also where nothing else runs there

A run that was given up has until its time has passed; before that its guard looks once whether the upstream has ended, unless it answers others, and a request that finds the upstream's port closed shows it, too. given_up_mesh_test with an upstream that is down for 2.5 s and a fatal order alone: refused in the end.

--- a/src/core/guard.ts
+++ b/src/core/guard.ts
@@ -178,6 +178,7 @@
     getNextWake: wakes.getNext,
     isDraining: () => draining,
     getOpenCount: () => openCount,
+    getLingeringUntil: lingering.getUntil,
     hasLingering: lingering.hasAny,
     getEnds: lingering.getEnds,
     getKeyHorizon: keys.getHorizon,
--- a/src/core/guard_types.ts
+++ b/src/core/guard_types.ts
@@ -90,6 +90,8 @@
   isDraining(): boolean;
   /** Requests queued, granted or running. */
   getOpenCount(): number;
+  /** Time until which all runs that were given up may be at the upstream, in ms; undefined without any. */
+  getLingeringUntil(): Millis | undefined;
   /** True while a run that was given up may be at the upstream, leaving out those of an incarnation. */
   hasLingering(except?: string): boolean;
   /** Recent ends of the upstream that interrupted such runs. */
--- a/src/core/lingering_runs.ts
+++ b/src/core/lingering_runs.ts
@@ -12,7 +12,7 @@
  * ms: upstreams stop work at the deadline that they were told, and an end is
  * noticed by a connection of its own.
  */
-const MARGIN_MS = 250;
+const MARGIN_MS = 500;
 /**
  * Time for which each report tells of an end, in ms; gateways that had such a run
  * there send something to the host again in that time, if they have traffic.
@@ -36,6 +36,8 @@
     ticket: Ticket,
     run: { deadline: Millis; instance?: string | undefined },
   ): void;
+  /** Time until which all of them may be at the upstream, in ms; undefined without any. */
+  getUntil(): Millis | undefined;
   /** True while one may be at the upstream, leaving out those of an incarnation. */
   hasAny(except?: string): boolean;
   /** Records an end of the upstream, or that of all incarnations but one. */
@@ -54,7 +56,7 @@
     { until: Millis; instance?: string | undefined }
   >();
   let ends: (InterruptedRuns & { readonly at: Millis })[] = [];
-  return { add, hasAny, recordEnd, getEnds };
+  return { add, getUntil, hasAny, recordEnd, getEnds };
 
   function add(
     ticket: Ticket,
@@ -64,6 +66,13 @@
     runs.set(ticket, { until: deadline + MARGIN_MS, instance });
   }
 
+  function getUntil(): Millis | undefined {
+    dropOld();
+    return runs.size === 0
+      ? undefined
+      : Math.min(...[...runs.values()].map(({ until }) => until));
+  }
+
   function hasAny(except?: string): boolean {
     return findOthers(except).length > 0;
   }
--- a/src/daemon/guard_task.ts
+++ b/src/daemon/guard_task.ts
@@ -52,6 +52,8 @@
 /** Largest response body that is stored with an idempotency key, in bytes. */
 const MAX_KEPT_RESPONSE_BYTES = 16_384;
 const DRAIN_POLL_MS = 20;
+/** Time before the end of that of a run that was given up at which the upstream is looked at, in ms. */
+const LINGERING_CHECK_MS = 200;
 
 /** Settings of the task. */
 export interface GuardTaskOptions {
@@ -148,6 +150,9 @@
   const tickets = new Map<Ticket, TicketState>();
   /** When a request was last passed on to the upstream, in ms. */
   let lastSentAt: Millis = -Infinity;
+  /** When it last answered one, in ms. */
+  let lastAnsweredAt: Millis = -Infinity;
+  let lingeringCheck: NodeJS.Timeout | undefined;
   const waker = createWaker(clock, {
     getNextWake: guard.getNextWake,
     tick: () => dispatch({ kind: GuardMessageKind.Tick }),
@@ -196,9 +201,7 @@
     },
     recordEnded: () => {
       dispatch({ kind: GuardMessageKind.UpstreamEnded });
-      void runHandler(findEndOfLingering, (error) => {
-        logHandlerFailure(logger, error, { handler: "guard", req: undefined });
-      });
+      checkLingering();
     },
     getOpen,
     drain,
@@ -386,6 +389,7 @@
       const tookMs = clock.now() - startedAt;
       return await onLoss(ticket, { ...result.failure, tookMs }, sentAt);
     }
+    lastAnsweredAt = clock.now();
     const { response } = result;
     const tookMs = clock.now() - startedAt;
     const waitedMs = startedAt - state.receivedAt!;
@@ -472,12 +476,37 @@
     const end = failure.diagnostic === Diagnostics.upstream_lost
       ? await options.ends?.tryGetEnd(sentAt)
       : undefined;
+    if (failure.diagnostic === Diagnostics.upstream_unreachable) {
+      checkLingering();
+    }
     if (end === undefined) return onUpstreamFailure(ticket, failure);
     recordEnd(end);
     const diagnostic = Diagnostics.upstream_ended;
     onUpstreamFailure(ticket, { ...failure, diagnostic }, end);
   }
 
+  /**
+   * Before the time of runs that were given up has passed, looks whether the
+   * upstream has ended, unless its answers to others show that it hasn't.
+   */
+  function scheduleLingeringCheck(minWaitMs: Millis = 0): void {
+    const until = guard.getLingeringUntil();
+    if (until === undefined || lingeringCheck !== undefined) return;
+    const leftMs = until - options.host.now() - LINGERING_CHECK_MS;
+    lingeringCheck = setTimeout(() => {
+      lingeringCheck = undefined;
+      const isAlive = clock.now() - lastAnsweredAt < LINGERING_CHECK_MS;
+      if (!isAlive) checkLingering();
+      scheduleLingeringCheck(LINGERING_CHECK_MS);
+    }, Math.max(minWaitMs, leftMs)).unref();
+  }
+
+  function checkLingering(): void {
+    void runHandler(findEndOfLingering, (error) => {
+      logHandlerFailure(logger, error, { handler: "guard", req: undefined });
+    });
+  }
+
   /** Runs that were given up may be all that the end interrupted. */
   async function findEndOfLingering(): Promise<void> {
     if (!guard.hasLingering()) return;
@@ -520,6 +549,7 @@
     const known = end === undefined ? {} : { end };
     dispatch({ kind, ticket, execution, diagnostic, ...known });
     tickets.delete(ticket);
+    if (options.ends !== undefined) scheduleLingeringCheck();
   }
 
   function watchBodyEnd(
@@ -609,6 +639,7 @@
 
   async function close(): Promise<void> {
     waker.close();
+    clearTimeout(lingeringCheck);
     await upstream.close();
   }
 }
