Signs of life go one way only: from a guard to the gateway that waits

A gateway's sign while its caller reads nothing would reach a daemon that has written its answer and stopped, whose closed connection it resets, with the rest of the answer.

--- a/src/daemon/frame_server.ts
+++ b/src/daemon/frame_server.ts
@@ -22,7 +22,7 @@
   MAX_FRAME_BODY_BYTES,
 } from "../link/frames.ts";
 import { getForwardHeaders } from "../link/http_headers.ts";
-import { createTicker, STUCK_INTERVALS } from "../link/signs_of_life.ts";
+import { createTicker } from "../link/signs_of_life.ts";
 import {
   type ForwardRequest,
   type GuardReply,
@@ -158,14 +158,15 @@
     let cutReason: string | undefined;
     /** True once the peer was told that this daemon sends signs of life. */
     let hasSentSigns = false;
-    /** Bytes by the last tick: passed to the socket, sent, and read. */
-    let last = { written: 0, sent: 0, read: 0 };
-    let stuckTicks = 0;
+    /** Bytes that were passed to the socket by the last tick. */
+    let bytesWritten = 0;
     const peer = socket.remoteAddress;
     const reader = createFrameReader(receive);
     socket.setTimeout(IDLE_MS, () => {
       if (isEndAnnounced) socket.destroy();
-      else announceEnd();
+      else if (open === undefined) announceEnd();
+      // A gateway whose caller reads nothing has cut it before.
+      else if (socket.writableLength > 0) cut("peer_silent");
     });
     socket.on("error", () => {});
     socket.on("end", () => socket.destroy());
@@ -209,27 +210,20 @@
       });
     }
 
-    /** Sends a sign of life if nothing else was sent, and gives up a peer that neither reads nor sends one. */
+    /** Sends a sign of life if nothing else was sent. */
     function check(): void {
-      const { bytesWritten: written, bytesRead: read, writableLength } = socket;
-      const sent = written - writableLength;
-      const isStuck = writableLength > 0 && sent === last.sent &&
-        read === last.read;
-      stuckTicks = isStuck ? stuckTicks + 1 : 0;
-      const isDue = writableLength === 0 && written === last.written;
-      last = { written, sent, read };
-      if (stuckTicks >= STUCK_INTERVALS) cut("peer_silent");
-      else if (isDue) sendSign();
+      const isDue = socket.writableLength === 0 &&
+        socket.bytesWritten === bytesWritten;
+      if (isDue) sendSign();
+      bytesWritten = socket.bytesWritten;
     }
 
     function sendSign(): void {
       hasSentSigns = true;
       socket.write(ALIVE);
-      last.written = socket.bytesWritten;
     }
 
     function receive(frame: Frame): void {
-      if (frame.kind === FrameKind.Alive && hasSentSigns) return;
       const head = frame.kind === FrameKind.Request
         ? decodeRequestFrame(frame.head)
         : undefined;
@@ -245,8 +239,7 @@
       const exchange = { socket, head, body, signal, send, finish, cut };
       open = exchange;
       if (head.knowsSigns) {
-        last.written = socket.bytesWritten;
-        stuckTicks = 0;
+        bytesWritten = socket.bytesWritten;
         ticker.add(check);
       }
       void runHandler(() => serve(exchange), (error) => {
--- a/src/link/frame_pool.ts
+++ b/src/link/frame_pool.ts
@@ -5,7 +5,6 @@
 import type { Millis } from "../core/types.ts";
 import { splitAddress } from "./address.ts";
 import {
-  ALIVE,
   createFrameReader,
   type Frame,
   FrameKind,
@@ -277,13 +276,8 @@
     if (socket === undefined) return;
     const hasRead = socket.bytesRead !== connection.bytesRead;
     connection.bytesRead = socket.bytesRead;
-    if (connection.isPaused) {
-      connection.silentTicks = 0;
-      // What the peer has written isn't taken, which tells it nothing of this side.
-      if (sendsSigns) socket.write(ALIVE);
-      return;
-    }
-    connection.silentTicks = hasRead ? 0 : connection.silentTicks + 1;
+    const isWaiting = !hasRead && !connection.isPaused;
+    connection.silentTicks = isWaiting ? connection.silentTicks + 1 : 0;
     const maxTicks = sendsSigns ? SILENT_INTERVALS : UNSIGNED_INTERVALS;
     if (connection.silentTicks < maxTicks) return;
     connection.closeReason = `the peer was silent for ${
--- a/src/link/frames.ts
+++ b/src/link/frames.ts
@@ -20,8 +20,8 @@
   /** The guard reads no further request on the connection; one that it has not begun to answer never runs. */
   Closing = 6,
   /**
-   * A sign of life, which belongs to no message; from the first one on its sender
-   * sends them. Sent only to peers that have stated that they know them.
+   * A sign of life of a guard, which belongs to no message; from the first one on
+   * they go on. Sent only to peers that have stated that they know them.
    */
   Alive = 7,
 }
--- a/src/link/signs_of_life.ts
+++ b/src/link/signs_of_life.ts
@@ -7,15 +7,10 @@
 
 import type { Millis } from "../core/types.ts";
 
-/** Interval in which a connection with an exchange carries a byte in each direction that is read, in ms. */
+/** Interval in which a guard's daemon sends at least a byte on a connection with an exchange, in ms. */
 export const SIGN_INTERVAL_MS: Millis = 300;
 /** Intervals without a byte after which a peer that sends signs counts as silent. */
 export const SILENT_INTERVALS = 4;
-/**
- * The same for one that takes no byte: its process may only be held up, and an
- * answer that is cut for that is lost.
- */
-export const STUCK_INTERVALS = 33;
 /** The same for a peer that sends no signs, whose reply may take as long as its request's time. */
 export const UNSIGNED_INTERVALS = 250;
 
