--- a/test/given_up_mesh_test.ts
+++ b/test/given_up_mesh_test.ts
@@ -19,7 +19,7 @@
 
 let fleet: Deployment;
 beforeEach(async () => {
-  fleet = await startDeployment(233, [
+  fleet = await startDeployment(250, [
     "shop",
     "shop",
     "shop",
--- a/test/silent_answers_mesh_test.ts
+++ b/test/silent_answers_mesh_test.ts
@@ -32,7 +32,7 @@
 const pipes: Pipe[] = [];
 
 beforeAll(async () => {
-  fleet = await startDeployment(230, ["front", "shop", "shop", "shop"], {
+  fleet = await startDeployment(248, ["front", "shop", "shop", "shop"], {
     hasRelays: true,
   });
   fleet.publish(2, { service: "shop", timeoutS: TIMEOUT_MS / 1_000 });
--- a/test/stalled_uploads_mesh_test.ts
+++ b/test/stalled_uploads_mesh_test.ts
@@ -18,7 +18,7 @@
 
 let fleet: Deployment;
 beforeAll(async () => {
-  fleet = await startDeployment(232, ["front", "shop"]);
+  fleet = await startDeployment(249, ["front", "shop"]);
   fleet.publish(2, { service: "shop", timeoutS: TIMEOUT_MS / 1_000 });
   await fleet.waitInForce();
 }, 30_000);
