--- a/src/core/given_up_runs.ts
+++ b/src/core/given_up_runs.ts
@@ -1,4 +1,4 @@
-/** What a gateway keeps of runs that it no longer waits for, until their guards may tell that an upstream ended with them. */
+/** Runs for which a gateway has stopped waiting, kept until their guards may tell that an upstream ended with them. */
 
 import type { Arrival, CoreHost, Millis, Ticket } from "./types.ts";
 import { hashTicket } from "./ticket_hash.ts";
--- a/src/link/signs_of_life.ts
+++ b/src/link/signs_of_life.ts
@@ -1,8 +1,7 @@
 /**
- * Signs of life on connections that carry exchanges. An open connection may
- * carry nothing any more without a reset; only a byte that should have come and
- * has not shows it. One timer serves all connections, and runs only while one
- * carries an exchange.
+ * Signs of life on connections that carry exchanges. An open connection may go
+ * silent without a reset; only a byte that should have come and has not shows it.
+ * One timer serves all connections, and runs only while one carries an exchange.
  */
 
 import type { Millis } from "../core/types.ts";
